--- /dev/null
+++ b/Makefile
@@ -0,0 +1,33 @@
+MODULES := core daemon ctl test
+SEED ?= 1
+
+.PHONY: demo test bench build lint format-check spec generate
+
+# demo runs three daemons and a stand-in target: a ticket, a quick check, a batch job.
+demo: build
+	./scripts/demo.sh
+
+build:
+	mkdir -p bin
+	cd daemon && go build -o ../bin/samphired ./cmd/samphired
+	cd ctl && go build -o ../bin/samphirectl ./cmd/samphirectl
+
+# test runs every test of every module with fixed seeds.
+test: build
+	@set -e; for m in $(MODULES); do (cd $$m && go test -timeout 20m ./...); done
+
+bench: build
+	./scripts/bench.sh
+
+lint:
+	@set -e; for m in $(MODULES); do (cd $$m && go vet ./... && go tool staticcheck ./...); done
+
+format-check:
+	@out=$$(gofmt -l $(MODULES)); if [ -n "$$out" ]; then echo "not formatted:"; echo "$$out"; exit 1; fi
+
+spec:
+	./spec/check.sh
+
+# generate needs protoc, protoc-gen-go and protoc-gen-twirp; its output is committed.
+generate:
+	cd daemon/rpc && protoc --go_out=. --go_opt=paths=source_relative --twirp_out=. --twirp_opt=paths=source_relative peer.proto
--- /dev/null
+++ b/core/model/ids.go
@@ -0,0 +1,70 @@
+// Package model defines the types that the scheduler's packages share: identifiers,
+// resources, verdicts, the objects that tickets declare, and the targets' reports.
+//
+// Types are stored in the replicated log and sent between daemons in CBOR; their JSON
+// field names are the public interface and also the CBOR keys.
+package model
+
+import "fmt"
+
+// GatewayID names one entry VM's daemon; it comes from the daemon's settings.
+type GatewayID string
+
+// TargetID names one back end; the target chooses it when it announces itself.
+type TargetID string
+
+// Zone names an availability zone.
+type Zone string
+
+// Rack names a rack within an availability zone.
+type Rack string
+
+// TenantID names a tenant.
+type TenantID string
+
+// ServiceID names a service.
+type ServiceID string
+
+// PoolID names a pool of workers.
+type PoolID string
+
+// JobID names a job; it is unique over the lifetime of the state.
+type JobID string
+
+// RequestID identifies one caller's request on its way to a target and back.
+type RequestID string
+
+// Epoch orders the grants of one ownership or session; a larger value supersedes smaller ones.
+type Epoch uint64
+
+// Revision is the log index of the last command that a view of the state includes.
+type Revision uint64
+
+// Millis is a wall-clock time or a duration in milliseconds.
+type Millis int64
+
+// AttemptID identifies one execution of a job.
+type AttemptID struct {
+	Job    JobID  `json:"job"`
+	Number uint32 `json:"number"`
+}
+
+// String formats the attempt as job/number.
+func (a AttemptID) String() string {
+	return fmt.Sprintf("%s/%d", a.Job, a.Number)
+}
+
+// Class groups work that the scheduler treats alike.
+type Class string
+
+// The classes of work.
+const (
+	ClassQuick  Class = "quick"  // latency-critical requests, a caller waits
+	ClassBatch  Class = "batch"  // jobs that run to their end
+	ClassStream Class = "stream" // runs whose output a caller follows for hours
+)
+
+// Valid reports whether c is a known class.
+func (c Class) Valid() bool {
+	return c == ClassQuick || c == ClassBatch || c == ClassStream
+}
--- /dev/null
+++ b/core/model/objects.go
@@ -0,0 +1,77 @@
+package model
+
+// Service is a latency-critical service that callers reach by name.
+type Service struct {
+	ID          ServiceID `json:"id"`
+	Pool        PoolID    `json:"pool"`
+	Quick       Resources `json:"quick"`        // what one quick request takes on a target
+	KeptSlots   int32     `json:"kept_slots"`   // slots of each target that batch work may not take
+	DeadlineMs  Millis    `json:"deadline_ms"`  // default deadline of a quick request
+	QueueLength int32     `json:"queue_length"` // requests that may wait at one gateway
+	Version     string    `json:"version"`      // free text shown by status
+}
+
+// Pool is a set of targets, selected by the pool name that they announce.
+type Pool struct {
+	ID      PoolID  `json:"id"`
+	Weights Weights `json:"weights"`
+}
+
+// Weights states how a site values the three measures; only their ratios matter.
+type Weights struct {
+	TailLatency float64 `json:"tail_latency"`
+	Throughput  float64 `json:"throughput"`
+	Evictions   float64 `json:"evictions"`
+}
+
+// Tenant holds the limits of one tenant.
+type Tenant struct {
+	ID              TenantID  `json:"id"`
+	BatchQuota      Resources `json:"batch_quota"`      // most that its batch tasks hold together; zero fields are unlimited
+	MaxQueuedJobs   int32     `json:"max_queued_jobs"`  // zero is unlimited
+	QuickPerSecond  int32     `json:"quick_per_second"` // zero is unlimited; counted per gateway
+	QuickConcurrent int32     `json:"quick_concurrent"` // zero is unlimited; counted per gateway
+	Share           float64   `json:"share"`            // weight in fair sharing; zero counts as 1
+}
+
+// JobSpec is what a caller or a ticket declares about a job.
+type JobSpec struct {
+	ID          JobID     `json:"id"`
+	Tenant      TenantID  `json:"tenant"`
+	Pool        PoolID    `json:"pool"`
+	Class       Class     `json:"class"`        // ClassBatch or ClassStream
+	Kind        string    `json:"kind"`         // class of work for learning, such as "restock-plan"
+	Declared    Resources `json:"declared"`     // declared size; learned sizes may exceed it
+	RunTimeMs   Millis    `json:"run_time_ms"`  // declared run time
+	Urgent      bool      `json:"urgent"`       // may preempt; starts within 2.1 s
+	MaxAttempts uint32    `json:"max_attempts"` // failures after which the job is given up; zero counts as 5
+	Payload     []byte    `json:"payload"`      // passed to the target unchanged
+}
+
+// Ticket is a numbered change that carries the whole new state of every object it touches.
+type Ticket struct {
+	Number   uint64      `json:"number"`
+	Author   string      `json:"author"`
+	Services []Service   `json:"services,omitempty"`
+	Pools    []Pool      `json:"pools,omitempty"`
+	Tenants  []Tenant    `json:"tenants,omitempty"`
+	Jobs     []JobSpec   `json:"jobs,omitempty"`
+	Delete   []ObjectRef `json:"delete,omitempty"`
+}
+
+// ObjectKind names a kind of object that a ticket may touch.
+type ObjectKind string
+
+// The kinds of object.
+const (
+	KindService ObjectKind = "service"
+	KindPool    ObjectKind = "pool"
+	KindTenant  ObjectKind = "tenant"
+	KindJob     ObjectKind = "job"
+)
+
+// ObjectRef names one object.
+type ObjectRef struct {
+	Kind ObjectKind `json:"kind"`
+	ID   string     `json:"id"`
+}
--- /dev/null
+++ b/core/model/resources.go
@@ -0,0 +1,79 @@
+package model
+
+import (
+	"fmt"
+	"strings"
+)
+
+// Resources is an amount of each resource that a target offers or a task takes.
+type Resources struct {
+	Slots        int32 `json:"slots"`
+	Connections  int32 `json:"connections"`
+	CPUMillis    int64 `json:"cpu_millis"` // thousandths of a core
+	MemoryMiB    int64 `json:"memory_mib"` // mebibytes
+	Accelerators int32 `json:"accelerators"`
+}
+
+// Add returns the sum of r and o.
+func (r Resources) Add(o Resources) Resources {
+	return Resources{
+		Slots:        r.Slots + o.Slots,
+		Connections:  r.Connections + o.Connections,
+		CPUMillis:    r.CPUMillis + o.CPUMillis,
+		MemoryMiB:    r.MemoryMiB + o.MemoryMiB,
+		Accelerators: r.Accelerators + o.Accelerators,
+	}
+}
+
+// Sub returns r less o.
+func (r Resources) Sub(o Resources) Resources {
+	return Resources{
+		Slots:        r.Slots - o.Slots,
+		Connections:  r.Connections - o.Connections,
+		CPUMillis:    r.CPUMillis - o.CPUMillis,
+		MemoryMiB:    r.MemoryMiB - o.MemoryMiB,
+		Accelerators: r.Accelerators - o.Accelerators,
+	}
+}
+
+// Max returns the greater amount of each resource.
+func (r Resources) Max(o Resources) Resources {
+	return Resources{
+		Slots:        max(r.Slots, o.Slots),
+		Connections:  max(r.Connections, o.Connections),
+		CPUMillis:    max(r.CPUMillis, o.CPUMillis),
+		MemoryMiB:    max(r.MemoryMiB, o.MemoryMiB),
+		Accelerators: max(r.Accelerators, o.Accelerators),
+	}
+}
+
+// Fits reports whether r fits into free.
+func (r Resources) Fits(free Resources) bool {
+	return r.Slots <= free.Slots &&
+		r.Connections <= free.Connections &&
+		r.CPUMillis <= free.CPUMillis &&
+		r.MemoryMiB <= free.MemoryMiB &&
+		r.Accelerators <= free.Accelerators
+}
+
+// Shortfall names each resource of which free holds less than r, with both amounts;
+// it is empty if r fits.
+func (r Resources) Shortfall(free Resources) string {
+	var parts []string
+	add := func(name string, want, have int64) {
+		if want > have {
+			parts = append(parts, fmt.Sprintf("%s: need %d, free %d", name, want, have))
+		}
+	}
+	add("slots", int64(r.Slots), int64(free.Slots))
+	add("connections", int64(r.Connections), int64(free.Connections))
+	add("cpu_millis", r.CPUMillis, free.CPUMillis)
+	add("memory_mib", r.MemoryMiB, free.MemoryMiB)
+	add("accelerators", int64(r.Accelerators), int64(free.Accelerators))
+	return strings.Join(parts, "; ")
+}
+
+// Negative reports whether any amount is below zero.
+func (r Resources) Negative() bool {
+	return r.Slots < 0 || r.Connections < 0 || r.CPUMillis < 0 || r.MemoryMiB < 0 || r.Accelerators < 0
+}
--- /dev/null
+++ b/core/model/validate.go
@@ -0,0 +1,169 @@
+package model
+
+import (
+	"fmt"
+	"regexp"
+)
+
+// Bounds on tickets and jobs.
+const (
+	MaxTicketObjects  = 256     // objects in one ticket
+	MaxPayloadBytes   = 4 << 20 // payload of one job
+	maxIdentifierSize = 128     // bytes of an identifier
+	maxAttempts       = 100     // failures that a job may be allowed
+	maxDeadlineMs     = Millis(10 * 60 * 1000)
+	maxQueueLength    = 100_000
+)
+
+var identifier = regexp.MustCompile(`^[A-Za-z0-9][A-Za-z0-9._-]*$`)
+
+// CheckIdentifier reports why text cannot be an identifier.
+func CheckIdentifier(field, text string) error {
+	if text == "" {
+		return fmt.Errorf("%s is empty", field)
+	}
+	if len(text) > maxIdentifierSize {
+		return fmt.Errorf("%s has %d bytes, at most %d are allowed", field, len(text), maxIdentifierSize)
+	}
+	if !identifier.MatchString(text) {
+		return fmt.Errorf("%s %q may hold only letters, digits, '.', '_' and '-', and starts with a letter or digit", field, text)
+	}
+	return nil
+}
+
+// Refs returns every object that the ticket touches; naming one twice is an error.
+func (t Ticket) Refs() ([]ObjectRef, error) {
+	var refs []ObjectRef
+	for _, s := range t.Services {
+		refs = append(refs, ObjectRef{KindService, string(s.ID)})
+	}
+	for _, p := range t.Pools {
+		refs = append(refs, ObjectRef{KindPool, string(p.ID)})
+	}
+	for _, n := range t.Tenants {
+		refs = append(refs, ObjectRef{KindTenant, string(n.ID)})
+	}
+	for _, j := range t.Jobs {
+		refs = append(refs, ObjectRef{KindJob, string(j.ID)})
+	}
+	refs = append(refs, t.Delete...)
+	return refs, checkRefs(refs)
+}
+
+func checkRefs(refs []ObjectRef) error {
+	if len(refs) == 0 {
+		return fmt.Errorf("the ticket touches no object")
+	}
+	if len(refs) > MaxTicketObjects {
+		return fmt.Errorf("the ticket touches %d objects, at most %d are allowed", len(refs), MaxTicketObjects)
+	}
+	seen := make(map[ObjectRef]bool, len(refs))
+	for _, ref := range refs {
+		if err := checkRef(ref); err != nil {
+			return err
+		}
+		if seen[ref] {
+			return fmt.Errorf("%s %q is named twice", ref.Kind, ref.ID)
+		}
+		seen[ref] = true
+	}
+	return nil
+}
+
+func checkRef(ref ObjectRef) error {
+	switch ref.Kind {
+	case KindService, KindPool, KindTenant, KindJob:
+		return CheckIdentifier(string(ref.Kind)+" id", ref.ID)
+	default:
+		return fmt.Errorf("kind %q is none of service, pool, tenant, job", ref.Kind)
+	}
+}
+
+// Validate checks each object of the ticket by itself.
+func (t Ticket) Validate() error {
+	for _, s := range t.Services {
+		if err := s.Validate(); err != nil {
+			return fmt.Errorf("service %q: %w", s.ID, err)
+		}
+	}
+	for _, p := range t.Pools {
+		if err := p.Weights.validate(); err != nil {
+			return fmt.Errorf("pool %q: %w", p.ID, err)
+		}
+	}
+	for _, n := range t.Tenants {
+		if err := n.Validate(); err != nil {
+			return fmt.Errorf("tenant %q: %w", n.ID, err)
+		}
+	}
+	for _, j := range t.Jobs {
+		if err := j.Validate(); err != nil {
+			return fmt.Errorf("job %q: %w", j.ID, err)
+		}
+	}
+	return nil
+}
+
+// Validate checks a service.
+func (s Service) Validate() error {
+	if err := CheckIdentifier("pool", string(s.Pool)); err != nil {
+		return err
+	}
+	if s.Quick.Negative() || s.Quick.Slots < 1 || s.Quick.Connections < 1 {
+		return fmt.Errorf("quick must take at least 1 slot and 1 connection and no negative amount, got %+v", s.Quick)
+	}
+	if s.KeptSlots < 0 {
+		return fmt.Errorf("kept_slots %d is negative", s.KeptSlots)
+	}
+	if s.DeadlineMs < 1 || s.DeadlineMs > maxDeadlineMs {
+		return fmt.Errorf("deadline_ms %d is outside 1 to %d", s.DeadlineMs, maxDeadlineMs)
+	}
+	if s.QueueLength < 0 || s.QueueLength > maxQueueLength {
+		return fmt.Errorf("queue_length %d is outside 0 to %d", s.QueueLength, maxQueueLength)
+	}
+	return nil
+}
+
+func (w Weights) validate() error {
+	if w.TailLatency < 0 || w.Throughput < 0 || w.Evictions < 0 {
+		return fmt.Errorf("weights %+v must not be negative", w)
+	}
+	return nil
+}
+
+// Validate checks a tenant's limits.
+func (t Tenant) Validate() error {
+	if t.BatchQuota.Negative() || t.MaxQueuedJobs < 0 || t.QuickPerSecond < 0 || t.QuickConcurrent < 0 || t.Share < 0 {
+		return fmt.Errorf("limits must not be negative, got %+v", t)
+	}
+	return nil
+}
+
+// Validate checks what a job declares.
+func (j JobSpec) Validate() error {
+	if err := CheckIdentifier("job id", string(j.ID)); err != nil {
+		return err
+	}
+	if err := CheckIdentifier("tenant", string(j.Tenant)); err != nil {
+		return err
+	}
+	if err := CheckIdentifier("pool", string(j.Pool)); err != nil {
+		return err
+	}
+	if j.Class != ClassBatch && j.Class != ClassStream {
+		return fmt.Errorf("class %q is none of batch, stream", j.Class)
+	}
+	if j.Declared.Negative() || j.Declared.Slots < 1 {
+		return fmt.Errorf("declared must take at least 1 slot and no negative amount, got %+v", j.Declared)
+	}
+	if j.RunTimeMs < 0 {
+		return fmt.Errorf("run_time_ms %d is negative", j.RunTimeMs)
+	}
+	if j.MaxAttempts > maxAttempts {
+		return fmt.Errorf("max_attempts %d is above %d", j.MaxAttempts, maxAttempts)
+	}
+	if len(j.Payload) > MaxPayloadBytes {
+		return fmt.Errorf("payload has %d bytes, at most %d are allowed", len(j.Payload), MaxPayloadBytes)
+	}
+	return nil
+}
--- /dev/null
+++ b/core/state/apply.go
@@ -0,0 +1,63 @@
+package state
+
+import (
+	"samphirepaddle.example/core/model"
+)
+
+// Apply changes the state by one committed command and returns its result. An unknown or
+// empty command changes nothing but the revision, so that replicas never diverge on it.
+func (s *State) Apply(index model.Revision, c Command) Result {
+	s.Revision = index
+	s.Now = max(s.Now, c.At)
+	result := s.dispatch(c)
+	if result.Revision == 0 {
+		result.Revision = index
+	}
+	return result
+}
+
+func (s *State) dispatch(c Command) Result {
+	switch {
+	case c.SubmitTicket != nil:
+		return s.submitTicket(c.SubmitTicket)
+	case c.RegisterGateway != nil:
+		return s.registerGateway(c.RegisterGateway)
+	case c.ExpireGateway != nil:
+		return s.expireGateway(c.ExpireGateway)
+	case c.DrainGateway != nil:
+		return s.drainGateway(c.DrainGateway)
+	case c.JoinTarget != nil:
+		return s.joinTarget(c.JoinTarget)
+	case c.LeaveTarget != nil:
+		return s.leaveTarget(c.LeaveTarget)
+	case c.LoseTarget != nil:
+		return s.loseTarget(c.LoseTarget)
+	case c.QuarantineTarget != nil:
+		return s.quarantineTarget(c.QuarantineTarget)
+	default:
+		return s.dispatchWork(c)
+	}
+}
+
+func (s *State) dispatchWork(c Command) Result {
+	switch {
+	case c.SubmitJob != nil:
+		return s.submitJob(c.SubmitJob)
+	case c.CancelJobs != nil:
+		return s.cancelJobs(c.CancelJobs)
+	case c.AssignAttempt != nil:
+		return s.assignAttempt(c.AssignAttempt)
+	case c.EvictAttempt != nil:
+		return s.evictAttempt(c.EvictAttempt)
+	case c.EndAttempt != nil:
+		return s.endAttempt(c.EndAttempt)
+	case c.MarkNeverRunnable != nil:
+		return s.markNeverRunnable(c.MarkNeverRunnable)
+	case c.BeginRequest != nil:
+		return s.beginRequest(c.BeginRequest)
+	case c.EndRequest != nil:
+		return s.endRequest(c.EndRequest)
+	default:
+		return resultf(CodeInvalid, "the command is empty or of a kind unknown to this version")
+	}
+}
--- /dev/null
+++ b/core/state/state.go
@@ -0,0 +1,164 @@
+// Package state is the replicated state of the controllers: commands change it through
+// Apply, queries read it, and snapshots save and restore it. Apply is deterministic: the
+// same commands in the same order give the same state on every replica.
+package state
+
+import (
+	"samphirepaddle.example/core/model"
+)
+
+// JobPhase is the state of a job.
+type JobPhase string
+
+// The phases of a job.
+const (
+	JobQueued    JobPhase = "queued"
+	JobAssigned  JobPhase = "assigned" // an attempt is open
+	JobFinished  JobPhase = "finished"
+	JobFailed    JobPhase = "failed"
+	JobCancelled JobPhase = "cancelled"
+)
+
+// Job is a job and its open attempt.
+type Job struct {
+	Spec        model.JobSpec    `json:"spec"`
+	Phase       JobPhase         `json:"phase"`
+	Key         string           `json:"key,omitempty"`
+	Ticket      uint64           `json:"ticket,omitempty"` // ticket that declared it, zero if submitted by a caller
+	SubmittedAt model.Millis     `json:"submitted_at"`
+	QueuedAt    model.Millis     `json:"queued_at"` // of the present wait; requeueing sets it anew
+	Attempts    uint32           `json:"attempts"`  // attempts assigned so far
+	Failures    uint32           `json:"failures"`
+	Evictions   uint32           `json:"evictions"`
+	Open        *Attempt         `json:"open,omitempty"`
+	FailedOn    []model.TargetID `json:"failed_on,omitempty"`
+	NeverReason string           `json:"never_reason,omitempty"`
+	Message     string           `json:"message,omitempty"` // of the last failure
+	Cancelling  bool             `json:"cancelling,omitempty"`
+	Checkpoint  []byte           `json:"checkpoint,omitempty"`
+	Result      []byte           `json:"result,omitempty"`
+	EndedAt     model.Millis     `json:"ended_at,omitempty"`
+	Changed     model.Revision   `json:"changed"`
+}
+
+// Attempt is an open execution of a job.
+type Attempt struct {
+	ID       model.AttemptID `json:"id"`
+	Target   model.TargetID  `json:"target"`
+	StartID  string          `json:"start_id"` // process of the target when it was assigned
+	Epoch    model.Epoch     `json:"epoch"`
+	Reserved model.Resources `json:"reserved"`
+	Evicting string          `json:"evicting,omitempty"` // reason, if an eviction was asked for
+	At       model.Millis    `json:"at"`
+}
+
+// Gateway is a gateway's session.
+type Gateway struct {
+	ID          model.GatewayID `json:"id"`
+	Incarnation string          `json:"incarnation"`
+	Epoch       model.Epoch     `json:"epoch"`
+	Zone        model.Zone      `json:"zone"`
+	PublicAddr  string          `json:"public_addr"`
+	PeerAddr    string          `json:"peer_addr"`
+	Draining    bool            `json:"draining,omitempty"`
+	Expired     bool            `json:"expired,omitempty"`
+}
+
+// Live reports whether the session may own targets.
+func (g *Gateway) Live() bool {
+	return !g.Expired && !g.Draining
+}
+
+// Target is a known target and its owner.
+type Target struct {
+	ID          model.TargetID  `json:"id"`
+	StartID     string          `json:"start_id"`
+	Address     string          `json:"address"`
+	Zone        model.Zone      `json:"zone"`
+	Rack        model.Rack      `json:"rack"`
+	Pool        model.PoolID    `json:"pool"`
+	Capacity    model.Resources `json:"capacity"`
+	Owner       model.GatewayID `json:"owner"`
+	Epoch       model.Epoch     `json:"epoch"`
+	Leaving     bool            `json:"leaving,omitempty"`
+	Lost        bool            `json:"lost,omitempty"`
+	Quarantined string          `json:"quarantined,omitempty"` // reason
+	Changed     model.Revision  `json:"changed"`
+}
+
+// TicketRecord is the outcome of an accepted ticket.
+type TicketRecord struct {
+	Ticket   model.Ticket   `json:"ticket"`
+	Revision model.Revision `json:"revision"`
+	At       model.Millis   `json:"at"`
+}
+
+// RequestKey identifies a non-idempotent request.
+type RequestKey struct {
+	Tenant model.TenantID `json:"tenant"`
+	Key    string         `json:"key"`
+}
+
+// RequestRecord is the record of a non-idempotent request.
+type RequestRecord struct {
+	BodyHash [32]byte        `json:"body_hash"`
+	Request  model.RequestID `json:"request"`
+	Gateway  model.GatewayID `json:"gateway"`
+	Epoch    model.Epoch     `json:"epoch"`
+	Ended    bool            `json:"ended"`
+	Verdict  model.Verdict   `json:"verdict"`
+	Answer   *StoredAnswer   `json:"answer,omitempty"`
+	At       model.Millis    `json:"at"`
+}
+
+// Config is the part of the state that tickets declare and every gateway keeps a copy of.
+type Config struct {
+	Revision model.Revision                    `json:"revision"` // of the last change
+	Services map[model.ServiceID]model.Service `json:"services"`
+	Pools    map[model.PoolID]model.Pool       `json:"pools"`
+	Tenants  map[model.TenantID]model.Tenant   `json:"tenants"`
+}
+
+// State is the replicated state. It is not safe for concurrent use; the controller
+// guards it with one lock.
+type State struct {
+	Revision  model.Revision
+	Now       model.Millis // greatest command time seen
+	NextEpoch model.Epoch  // grows with each session or ownership grant
+
+	Config      Config
+	LastTicket  map[model.ObjectRef]uint64 // number of the last ticket that touched an object
+	Tickets     map[uint64]*TicketRecord
+	TicketFloor uint64 // outcomes of tickets below this number are no longer kept
+
+	Gateways map[model.GatewayID]*Gateway
+	Targets  map[model.TargetID]*Target
+	Jobs     map[model.JobID]*Job
+	JobKeys  map[RequestKey]model.JobID
+	Requests map[RequestKey]*RequestRecord
+}
+
+// New returns an empty state.
+func New() *State {
+	return &State{
+		NextEpoch: 1,
+		Config: Config{
+			Services: map[model.ServiceID]model.Service{},
+			Pools:    map[model.PoolID]model.Pool{},
+			Tenants:  map[model.TenantID]model.Tenant{},
+		},
+		LastTicket: map[model.ObjectRef]uint64{},
+		Tickets:    map[uint64]*TicketRecord{},
+		Gateways:   map[model.GatewayID]*Gateway{},
+		Targets:    map[model.TargetID]*Target{},
+		Jobs:       map[model.JobID]*Job{},
+		JobKeys:    map[RequestKey]model.JobID{},
+		Requests:   map[RequestKey]*RequestRecord{},
+	}
+}
+
+func (s *State) takeEpoch() model.Epoch {
+	epoch := s.NextEpoch
+	s.NextEpoch++
+	return epoch
+}
--- /dev/null
+++ b/ctl/cmd/samphirectl/main.go
@@ -0,0 +1,4 @@
+// Command samphirectl is the operators' command line.
+package main
+
+func main() {}
--- /dev/null
+++ b/daemon/replica/single.go
@@ -0,0 +1,66 @@
+package replica
+
+import (
+	"context"
+	"sync"
+
+	"samphirepaddle.example/core/model"
+	"samphirepaddle.example/core/state"
+)
+
+// Single is a Log of one controller that keeps everything in memory. It serves tests of
+// the packages above the log.
+type Single struct {
+	id   model.GatewayID
+	addr string
+
+	mu      sync.Mutex
+	state   *state.State
+	changed chan struct{}
+}
+
+// NewSingle returns an empty Single that is its own leader.
+func NewSingle(id model.GatewayID, addr string) *Single {
+	return &Single{id: id, addr: addr, state: state.New(), changed: make(chan struct{})}
+}
+
+// Propose applies the command at once.
+func (s *Single) Propose(_ context.Context, c state.Command) (state.Result, error) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	result := s.state.Apply(s.state.Revision+1, c)
+	close(s.changed)
+	s.changed = make(chan struct{})
+	return result, nil
+}
+
+// Read calls query with the state.
+func (s *Single) Read(_ context.Context, query func(*state.State)) error {
+	s.View(query)
+	return nil
+}
+
+// View calls query with the state.
+func (s *Single) View(query func(*state.State)) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	query(s.state)
+}
+
+// Confirm returns at once: there is no other controller.
+func (s *Single) Confirm(context.Context) error { return nil }
+
+// Leader returns this controller.
+func (s *Single) Leader() Leader {
+	return Leader{ID: s.id, PeerAddr: s.addr, Self: true, Term: 1}
+}
+
+// Changed returns a channel that is closed when the next command has been applied.
+func (s *Single) Changed() <-chan struct{} {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.changed
+}
+
+// Close does nothing.
+func (s *Single) Close() error { return nil }
--- /dev/null
+++ b/test/doc.go
@@ -0,0 +1,2 @@
+// Package test holds failure tests and benchmarks that run the real binaries.
+package test
