Add a first path through the daemon: sessions, ownership, quick calls, jobs, tickets

Cause: nothing served a request from end to end yet. Change: settings, control client, controller service, gateway session, owner table, targets' client, callers' and operators' interfaces; the log is still the in-memory one of a single controller.

--- a/core/state/jobs.go
+++ b/core/state/jobs.go
@@ -89,16 +89,16 @@
 		s.endJob(job, JobCancelled)
 	case JobAssigned:
 		job.Cancelling = true
-		job.Changed = s.Revision
+		s.touchJob(job)
 	}
 }
 
 func (s *State) endJob(job *Job, phase JobPhase) {
+	s.touchJob(job)
 	job.Phase = phase
 	job.Open = nil
 	job.Cancelling = false
 	job.EndedAt = s.Now
-	job.Changed = s.Revision
 }
 
 func (s *State) assignAttempt(c *AssignAttempt) Result {
@@ -131,7 +131,7 @@
 		Reserved: c.Reserved,
 		At:       s.Now,
 	}
-	job.Changed = s.Revision
+	s.touchJob(job)
 	return Result{Code: CodeOK}
 }
 
@@ -192,7 +192,7 @@
 		return Result{Code: CodeRepeated}
 	}
 	job.Open.Evicting = c.Reason
-	job.Changed = s.Revision
+	s.touchJob(job)
 	return Result{Code: CodeOK}
 }
 
@@ -249,10 +249,10 @@
 }
 
 func (s *State) requeue(job *Job) {
+	s.touchJob(job)
 	job.Phase = JobQueued
 	job.Open = nil
 	job.QueuedAt = s.Now
-	job.Changed = s.Revision
 }
 
 func (j *Job) maxAttempts() uint32 {
@@ -271,6 +271,6 @@
 		return Result{Code: CodeRepeated}
 	}
 	job.NeverReason = c.Reason
-	job.Changed = s.Revision
+	s.touchJob(job)
 	return Result{Code: CodeOK}
 }
--- a/core/state/members.go
+++ b/core/state/members.go
@@ -67,8 +67,8 @@
 	for _, id := range sortedKeys(s.Targets) {
 		target := s.Targets[id]
 		if target.Owner == owner {
+			s.touchTarget(target)
 			target.Owner = ""
-			target.Changed = s.Revision
 		}
 	}
 	s.adoptTargets()
@@ -113,7 +113,7 @@
 	load[owner]++
 	target.Owner = owner
 	target.Epoch = s.takeEpoch()
-	target.Changed = s.Revision
+	s.touchTarget(target)
 }
 
 func (s *State) leastLoaded(load map[model.GatewayID]int, zone model.Zone) model.GatewayID {
@@ -152,10 +152,10 @@
 	target.Capacity = c.Capacity
 	target.Leaving = false
 	target.Lost = false
-	target.Changed = s.Revision
 	if target.Owner == "" {
 		s.assignOwner(target, s.ownedCounts())
 	}
+	s.touchTarget(target)
 	return Result{Code: CodeOK, Epoch: target.Epoch}
 }
 
@@ -168,7 +168,7 @@
 		return Result{Code: CodeRepeated}
 	}
 	target.Leaving = true
-	target.Changed = s.Revision
+	s.touchTarget(target)
 	return Result{Code: CodeOK}
 }
 
@@ -180,9 +180,9 @@
 	if target.Lost {
 		return Result{Code: CodeRepeated}
 	}
+	s.touchTarget(target)
 	target.Lost = true
 	target.Owner = ""
-	target.Changed = s.Revision
 	for _, id := range sortedKeys(s.Jobs) {
 		job := s.Jobs[id]
 		if job.Open != nil && job.Open.Target == c.Target {
@@ -208,6 +208,6 @@
 		return Result{Code: CodeRepeated}
 	}
 	target.Quarantined = reason
-	target.Changed = s.Revision
+	s.touchTarget(target)
 	return Result{Code: CodeOK}
 }
--- a/core/state/snapshot.go
+++ b/core/state/snapshot.go
@@ -82,6 +82,9 @@
 	s.Gateways = stored.Gateways
 	s.Targets = stored.Targets
 	s.Jobs = stored.Jobs
+	for id := range s.Gateways {
+		s.ownedChanged[id] = s.Revision
+	}
 	for _, e := range stored.LastTicket {
 		s.LastTicket[e.Ref] = e.Number
 	}
--- a/core/state/state.go
+++ b/core/state/state.go
@@ -136,6 +136,10 @@
 	Jobs     map[model.JobID]*Job
 	JobKeys  map[RequestKey]model.JobID
 	Requests map[RequestKey]*RequestRecord
+
+	// ownedChanged is the revision of the last change that concerns a gateway's targets or the
+	// attempts on them. It is not part of snapshots: after a restore every gateway counts as changed.
+	ownedChanged map[model.GatewayID]model.Revision
 }
 
 // New returns an empty state.
@@ -154,6 +158,8 @@
 		Jobs:       map[model.JobID]*Job{},
 		JobKeys:    map[RequestKey]model.JobID{},
 		Requests:   map[RequestKey]*RequestRecord{},
+
+		ownedChanged: map[model.GatewayID]model.Revision{},
 	}
 }
 
@@ -162,3 +168,26 @@
 	s.NextEpoch++
 	return epoch
 }
+
+// touchTarget records a change of a target for its owner.
+func (s *State) touchTarget(t *Target) {
+	t.Changed = s.Revision
+	s.touchOwner(t.Owner)
+}
+
+func (s *State) touchOwner(gateway model.GatewayID) {
+	if gateway != "" {
+		s.ownedChanged[gateway] = s.Revision
+	}
+}
+
+// touchJob records a change of a job for the owner of the target that its attempt is on.
+func (s *State) touchJob(j *Job) {
+	j.Changed = s.Revision
+	if j.Open == nil {
+		return
+	}
+	if target, ok := s.Targets[j.Open.Target]; ok {
+		s.touchOwner(target.Owner)
+	}
+}
--- /dev/null
+++ b/daemon/cmd/samphired/daemon.go
@@ -0,0 +1,182 @@
+package main
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"net"
+	"net/http"
+	"os"
+	"time"
+
+	"github.com/rs/zerolog"
+
+	"samphirepaddle.example/daemon/control"
+	"samphirepaddle.example/daemon/controller"
+	"samphirepaddle.example/daemon/gateway"
+	"samphirepaddle.example/daemon/operator"
+	"samphirepaddle.example/daemon/owner"
+	"samphirepaddle.example/daemon/replica"
+	"samphirepaddle.example/daemon/rpc"
+	"samphirepaddle.example/daemon/scheduler"
+	"samphirepaddle.example/daemon/session"
+	"samphirepaddle.example/daemon/settings"
+	"samphirepaddle.example/daemon/target"
+)
+
+// Limits of the listeners.
+const (
+	headerTimeout     = 5 * time.Second
+	idleTimeout       = 60 * time.Second
+	maxHeaderBytes    = 64 << 10
+	connsPerPeer      = 64
+	connsPerTarget    = 64
+	peerDialTimeout   = 500 * time.Millisecond
+	peerIdleTimeout   = 30 * time.Second
+	shutdownKeepGoing = 100 * time.Millisecond
+)
+
+// daemon is one running samphired.
+type daemon struct {
+	settings settings.Settings
+	logger   zerolog.Logger
+
+	public, peer *http.Server
+	log          replica.Log // nil unless this VM is a controller
+	controller   *controller.Service
+	scheduler    *scheduler.Scheduler
+	session      *session.Session
+	owners       *owner.Table
+	gateway      *gateway.Gateway
+}
+
+func newDaemon(s settings.Settings) (*daemon, error) {
+	level, err := zerolog.ParseLevel(s.LogLevel)
+	if err != nil {
+		return nil, fmt.Errorf("log_level: %w", err)
+	}
+	logger := zerolog.New(os.Stderr).Level(level).With().Timestamp().Str("gateway", string(s.Gateway)).Logger()
+	d := &daemon{settings: s, logger: logger}
+	publicMux, peerMux := http.NewServeMux(), http.NewServeMux()
+	if s.IsController() {
+		if err := d.buildController(peerMux); err != nil {
+			return nil, err
+		}
+	}
+	d.buildGateway(publicMux, peerMux)
+	d.public = server(s.PublicAddr, publicMux)
+	d.peer = server(s.PeerAddr, peerMux)
+	return d, nil
+}
+
+func server(address string, handler http.Handler) *http.Server {
+	return &http.Server{
+		Addr:              address,
+		Handler:           handler,
+		ReadHeaderTimeout: headerTimeout,
+		IdleTimeout:       idleTimeout,
+		MaxHeaderBytes:    maxHeaderBytes,
+	}
+}
+
+func (d *daemon) buildController(peerMux *http.ServeMux) error {
+	d.log = replica.NewSingle(d.settings.Gateway, d.settings.PeerAddr)
+	ttl := time.Duration(d.settings.SessionTTLMs) * time.Millisecond
+	d.controller = controller.NewService(d.log, ttl, d.logger)
+	d.scheduler = scheduler.New(d.log, d.controller, d.logger)
+	peerMux.Handle(rpc.ControlPathPrefix, rpc.NewControlServer(d.controller))
+	return nil
+}
+
+func (d *daemon) buildGateway(publicMux, peerMux *http.ServeMux) {
+	transport := &http.Transport{
+		DialContext:         (&net.Dialer{Timeout: peerDialTimeout}).DialContext,
+		MaxIdleConnsPerHost: connsPerPeer,
+		IdleConnTimeout:     peerIdleTimeout,
+		DisableCompression:  true,
+	}
+	var addresses []string
+	for _, c := range d.settings.Controllers {
+		addresses = append(addresses, c.PeerAddr)
+	}
+	client := control.NewClient(addresses, transport)
+	targets := target.NewClient(connsPerTarget)
+	d.owners = owner.NewTable(owner.Options{
+		Gateway:       d.settings.Gateway,
+		PublicAddr:    d.settings.PublicAddr,
+		TargetTTL:     time.Duration(d.settings.TargetTTLMs) * time.Millisecond,
+		AnnounceEvery: time.Duration(d.settings.AnnounceMs) * time.Millisecond,
+		Targets:       targets,
+		Proposer:      client,
+		Logger:        d.logger,
+	})
+	identity := session.Identity{
+		Gateway:    d.settings.Gateway,
+		Zone:       d.settings.Zone,
+		PublicAddr: d.settings.PublicAddr,
+		PeerAddr:   d.settings.PeerAddr,
+	}
+	d.session = session.New(identity, client, d.owners, d.logger)
+	d.owners.SetLease(d.session)
+	d.gateway = gateway.New(gateway.Options{
+		Session:  d.session,
+		Owners:   d.owners,
+		Targets:  targets,
+		Control:  client,
+		Forwards: &http.Client{Transport: transport},
+		Logger:   d.logger,
+	})
+	d.gateway.Register(publicMux)
+	d.gateway.RegisterPeer(peerMux)
+	operator.New(client).Register(publicMux)
+	peerMux.Handle(rpc.OwnerPathPrefix, rpc.NewOwnerServer(gateway.OwnerService{Owners: d.owners}))
+}
+
+// run serves until ctx is done, then shuts down without cutting off requests in progress.
+func (d *daemon) run(ctx context.Context) error {
+	publicListener, err := net.Listen("tcp", d.settings.PublicAddr)
+	if err != nil {
+		return fmt.Errorf("public_addr: %w", err)
+	}
+	peerListener, err := net.Listen("tcp", d.settings.PeerAddr)
+	if err != nil {
+		return fmt.Errorf("peer_addr: %w", err)
+	}
+	failures := make(chan error, 2)
+	go func() { failures <- d.peer.Serve(peerListener) }()
+	go func() { failures <- d.public.Serve(publicListener) }()
+	background, stop := context.WithCancel(context.Background())
+	defer stop()
+	d.startLoops(background)
+	d.logger.Info().Str("public", d.settings.PublicAddr).Str("peer", d.settings.PeerAddr).
+		Bool("controller", d.log != nil).Msg("started")
+	select {
+	case err := <-failures:
+		return err
+	case <-ctx.Done():
+	}
+	return d.shutdown()
+}
+
+func (d *daemon) startLoops(ctx context.Context) {
+	if d.log != nil {
+		go d.controller.Run(ctx)
+		go d.scheduler.Run(ctx)
+	}
+	go d.session.Run(ctx)
+	go d.owners.Run(ctx)
+}
+
+func (d *daemon) shutdown() error {
+	d.logger.Info().Msg("shutting down")
+	d.gateway.Drain()
+	time.Sleep(time.Duration(d.settings.BalancerWaitMs) * time.Millisecond)
+	if err := d.public.Shutdown(context.Background()); err != nil && !errors.Is(err, http.ErrServerClosed) {
+		return err
+	}
+	time.Sleep(shutdownKeepGoing)
+	if d.log != nil {
+		return d.log.Close()
+	}
+	return nil
+}
--- a/daemon/cmd/samphired/main.go
+++ b/daemon/cmd/samphired/main.go
@@ -1,4 +1,58 @@
 // Command samphired is the daemon of an entry VM.
 package main
 
-func main() {}
+import (
+	"context"
+	"fmt"
+	"os"
+	"os/signal"
+	"syscall"
+
+	"github.com/alecthomas/kingpin/v2"
+
+	"samphirepaddle.example/daemon/settings"
+)
+
+func main() {
+	app := kingpin.New("samphired", "Daemon of an entry VM: gateway, and controller if the settings say so.")
+	run := app.Command("run", "Run the daemon.").Default()
+	check := app.Command("check", "Check a settings file and exit.")
+	runPath := run.Flag("settings", "Settings file (JSON).").Required().ExistingFile()
+	checkPath := check.Flag("settings", "Settings file (JSON).").Required().ExistingFile()
+	switch kingpin.MustParse(app.Parse(os.Args[1:])) {
+	case check.FullCommand():
+		exitOn(checkSettings(*checkPath))
+	default:
+		exitOn(runDaemon(*runPath))
+	}
+}
+
+func exitOn(err error) {
+	if err != nil {
+		fmt.Fprintln(os.Stderr, "samphired:", err)
+		os.Exit(1)
+	}
+}
+
+func checkSettings(path string) error {
+	s, err := settings.Load(path)
+	if err != nil {
+		return err
+	}
+	fmt.Printf("%s: settings of gateway %q are valid\n", path, s.Gateway)
+	return nil
+}
+
+func runDaemon(path string) error {
+	s, err := settings.Load(path)
+	if err != nil {
+		return err
+	}
+	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
+	defer stop()
+	d, err := newDaemon(s)
+	if err != nil {
+		return err
+	}
+	return d.run(ctx)
+}
--- /dev/null
+++ b/daemon/gateway/announce.go
@@ -0,0 +1,111 @@
+package gateway
+
+import (
+	"context"
+	"errors"
+	"net/http"
+
+	"github.com/twitchtv/twirp"
+
+	"samphirepaddle.example/core/model"
+	"samphirepaddle.example/core/state"
+	"samphirepaddle.example/daemon/owner"
+	"samphirepaddle.example/daemon/rpc"
+)
+
+// maxAnnouncement bounds the body of an announcement.
+const maxAnnouncement = 4 << 20 // bytes
+
+// announce takes an announcement of any target and passes it to the target's owner.
+func (g *Gateway) announce(w http.ResponseWriter, r *http.Request) {
+	var a model.Announcement
+	if err := decodeJSON(r, maxAnnouncement, &a); err != nil {
+		writeProblem(w, http.StatusBadRequest, model.VerdictNotRun, "bad_body", err.Error())
+		return
+	}
+	if err := checkAnnouncement(a); err != nil {
+		writeProblem(w, http.StatusBadRequest, model.VerdictNotRun, "bad_announcement", err.Error())
+		return
+	}
+	answer, err := g.announceAnywhere(r.Context(), a)
+	if err != nil {
+		writeProblem(w, http.StatusServiceUnavailable, model.VerdictNotRun, "no_owner", err.Error())
+		return
+	}
+	writeJSON(w, http.StatusOK, answer)
+}
+
+func checkAnnouncement(a model.Announcement) error {
+	if err := model.CheckIdentifier("target", string(a.Target)); err != nil {
+		return err
+	}
+	if a.StartID == "" || a.Address == "" || a.Sequence == 0 {
+		return errors.New("start_id, address and a sequence of at least 1 are required")
+	}
+	if a.State != model.TargetReady && a.State != model.TargetLeaving {
+		return errors.New("state is none of ready, leaving")
+	}
+	return nil
+}
+
+func (g *Gateway) announceAnywhere(ctx context.Context, a model.Announcement) (model.AnnouncementAnswer, error) {
+	answer, err := g.owners.Announce(ctx, a)
+	if !errors.Is(err, owner.ErrNotOwner) {
+		return answer, err
+	}
+	address, err := g.ownerAddress(ctx, a)
+	if err != nil {
+		return model.AnnouncementAnswer{}, err
+	}
+	return g.announceAt(ctx, address, a)
+}
+
+// ownerAddress finds the owner's peer address; an unknown target is recorded first.
+func (g *Gateway) ownerAddress(ctx context.Context, a model.Announcement) (string, error) {
+	body, err := g.control.Read(ctx, "owner", a.Target)
+	if err != nil {
+		return "", err
+	}
+	if address := string(body); address != "" {
+		return address, nil
+	}
+	if _, err := g.propose(ctx, state.Command{JoinTarget: owner.JoinCommand(a)}); err != nil {
+		return "", err
+	}
+	return "", errors.New("an owner is being assigned; announce again")
+}
+
+func (g *Gateway) announceAt(ctx context.Context, address string, a model.Announcement) (model.AnnouncementAnswer, error) {
+	data, err := model.Encode(a)
+	if err != nil {
+		return model.AnnouncementAnswer{}, err
+	}
+	response, err := rpc.NewOwnerProtobufClient("http://"+address, g.forwards).Announce(ctx, &rpc.AnnounceRequest{Announcement: data})
+	if err != nil {
+		return model.AnnouncementAnswer{}, err
+	}
+	var answer model.AnnouncementAnswer
+	return answer, model.Decode(response.Answer, &answer)
+}
+
+// OwnerService serves announcements that other gateways pass on.
+type OwnerService struct {
+	Owners *owner.Table
+}
+
+// Announce takes a passed announcement; it is not passed on a second time.
+func (s OwnerService) Announce(ctx context.Context, request *rpc.AnnounceRequest) (*rpc.AnnounceResponse, error) {
+	var a model.Announcement
+	if err := model.Decode(request.Announcement, &a); err != nil {
+		return nil, twirp.InvalidArgumentError("announcement", err.Error())
+	}
+	answer, err := s.Owners.Announce(ctx, a)
+	if err != nil {
+		return nil, twirp.FailedPrecondition.Error(err.Error())
+	}
+	data, err := model.Encode(answer)
+	if err != nil {
+		return nil, twirp.InternalErrorWith(err)
+	}
+	return &rpc.AnnounceResponse{Answer: data}, nil
+}
--- /dev/null
+++ b/daemon/settings/settings.go
@@ -0,0 +1,152 @@
+// Package settings reads and validates the settings file of samphired.
+package settings
+
+import (
+	"bytes"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"os"
+	"reflect"
+	"strings"
+
+	"github.com/go-playground/validator/v10"
+
+	"samphirepaddle.example/core/model"
+)
+
+// maxFileBytes bounds the settings file.
+const maxFileBytes = 1 << 20
+
+// Settings is the content of the settings file.
+type Settings struct {
+	Gateway     model.GatewayID `json:"gateway" validate:"required,max=128"`
+	Zone        model.Zone      `json:"zone" validate:"required,max=128"`
+	PublicAddr  string          `json:"public_addr" validate:"required,hostname_port"` // callers, targets, operators
+	PeerAddr    string          `json:"peer_addr" validate:"required,hostname_port"`   // other daemons
+	Controllers []Controller    `json:"controllers" validate:"required,min=1,max=7,unique=ID,dive"`
+	DataDir     string          `json:"data_dir,omitempty"` // required on controllers
+	LogLevel    string          `json:"log_level,omitempty" validate:"omitempty,oneof=debug info warn error"`
+
+	SessionTTLMs     model.Millis `json:"session_ttl_ms,omitempty" validate:"omitempty,min=200,max=60000"`
+	TargetTTLMs      model.Millis `json:"target_ttl_ms,omitempty" validate:"omitempty,min=500,max=600000"`
+	AnnounceMs       model.Millis `json:"announce_ms,omitempty" validate:"omitempty,min=50,max=60000"`
+	BalancerWaitMs   model.Millis `json:"balancer_wait_ms,omitempty" validate:"omitempty,min=0,max=60000"`
+	MaxConnections   int          `json:"max_connections,omitempty" validate:"omitempty,min=1,max=1000000"`
+	MaxQueuedPerHost int          `json:"max_queued,omitempty" validate:"omitempty,min=1,max=1000000"`
+}
+
+// Controller names one VM of the controller group.
+type Controller struct {
+	ID       model.GatewayID `json:"id" validate:"required,max=128"`
+	PeerAddr string          `json:"peer_addr" validate:"required,hostname_port"`
+}
+
+// Defaults of the optional settings.
+const (
+	DefaultSessionTTLMs   = model.Millis(1500)
+	DefaultTargetTTLMs    = model.Millis(10_000)
+	DefaultAnnounceMs     = model.Millis(1000)
+	DefaultBalancerWaitMs = model.Millis(1000)
+	DefaultMaxConnections = 4096
+	DefaultMaxQueued      = 1024
+)
+
+// Load reads and validates a settings file.
+func Load(path string) (Settings, error) {
+	file, err := os.Open(path)
+	if err != nil {
+		return Settings{}, fmt.Errorf("settings: %w", err)
+	}
+	defer file.Close()
+	data, err := io.ReadAll(io.LimitReader(file, maxFileBytes+1))
+	if err != nil {
+		return Settings{}, fmt.Errorf("settings %s: %w", path, err)
+	}
+	if len(data) > maxFileBytes {
+		return Settings{}, fmt.Errorf("settings %s: the file is larger than %d bytes", path, maxFileBytes)
+	}
+	s, err := Parse(data)
+	if err != nil {
+		return Settings{}, fmt.Errorf("settings %s: %w", path, err)
+	}
+	return s, nil
+}
+
+// Parse reads settings from JSON, sets the defaults and validates them.
+func Parse(data []byte) (Settings, error) {
+	var s Settings
+	decoder := json.NewDecoder(bytes.NewReader(data))
+	decoder.DisallowUnknownFields()
+	if err := decoder.Decode(&s); err != nil {
+		return Settings{}, err
+	}
+	if _, err := decoder.Token(); !errors.Is(err, io.EOF) {
+		return Settings{}, errors.New("unexpected content after the JSON object")
+	}
+	s.setDefaults()
+	return s, s.validate()
+}
+
+func (s *Settings) setDefaults() {
+	setDefault(&s.SessionTTLMs, DefaultSessionTTLMs)
+	setDefault(&s.TargetTTLMs, DefaultTargetTTLMs)
+	setDefault(&s.AnnounceMs, DefaultAnnounceMs)
+	setDefault(&s.BalancerWaitMs, DefaultBalancerWaitMs)
+	setDefault(&s.MaxConnections, DefaultMaxConnections)
+	setDefault(&s.MaxQueuedPerHost, DefaultMaxQueued)
+	setDefault(&s.LogLevel, "info")
+}
+
+func setDefault[T comparable](field *T, value T) {
+	var zero T
+	if *field == zero {
+		*field = value
+	}
+}
+
+func (s Settings) validate() error {
+	checker := validator.New()
+	checker.RegisterTagNameFunc(jsonName)
+	var problems []error
+	var fields validator.ValidationErrors
+	if err := checker.Struct(s); errors.As(err, &fields) {
+		for _, field := range fields {
+			problems = append(problems, describe(field))
+		}
+	} else if err != nil {
+		return err
+	}
+	if s.IsController() && s.DataDir == "" {
+		problems = append(problems, fmt.Errorf("data_dir: value %q: a controller needs a directory on a disk", s.DataDir))
+	}
+	if s.AnnounceMs*3 > s.TargetTTLMs {
+		problems = append(problems, fmt.Errorf("announce_ms: value %d: at most a third of target_ttl_ms (%d) is allowed", s.AnnounceMs, s.TargetTTLMs))
+	}
+	return errors.Join(problems...)
+}
+
+func jsonName(field reflect.StructField) string {
+	name, _, _ := strings.Cut(field.Tag.Get("json"), ",")
+	return name
+}
+
+func describe(field validator.FieldError) error {
+	_, path, _ := strings.Cut(field.Namespace(), ".")
+	allowed := field.Tag()
+	if field.Param() != "" {
+		allowed += " " + field.Param()
+	}
+	return fmt.Errorf("%s: value %v: allowed is: %s", path, field.Value(), allowed)
+}
+
+// IsController reports whether this daemon has the controller role.
+func (s Settings) IsController() bool {
+	for _, c := range s.Controllers {
+		if c.ID == s.Gateway {
+			return true
+		}
+	}
+	return false
+}
--- /dev/null
+++ b/daemon/target/client.go
@@ -0,0 +1,166 @@
+// Package target speaks the targets' HTTP interface. No other package knows its paths and
+// headers.
+package target
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"strconv"
+	"time"
+
+	"samphirepaddle.example/core/model"
+)
+
+// Headers of the targets' interface.
+const (
+	HeaderRequestID = "Samphire-Request-Id"
+	HeaderEpoch     = "Samphire-Epoch"
+	HeaderDeadline  = "Samphire-Deadline-Ms"
+	HeaderTenant    = "Samphire-Tenant"
+	// HeaderKey carries the caller's idempotency key. http.Transport resends requests with an
+	// Idempotency-Key or X-Idempotency-Key header by itself, so those names are not used.
+	HeaderKey     = "Samphire-Key"
+	HeaderRefused = "Samphire-Refused"
+)
+
+// Bounds on what is read from a target.
+const (
+	maxAnswerBytes  = 8 << 20
+	maxControlBytes = 1 << 20
+)
+
+// Timeouts towards targets.
+const (
+	dialTimeout    = 1 * time.Second
+	controlTimeout = 5 * time.Second
+	idleTimeout    = 30 * time.Second
+)
+
+// ErrRefused is returned if the target said that it did not run the work.
+var ErrRefused = errors.New("the target refused the work")
+
+// Client calls targets.
+type Client struct {
+	http *http.Client
+}
+
+// NewClient returns a client with a connection pool of its own.
+func NewClient(connectionsPerTarget int) *Client {
+	dialer := &net.Dialer{Timeout: dialTimeout}
+	transport := &http.Transport{
+		DialContext:         dialer.DialContext,
+		MaxIdleConnsPerHost: connectionsPerTarget,
+		IdleConnTimeout:     idleTimeout,
+		DisableCompression:  true,
+	}
+	noRedirect := func(*http.Request, []*http.Request) error { return http.ErrUseLastResponse }
+	return &Client{http: &http.Client{Transport: transport, CheckRedirect: noRedirect}}
+}
+
+// Task is the start order of an attempt.
+type Task struct {
+	Attempt    model.AttemptID `json:"attempt"`
+	Tenant     model.TenantID  `json:"tenant"`
+	Class      model.Class     `json:"class"`
+	Kind       string          `json:"kind"`
+	Reserved   model.Resources `json:"reserved"`
+	RunTimeMs  model.Millis    `json:"run_time_ms"`
+	Payload    []byte          `json:"payload,omitempty"`
+	Checkpoint []byte          `json:"checkpoint,omitempty"`
+}
+
+// checkpointAnswer is the body of a checkpoint's answer.
+type checkpointAnswer struct {
+	Checkpoint []byte `json:"checkpoint"`
+}
+
+// Start starts an attempt; repeating it is harmless. ErrRefused means that it did not start.
+func (c *Client) Start(ctx context.Context, address string, epoch model.Epoch, task Task) error {
+	_, err := c.control(ctx, address, epoch, "/samphire/v1/tasks", task)
+	return err
+}
+
+// Checkpoint asks for a checkpoint and returns it.
+func (c *Client) Checkpoint(ctx context.Context, address string, epoch model.Epoch, attempt model.AttemptID) ([]byte, error) {
+	body, err := c.control(ctx, address, epoch, taskPath(attempt, "checkpoint"), nil)
+	if err != nil {
+		return nil, err
+	}
+	var answer checkpointAnswer
+	if err := json.Unmarshal(body, &answer); err != nil {
+		return nil, fmt.Errorf("checkpoint of %s: %w", attempt, err)
+	}
+	return answer.Checkpoint, nil
+}
+
+// Throttle limits an attempt to a share of its speed, 0 to 1.
+func (c *Client) Throttle(ctx context.Context, address string, epoch model.Epoch, attempt model.AttemptID, level float64) error {
+	request := struct {
+		Level float64 `json:"level"`
+	}{level}
+	_, err := c.control(ctx, address, epoch, taskPath(attempt, "throttle"), request)
+	return err
+}
+
+// Stop stops an attempt. It returns nil only if the target confirmed that the attempt does
+// not run any more.
+func (c *Client) Stop(ctx context.Context, address string, epoch model.Epoch, attempt model.AttemptID) error {
+	_, err := c.control(ctx, address, epoch, taskPath(attempt, "stop"), nil)
+	return err
+}
+
+// Output opens the output of an attempt from an offset. The caller closes the body.
+func (c *Client) Output(ctx context.Context, address string, epoch model.Epoch, attempt model.AttemptID, offset int64) (*http.Response, error) {
+	url := fmt.Sprintf("http://%s%s?offset=%d", address, taskPath(attempt, "output"), offset)
+	request, err := http.NewRequestWithContext(ctx, http.MethodGet, url, nil)
+	if err != nil {
+		return nil, err
+	}
+	setEpoch(request, epoch)
+	return c.http.Do(request)
+}
+
+func taskPath(attempt model.AttemptID, action string) string {
+	return fmt.Sprintf("/samphire/v1/tasks/%s/%d/%s", attempt.Job, attempt.Number, action)
+}
+
+func setEpoch(request *http.Request, epoch model.Epoch) {
+	request.Header.Set(HeaderEpoch, strconv.FormatUint(uint64(epoch), 10))
+}
+
+func (c *Client) control(ctx context.Context, address string, epoch model.Epoch, path string, body any) ([]byte, error) {
+	ctx, cancel := context.WithTimeout(ctx, controlTimeout)
+	defer cancel()
+	data, err := json.Marshal(body)
+	if err != nil {
+		return nil, err
+	}
+	request, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+address+path, bytes.NewReader(data))
+	if err != nil {
+		return nil, err
+	}
+	request.Header.Set("Content-Type", "application/json")
+	setEpoch(request, epoch)
+	response, err := c.http.Do(request)
+	if err != nil {
+		return nil, err
+	}
+	defer response.Body.Close()
+	answer, err := io.ReadAll(io.LimitReader(response.Body, maxControlBytes))
+	if err != nil {
+		return nil, err
+	}
+	if response.Header.Get(HeaderRefused) == "true" {
+		return nil, fmt.Errorf("%s: %w: %s", path, ErrRefused, bytes.TrimSpace(answer))
+	}
+	if response.StatusCode != http.StatusOK {
+		return nil, fmt.Errorf("%s: status %d: %s", path, response.StatusCode, bytes.TrimSpace(answer))
+	}
+	return answer, nil
+}
