Separate listen addresses from advertised addresses

Cause: behind a network translation or in tests with a relay, the address that others are told is not the one that the process binds to; calls also left from any local address, so cuts could not name a source. Change: settings public_listen and peer_listen; peer calls leave from the IP address of peer_listen. Conclusion: failure tests can cut single directions between daemons.

--- a/daemon/cmd/samphired/daemon.go
+++ b/daemon/cmd/samphired/daemon.go
@@ -64,8 +64,8 @@
 		}
 	}
 	d.buildGateway(publicMux, peerMux)
-	d.public = server(s.PublicAddr, publicMux)
-	d.peer = server(s.PeerAddr, peerMux)
+	d.public = server(s.PublicListen, publicMux)
+	d.peer = server(s.PeerListen, peerMux)
 	return d, nil
 }
 
@@ -89,12 +89,7 @@
 }
 
 func (d *daemon) buildGateway(publicMux, peerMux *http.ServeMux) {
-	transport := &http.Transport{
-		DialContext:         (&net.Dialer{Timeout: peerDialTimeout}).DialContext,
-		MaxIdleConnsPerHost: connsPerPeer,
-		IdleConnTimeout:     peerIdleTimeout,
-		DisableCompression:  true,
-	}
+	transport := peerTransport(d.settings.PeerListen)
 	var addresses []string
 	for _, c := range d.settings.Controllers {
 		addresses = append(addresses, c.PeerAddr)
@@ -134,13 +129,13 @@
 
 // run serves until ctx is done, then shuts down without cutting off requests in progress.
 func (d *daemon) run(ctx context.Context) error {
-	publicListener, err := net.Listen("tcp", d.settings.PublicAddr)
+	publicListener, err := net.Listen("tcp", d.settings.PublicListen)
 	if err != nil {
-		return fmt.Errorf("public_addr: %w", err)
+		return fmt.Errorf("public_listen: %w", err)
 	}
-	peerListener, err := net.Listen("tcp", d.settings.PeerAddr)
+	peerListener, err := net.Listen("tcp", d.settings.PeerListen)
 	if err != nil {
-		return fmt.Errorf("peer_addr: %w", err)
+		return fmt.Errorf("peer_listen: %w", err)
 	}
 	failures := make(chan error, 2)
 	go func() { failures <- d.peer.Serve(peerListener) }()
@@ -180,3 +175,20 @@
 	}
 	return nil
 }
+
+// peerTransport returns the transport for calls to other daemons. Calls leave from the
+// address of the peer listener, so that network rules see one address for each daemon.
+func peerTransport(listen string) *http.Transport {
+	dialer := &net.Dialer{Timeout: peerDialTimeout}
+	if host, _, err := net.SplitHostPort(listen); err == nil {
+		if ip := net.ParseIP(host); ip != nil && !ip.IsUnspecified() {
+			dialer.LocalAddr = &net.TCPAddr{IP: ip}
+		}
+	}
+	return &http.Transport{
+		DialContext:         dialer.DialContext,
+		MaxIdleConnsPerHost: connsPerPeer,
+		IdleConnTimeout:     peerIdleTimeout,
+		DisableCompression:  true,
+	}
+}
--- a/daemon/settings/settings.go
+++ b/daemon/settings/settings.go
@@ -27,6 +27,13 @@
 	PeerAddr    string          `json:"peer_addr" validate:"required,hostname_port"`   // other daemons
 	Controllers []Controller    `json:"controllers" validate:"required,min=1,max=7,unique=ID,dive"`
 	DataDir     string          `json:"data_dir,omitempty"` // required on controllers
+
+	// The listeners bind to these addresses; they default to public_addr and peer_addr, which
+	// are the addresses that others are told. Calls to other daemons leave from the IP address
+	// of peer_listen.
+	PublicListen string `json:"public_listen,omitempty" validate:"omitempty,hostname_port"`
+	PeerListen   string `json:"peer_listen,omitempty" validate:"omitempty,hostname_port"`
+
 	LogLevel    string          `json:"log_level,omitempty" validate:"omitempty,oneof=debug info warn error"`
 
 	SessionTTLMs     model.Millis `json:"session_ttl_ms,omitempty" validate:"omitempty,min=200,max=60000"`
@@ -97,6 +104,8 @@
 	setDefault(&s.MaxConnections, DefaultMaxConnections)
 	setDefault(&s.MaxQueuedPerHost, DefaultMaxQueued)
 	setDefault(&s.LogLevel, "info")
+	setDefault(&s.PublicListen, s.PublicAddr)
+	setDefault(&s.PeerListen, s.PeerAddr)
 }
 
 func setDefault[T comparable](field *T, value T) {
