--- a/daemon/settings/settings.go
+++ b/daemon/settings/settings.go
@@ -34,7 +34,7 @@
 	PublicListen string `json:"public_listen,omitempty" validate:"omitempty,hostname_port"`
 	PeerListen   string `json:"peer_listen,omitempty" validate:"omitempty,hostname_port"`
 
-	LogLevel    string          `json:"log_level,omitempty" validate:"omitempty,oneof=debug info warn error"`
+	LogLevel string `json:"log_level,omitempty" validate:"omitempty,oneof=debug info warn error"`
 
 	SessionTTLMs     model.Millis `json:"session_ttl_ms,omitempty" validate:"omitempty,min=200,max=60000"`
 	TargetTTLMs      model.Millis `json:"target_ttl_ms,omitempty" validate:"omitempty,min=500,max=600000"`
