Add consensus, storage and the replica that drives them

Cause: the controllers need a replicated log that survives the loss of any one of them. Change: core/consensus as a step function, daemon/storage for the data directory, and daemon/replica as a Log over the Consensus service, with forming, repair and transfer. Tested: go test -race ./replica passes (leader killed, disk lost and second controller lost, empty directory, transfer and removal, no read without quorum).

--- /dev/null
+++ b/daemon/replica/members.go
@@ -0,0 +1,140 @@
+package replica
+
+import (
+	"context"
+	"errors"
+	"time"
+
+	"samphirepaddle.example/core/consensus"
+	"samphirepaddle.example/core/model"
+	"samphirepaddle.example/daemon/storage"
+)
+
+// Status describes a replica for operators.
+type Status struct {
+	ID        consensus.MemberID `json:"id"`    // of the data directory
+	Group     string             `json:"group"` // empty while the group is not known
+	Gateway   model.GatewayID    `json:"gateway"`
+	Term      uint64             `json:"term"`
+	Leader    Leader             `json:"leader"`
+	Members   []MemberStatus     `json:"members"`
+	Commit    uint64             `json:"commit"`
+	Applied   uint64             `json:"applied"`
+	Last      uint64             `json:"last"`       // last entry of the log
+	LogBytes  int                `json:"log_bytes"`  // entries in memory
+	Snapshot  uint64             `json:"snapshot"`   // index of the last snapshot
+	SentBytes uint64             `json:"sent_bytes"` // to the other controllers since the start
+}
+
+// MemberStatus describes one member. Match and SilentFor are known on the leader only.
+type MemberStatus struct {
+	consensus.Member
+	Leader    bool          `json:"leader"`
+	Match     uint64        `json:"match"`      // last entry known to be durable there
+	SilentFor time.Duration `json:"silent_for"` // since its last message
+}
+
+// identity is the directory's id and group; it may be read from any goroutine.
+func (r *Replica) identity() storage.Identity {
+	return r.store.Identity()
+}
+
+// Status returns the present status.
+func (r *Replica) Status() Status {
+	result := make(chan Status, 1)
+	if !r.post(func() { result <- r.status() }) {
+		return Status{Gateway: r.opts.Gateway}
+	}
+	select {
+	case s := <-result:
+		return s
+	case <-r.stop:
+		return Status{Gateway: r.opts.Gateway}
+	}
+}
+
+// status runs in the loop.
+func (r *Replica) status() Status {
+	identity := r.identity()
+	s := Status{ID: identity.ID, Group: identity.Group, Gateway: r.opts.Gateway, SentBytes: r.lanes.sent(), Leader: r.Leader()}
+	r.mu.Lock()
+	s.Applied = r.applied
+	r.mu.Unlock()
+	if r.node == nil {
+		return s
+	}
+	node := r.node.Status()
+	s.Term, s.Commit, s.Last = node.Term, node.Commit, node.Last
+	s.LogBytes, s.Snapshot = node.LogBytes, node.Snapshot
+	for _, member := range node.Members {
+		p := node.Progress[member.ID]
+		s.Members = append(s.Members, MemberStatus{
+			Member: member, Leader: member.ID == node.Leader,
+			Match: p.Match, SilentFor: time.Duration(p.Silent) * r.opts.Tick,
+		})
+	}
+	return s
+}
+
+// AddMember adds a data directory as a learner; it gets its vote when it has caught up. It
+// returns when the change is appended, and ErrNotLeader on other controllers.
+func (r *Replica) AddMember(ctx context.Context, id consensus.MemberID, gateway model.GatewayID, addr string) error {
+	return r.change(ctx, func(n *consensus.Node) error {
+		return n.Add(consensus.Member{ID: id, Gateway: gateway, Addr: addr})
+	})
+}
+
+// RemoveMember removes a data directory from the group. The directory cannot join again.
+func (r *Replica) RemoveMember(ctx context.Context, id consensus.MemberID) error {
+	return r.change(ctx, func(n *consensus.Node) error { return n.Remove(id) })
+}
+
+// TransferLeadership hands the leadership to the most complete other voter and returns when
+// another leader is known. A controller calls it before a graceful shutdown.
+func (r *Replica) TransferLeadership(ctx context.Context) error {
+	err := r.change(ctx, func(n *consensus.Node) error { return n.Transfer("") })
+	if err != nil {
+		return err
+	}
+	for {
+		changed := r.Changed()
+		leader := r.Leader()
+		if !leader.Self && leader.ID != "" {
+			return nil
+		}
+		select {
+		case <-changed:
+		case <-ctx.Done():
+			return ctx.Err()
+		case <-r.stop:
+			return ErrClosed
+		}
+	}
+}
+
+func (r *Replica) change(ctx context.Context, f func(*consensus.Node) error) error {
+	result := make(chan error, 1)
+	ok := r.post(func() {
+		if r.node == nil {
+			result <- ErrNotLeader
+			return
+		}
+		result <- f(r.node)
+	})
+	if !ok {
+		return ErrClosed
+	}
+	select {
+	case err := <-result:
+		if errors.Is(err, consensus.ErrNotLeader) {
+			return ErrNotLeader
+		}
+		return err
+	case <-ctx.Done():
+		return ctx.Err()
+	case <-r.stop:
+		return ErrClosed
+	}
+}
+
+var _ Log = (*Replica)(nil)
--- /dev/null
+++ b/daemon/replica/options.go
@@ -0,0 +1,154 @@
+package replica
+
+import (
+	"crypto/rand"
+	"encoding/binary"
+	"errors"
+	"fmt"
+	"net"
+	"net/http"
+	"os"
+	"slices"
+	"strings"
+	"time"
+
+	"github.com/rs/zerolog"
+
+	"samphirepaddle.example/core/model"
+	"samphirepaddle.example/daemon/storage"
+)
+
+// Controller names one of the initial controllers.
+type Controller struct {
+	Gateway model.GatewayID
+	Addr    string // host:port of its peer interface
+}
+
+// Options are the settings of a Replica.
+type Options struct {
+	Gateway model.GatewayID
+	Addr    string       // own peer address, host:port
+	Initial []Controller // the same on every controller
+	Dir     string       // data directory
+
+	Files  storage.Files  // file system; the operating system's if nil
+	Client *http.Client   // for calls to the other controllers; a default if nil
+	Logger zerolog.Logger // zero value logs nothing
+	Fatal  func(error)    // called after a failed write or sync; ends the process if nil
+	Seed   uint64         // of the election timeouts; random if zero
+
+	Tick           time.Duration // DefaultTick if zero
+	HeartbeatTicks int           // DefaultHeartbeatTicks if zero
+	ElectionTicks  int           // DefaultElectionTicks if zero
+
+	// SnapshotBytes is the size of the log since the last snapshot after which the next one
+	// is taken. A log smaller than the last snapshot takes none, so that at most as many
+	// bytes are written for snapshots as for the log.
+	SnapshotBytes int // DefaultSnapshotBytes if zero
+	KeepBytes     int // entries kept before a snapshot for members slightly behind; DefaultKeepBytes if zero
+}
+
+// Defaults of Options. They give a heartbeat of 50 ms and election timeouts of 300 to 600 ms.
+const (
+	DefaultTick           = 10 * time.Millisecond
+	DefaultHeartbeatTicks = 5
+	DefaultElectionTicks  = 30
+	DefaultSnapshotBytes  = 8 << 20
+	DefaultKeepBytes      = 2 << 20
+)
+
+// Bounds on memory.
+const (
+	maxBatchBytes       = 1 << 20  // entries or snapshot data of one message
+	maxCommandBytes     = 5 << 20  // one command; a job may carry a payload of 4 MiB
+	maxRequestBytes     = 8 << 20  // one call of Step, which holds at least one entry
+	maxInboxBytes       = 16 << 20 // received and not yet handled
+	maxUncommittedBytes = 16 << 20 // proposed and not yet committed
+	maxProposals        = 1024     // calls of Propose in progress
+	maxReads            = 4096     // calls of Read and Confirm in progress
+	maxLaneMessages     = 256      // waiting to be sent on one connection
+	maxLaneBytes        = 8 << 20
+	maxInflight         = 8 // messages with entries to one member without an answer
+	maxLearned          = 64
+)
+
+func (o *Options) complete() error {
+	if o.Gateway == "" || o.Addr == "" || o.Dir == "" {
+		return errors.New("replica: Gateway, Addr and Dir must be set")
+	}
+	if len(o.Initial) == 0 {
+		return errors.New("replica: Initial must name at least one controller")
+	}
+	if err := o.checkInitial(); err != nil {
+		return err
+	}
+	setDefault(&o.Tick, DefaultTick)
+	setDefault(&o.HeartbeatTicks, DefaultHeartbeatTicks)
+	setDefault(&o.ElectionTicks, DefaultElectionTicks)
+	setDefault(&o.SnapshotBytes, DefaultSnapshotBytes)
+	setDefault(&o.KeepBytes, DefaultKeepBytes)
+	if o.Files == nil {
+		o.Files = storage.OS{}
+	}
+	if o.Client == nil {
+		o.Client = newClient()
+	}
+	if o.Fatal == nil {
+		logger := o.Logger
+		o.Fatal = func(err error) {
+			logger.Error().Err(err).Msg("the data directory cannot be written; the process ends")
+			os.Exit(1)
+		}
+	}
+	if o.Seed == 0 {
+		var b [8]byte
+		if _, err := rand.Read(b[:]); err != nil {
+			return err
+		}
+		o.Seed = binary.LittleEndian.Uint64(b[:])
+	}
+	return nil
+}
+
+func (o *Options) checkInitial() error {
+	o.Initial = slices.Clone(o.Initial)
+	slices.SortFunc(o.Initial, func(a, b Controller) int { return strings.Compare(string(a.Gateway), string(b.Gateway)) })
+	for i, c := range o.Initial {
+		if c.Gateway == "" || c.Addr == "" {
+			return fmt.Errorf("replica: Initial[%d] must have a gateway id and an address", i)
+		}
+		if i > 0 && o.Initial[i-1].Gateway == c.Gateway {
+			return fmt.Errorf("replica: Initial names gateway %q twice", c.Gateway)
+		}
+	}
+	return nil
+}
+
+// initialList is the form in which the controllers compare their settings.
+func (o *Options) initialList() string {
+	names := make([]string, 0, len(o.Initial))
+	for _, c := range o.Initial {
+		names = append(names, string(c.Gateway))
+	}
+	return strings.Join(names, ",")
+}
+
+func (o *Options) isInitial(id model.GatewayID) bool {
+	return slices.ContainsFunc(o.Initial, func(c Controller) bool { return c.Gateway == id })
+}
+
+func setDefault[T comparable](field *T, value T) {
+	var zero T
+	if *field == zero {
+		*field = value
+	}
+}
+
+func newClient() *http.Client {
+	dialer := &net.Dialer{Timeout: time.Second, KeepAlive: 5 * time.Second}
+	return &http.Client{Transport: &http.Transport{
+		DialContext:         dialer.DialContext,
+		MaxIdleConnsPerHost: 4,
+		IdleConnTimeout:     time.Minute,
+	}}
+}
--- /dev/null
+++ b/daemon/replica/replica_test.go
@@ -0,0 +1,340 @@
+package replica
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"net"
+	"net/http"
+	"os"
+	"testing"
+	"time"
+
+	"github.com/rs/zerolog"
+
+	"samphirepaddle.example/core/model"
+	"samphirepaddle.example/core/state"
+)
+
+// patience bounds waits; it is long because only the order of events is tested.
+const patience = 60 * time.Second
+
+// controller is one replica with its HTTP server.
+type controller struct {
+	options Options
+	replica *Replica
+	server  *http.Server
+}
+
+type cluster struct {
+	t           testing.TB
+	controllers []*controller
+}
+
+func newCluster(t testing.TB, size int, adjust func(*Options)) *cluster {
+	t.Helper()
+	c := &cluster{t: t}
+	var initial []Controller
+	for i := range size {
+		listener, err := net.Listen("tcp", "127.0.0.1:0")
+		if err != nil {
+			t.Fatal(err)
+		}
+		initial = append(initial, Controller{model.GatewayID(fmt.Sprintf("gateway-%d", i)), listener.Addr().String()})
+		listener.Close()
+	}
+	for i, self := range initial {
+		o := Options{
+			Gateway: self.Gateway, Addr: self.Addr, Initial: initial, Dir: t.TempDir(),
+			Seed: uint64(i + 1), Logger: zerolog.Nop(),
+			Fatal: func(err error) { t.Errorf("fatal: %v", err) },
+		}
+		if os.Getenv("REPLICA_LOG") != "" {
+			o.Logger = zerolog.New(zerolog.NewConsoleWriter()).With().Str("self", string(self.Gateway)).Logger()
+		}
+		if adjust != nil {
+			adjust(&o)
+		}
+		c.controllers = append(c.controllers, &controller{options: o})
+		c.start(i)
+	}
+	t.Cleanup(func() {
+		for i := range c.controllers {
+			c.kill(i)
+		}
+	})
+	return c
+}
+
+func (c *cluster) start(i int) {
+	c.t.Helper()
+	ctl := c.controllers[i]
+	r, err := Open(ctl.options)
+	if err != nil {
+		c.t.Fatal(err)
+	}
+	var listener net.Listener
+	c.wait("port of "+string(ctl.options.Gateway), func() bool {
+		listener, err = net.Listen("tcp", ctl.options.Addr)
+		return err == nil
+	})
+	ctl.replica = r
+	ctl.server = &http.Server{Handler: r.Handler()}
+	go ctl.server.Serve(listener)
+}
+
+// kill stops a controller without a transfer of the leadership.
+func (c *cluster) kill(i int) {
+	ctl := c.controllers[i]
+	if ctl.replica == nil {
+		return
+	}
+	ctl.server.Close()
+	if err := ctl.replica.Close(); err != nil {
+		c.t.Errorf("close: %v", err)
+	}
+	ctl.replica = nil
+}
+
+func (c *cluster) wipe(i int) {
+	if err := os.RemoveAll(c.controllers[i].options.Dir); err != nil {
+		c.t.Fatal(err)
+	}
+}
+
+func (c *cluster) wait(what string, done func() bool) {
+	c.t.Helper()
+	for end := time.Now().Add(patience); time.Now().Before(end); time.Sleep(5 * time.Millisecond) {
+		if done() {
+			return
+		}
+	}
+	for i, ctl := range c.controllers {
+		if ctl.replica != nil {
+			c.t.Logf("controller %d: %+v", i, ctl.replica.Status())
+		}
+	}
+	c.t.Fatalf("timed out waiting for: %s", what)
+}
+
+// leader waits until a live controller leads, and returns its number.
+func (c *cluster) leader() int {
+	c.t.Helper()
+	leader := -1
+	c.wait("a leader", func() bool {
+		for i, ctl := range c.controllers {
+			if ctl.replica != nil && ctl.replica.Leader().Self {
+				leader = i
+				return true
+			}
+		}
+		return false
+	})
+	return leader
+}
+
+func ticket(number int) state.Command {
+	pool := model.Pool{ID: model.PoolID(fmt.Sprintf("pool-%d", number))}
+	return state.Command{
+		At:           model.Millis(number),
+		SubmitTicket: &state.SubmitTicket{Ticket: model.Ticket{Number: uint64(number), Author: "ana", Pools: []model.Pool{pool}}},
+	}
+}
+
+// propose commits a command through whichever controller leads. Every command is
+// idempotent, so it is proposed again after an unknown outcome.
+func (c *cluster) propose(number int) state.Result {
+	c.t.Helper()
+	var result state.Result
+	c.wait(fmt.Sprintf("command %d", number), func() bool {
+		ctx, stop := context.WithTimeout(context.Background(), 5*time.Second)
+		defer stop()
+		var err error
+		result, err = c.controllers[c.leader()].replica.Propose(ctx, ticket(number))
+		if err != nil && !errors.Is(err, ErrNotLeader) && !errors.Is(err, ErrOutcomeUnknown) {
+			c.t.Fatalf("command %d: %v", number, err)
+		}
+		return err == nil
+	})
+	if !result.OK() {
+		c.t.Fatalf("command %d: %+v", number, result)
+	}
+	return result
+}
+
+// proposeRange commits the commands from..to, both included.
+func (c *cluster) proposeRange(from, to int) {
+	c.t.Helper()
+	for i := from; i <= to; i++ {
+		c.propose(i)
+	}
+}
+
+// holds checks by a linearizable read that the commands 1..to are in force.
+func (c *cluster) holds(to int) {
+	c.t.Helper()
+	c.wait("a linearizable read", func() bool {
+		ctx, stop := context.WithTimeout(context.Background(), 5*time.Second)
+		defer stop()
+		return c.controllers[c.leader()].replica.Read(ctx, func(s *state.State) {
+			for i := 1; i <= to; i++ {
+				if _, ok := s.Config.Pools[model.PoolID(fmt.Sprintf("pool-%d", i))]; !ok {
+					c.t.Errorf("committed ticket %d is lost", i)
+				}
+			}
+		}) == nil
+	})
+}
+
+// same waits until all live controllers have the same state.
+func (c *cluster) same() {
+	c.t.Helper()
+	c.wait("equal states", func() bool {
+		first := ""
+		for _, ctl := range c.controllers {
+			if ctl.replica == nil {
+				continue
+			}
+			var data []byte
+			ctl.replica.View(func(s *state.State) { data, _ = s.Snapshot() })
+			if first == "" {
+				first = string(data)
+			}
+			if first != string(data) {
+				return false
+			}
+		}
+		return true
+	})
+}
+
+// voters waits until the group has exactly the live controllers as voters.
+func (c *cluster) voters() {
+	c.t.Helper()
+	c.wait("the live controllers to be the voters", func() bool {
+		live := map[string]bool{}
+		for _, ctl := range c.controllers {
+			if ctl.replica != nil {
+				live[string(ctl.replica.identity().ID)] = true
+			}
+		}
+		members := c.controllers[c.leader()].replica.Status().Members
+		for _, member := range members {
+			if member.Learner || !live[string(member.ID)] {
+				return false
+			}
+		}
+		return len(members) == len(live)
+	})
+}
+
+// Guards against a lost commit, a diverging state or a stalled group when the leader is
+// killed and comes back.
+func TestLeaderKilledAndRestarted(t *testing.T) {
+	c := newCluster(t, 3, nil)
+	c.proposeRange(1, 20)
+	old := c.leader()
+	c.kill(old)
+	c.proposeRange(21, 40)
+	c.start(old)
+	c.propose(41)
+	c.same()
+	c.holds(41)
+}
+
+// Guards against a lost commit when a disk is lost, its VM comes back with a new id, and a
+// second controller is lost as soon as the group is repaired. Commands with a payload make
+// the newcomer receive a snapshot in several parts.
+func TestDiskLostThenSecondControllerLost(t *testing.T) {
+	c := newCluster(t, 3, func(o *Options) { o.SnapshotBytes, o.KeepBytes = 4<<10, 1 })
+	c.proposeRange(1, 120)
+	lost := c.leader()
+	oldID := c.controllers[lost].replica.identity().ID
+	c.kill(lost)
+	c.wipe(lost)
+	c.proposeRange(121, 140)
+	c.start(lost)
+	c.voters()
+	if id := c.controllers[lost].replica.identity().ID; id == oldID {
+		t.Fatalf("the new data directory has the old id %s", id)
+	}
+	second := c.leader()
+	c.kill(second)
+	c.proposeRange(141, 160)
+	c.holds(160)
+	c.start(second)
+	c.same()
+}
+
+// Guards against a second group when a disk is lost before the others were told of the
+// group, or while they are down: an empty directory must not found a group alone.
+func TestEmptyDirectoryFoundsNoSecondGroup(t *testing.T) {
+	c := newCluster(t, 3, nil)
+	c.propose(1)
+	group := c.controllers[0].replica.identity().Group
+	c.kill(0)
+	c.wipe(0)
+	c.kill(1)
+	c.kill(2)
+	c.start(0)
+	time.Sleep(3 * helloInterval)
+	if got := c.controllers[0].replica.identity().Group; got != "" {
+		t.Fatalf("an empty directory founded or joined group %q alone", got)
+	}
+	c.start(1)
+	c.start(2)
+	c.voters()
+	c.holds(1)
+	for i, ctl := range c.controllers {
+		if got := ctl.replica.identity().Group; got != group {
+			t.Errorf("controller %d is in group %q, want %q", i, got, group)
+		}
+	}
+}
+
+// Guards against a graceful shutdown that leaves the group without a leader until an
+// election timeout, and against a removed directory that comes back by itself.
+func TestTransferAndRemove(t *testing.T) {
+	c := newCluster(t, 3, nil)
+	c.propose(1)
+	old := c.leader()
+	ctx, stop := context.WithTimeout(context.Background(), patience)
+	defer stop()
+	if err := c.controllers[old].replica.TransferLeadership(ctx); err != nil {
+		t.Fatal(err)
+	}
+	c.propose(2)
+	removed := c.controllers[old].replica.identity().ID
+	c.wait("the removal", func() bool {
+		return c.controllers[c.leader()].replica.RemoveMember(ctx, removed) == nil
+	})
+	c.propose(3)
+	time.Sleep(3 * leaderPatience / 2)
+	for _, member := range c.controllers[c.leader()].replica.Status().Members {
+		if member.ID == removed {
+			t.Fatalf("the removed directory is a member again: %+v", member)
+		}
+	}
+	c.holds(3)
+}
+
+// Guards against a stale read by a leader that is cut off: Read and Confirm need a quorum.
+func TestNoReadWithoutQuorum(t *testing.T) {
+	c := newCluster(t, 3, nil)
+	c.propose(1)
+	leader := c.leader()
+	for i := range c.controllers {
+		if i != leader {
+			c.kill(i)
+		}
+	}
+	ctx, stop := context.WithTimeout(context.Background(), time.Second)
+	defer stop()
+	r := c.controllers[leader].replica
+	if err := r.Confirm(ctx); err == nil {
+		t.Error("Confirm succeeded without a quorum")
+	}
+	if err := r.Read(ctx, func(*state.State) {}); err == nil {
+		t.Error("Read succeeded without a quorum")
+	}
+}
--- /dev/null
+++ b/daemon/storage/files.go
@@ -0,0 +1,109 @@
+package storage
+
+import (
+	"fmt"
+	"io"
+	"os"
+	"syscall"
+)
+
+// File is an open file of the data directory.
+type File interface {
+	io.Writer
+	io.ReaderAt
+	Sync() error
+	Truncate(size int64) error
+	Size() (int64, error)
+	Close() error
+}
+
+// Files is the file system that a Store uses. Tests replace it to inject failures.
+type Files interface {
+	Open(path string) (File, error)   // for reading
+	Append(path string) (File, error) // for writing at the end; created if missing
+	Create(path string) (File, error) // for writing; emptied if it exists
+	Rename(from, to string) error
+	RemoveAll(path string) error
+	List(dir string) ([]string, error)
+	MkdirAll(dir string) error
+	SyncDir(dir string) error
+	Lock(path string) (io.Closer, error) // exclusive among processes
+}
+
+// OS is the file system of the operating system.
+type OS struct{}
+
+type osFile struct{ *os.File }
+
+func (f osFile) Size() (int64, error) {
+	info, err := f.Stat()
+	if err != nil {
+		return 0, err
+	}
+	return info.Size(), nil
+}
+
+func wrap(f *os.File, err error) (File, error) {
+	if err != nil {
+		return nil, err
+	}
+	return osFile{f}, nil
+}
+
+// Open opens a file for reading.
+func (OS) Open(path string) (File, error) { return wrap(os.Open(path)) }
+
+// Append opens a file for writing at its end.
+func (OS) Append(path string) (File, error) {
+	return wrap(os.OpenFile(path, os.O_RDWR|os.O_CREATE|os.O_APPEND, 0o600))
+}
+
+// Create opens an empty file for writing.
+func (OS) Create(path string) (File, error) {
+	return wrap(os.OpenFile(path, os.O_RDWR|os.O_CREATE|os.O_TRUNC, 0o600))
+}
+
+// Rename moves a file.
+func (OS) Rename(from, to string) error { return os.Rename(from, to) }
+
+// RemoveAll removes a file or a directory with its content.
+func (OS) RemoveAll(path string) error { return os.RemoveAll(path) }
+
+// List returns the names in a directory, sorted.
+func (OS) List(dir string) ([]string, error) {
+	entries, err := os.ReadDir(dir)
+	if err != nil {
+		return nil, err
+	}
+	names := make([]string, 0, len(entries))
+	for _, e := range entries {
+		names = append(names, e.Name())
+	}
+	return names, nil
+}
+
+// MkdirAll creates a directory and its parents.
+func (OS) MkdirAll(dir string) error { return os.MkdirAll(dir, 0o700) }
+
+// SyncDir makes the names in a directory durable.
+func (OS) SyncDir(dir string) error {
+	d, err := os.Open(dir)
+	if err != nil {
+		return err
+	}
+	defer d.Close()
+	return d.Sync()
+}
+
+// Lock takes an exclusive lock that ends with the process.
+func (OS) Lock(path string) (io.Closer, error) {
+	f, err := os.OpenFile(path, os.O_RDWR|os.O_CREATE, 0o600)
+	if err != nil {
+		return nil, err
+	}
+	if err := syscall.Flock(int(f.Fd()), syscall.LOCK_EX|syscall.LOCK_NB); err != nil {
+		f.Close()
+		return nil, fmt.Errorf("data directory is in use by another process: lock %s: %w", path, err)
+	}
+	return f, nil
+}
