--- a/daemon/cmd/samphired/daemon.go
+++ b/daemon/cmd/samphired/daemon.go
@@ -42,7 +42,7 @@
 	logger   zerolog.Logger
 
 	public, peer *http.Server
-	log          replica.Log // nil unless this VM is a controller
+	log          *replica.Replica // nil unless this VM is a controller
 	controller   *controller.Service
 	scheduler    *scheduler.Scheduler
 	session      *session.Session
@@ -80,7 +80,12 @@
 }
 
 func (d *daemon) buildController(peerMux *http.ServeMux) error {
-	d.log = replica.NewSingle(d.settings.Gateway, d.settings.PeerAddr)
+	log, err := replica.Open(d.replicaOptions())
+	if err != nil {
+		return fmt.Errorf("data_dir: %w", err)
+	}
+	d.log = log
+	peerMux.Handle(rpc.ConsensusPathPrefix, log.Handler())
 	ttl := time.Duration(d.settings.SessionTTLMs) * time.Millisecond
 	d.controller = controller.NewService(d.log, ttl, d.logger)
 	d.scheduler = scheduler.New(d.log, d.controller, d.logger)
@@ -88,6 +93,20 @@
 	return nil
 }
 
+func (d *daemon) replicaOptions() replica.Options {
+	options := replica.Options{
+		Gateway: d.settings.Gateway,
+		Addr:    d.settings.PeerAddr,
+		Dir:     d.settings.DataDir,
+		Client:  &http.Client{Transport: peerTransport(d.settings.PeerListen)},
+		Logger:  d.logger,
+	}
+	for _, c := range d.settings.Controllers {
+		options.Initial = append(options.Initial, replica.Controller{Gateway: c.ID, Addr: c.PeerAddr})
+	}
+	return options
+}
+
 func (d *daemon) buildGateway(publicMux, peerMux *http.ServeMux) {
 	transport := peerTransport(d.settings.PeerListen)
 	var addresses []string
