--- a/ctl/standin/target.go
+++ b/ctl/standin/target.go
@@ -139,7 +139,7 @@
 		select {
 		case <-ctx.Done():
 			t.Close()
-			return fmt.Errorf("leave with work in progress: %w", ctx.Err())
+			return fmt.Errorf("leave ended before work, acknowledgements or the leaving announcement were complete: %w", ctx.Err())
 		case <-ticker.C:
 		}
 	}
--- a/spec/check.sh
+++ b/spec/check.sh
@@ -94,6 +94,12 @@
   'tickets NO_REVERT -DNO_NUMBER_GUARD'
 )
 
+# A third ownership epoch, in which the target returns to its first gateway, takes over a minute
+# by itself, which is too long for CI.
+if [ "${1:-}" = --deep ]; then
+  cases+=('ownership holds -DMAXEPOCH=3')
+fi
+
 pids=()
 for index in "${!cases[@]}"; do
   while [ "$(jobs -rp | wc -l)" -ge "$parallel" ]; do
