Test the consensus step function under random failures

Cause: the step function was only exercised by the replica's tests. Two faults of the membership rules were found and fixed: a removal or promotion is refused if the live voters, without the promoted one, are no quorum of the new membership.

--- /dev/null
+++ b/core/consensus/harness_test.go
@@ -0,0 +1,416 @@
+package consensus
+
+import (
+	"bytes"
+	"flag"
+	"fmt"
+	"math/rand/v2"
+	"os"
+	"slices"
+	"testing"
+
+	"samphirepaddle.example/core/model"
+)
+
+// TestMain fixes the seed of the property tests unless one is given on the command line.
+func TestMain(m *testing.M) {
+	flag.Parse()
+	given := map[string]bool{}
+	flag.Visit(func(f *flag.Flag) { given[f.Name] = true })
+	for name, value := range map[string]string{"rapid.seed": "20261204", "rapid.nofailfile": "true", "rapid.checks": "1000"} {
+		if !given[name] {
+			if err := flag.Set(name, value); err != nil {
+				panic(err)
+			}
+		}
+	}
+	os.Exit(m.Run())
+}
+
+// simDisk is what a data directory holds durably.
+type simDisk struct {
+	saved   Saved
+	data    []byte // of the snapshot
+	receive []byte
+}
+
+// simNode is a node with its disk. node is nil while the process is down.
+type simNode struct {
+	member  Member
+	disk    simDisk
+	node    *Node
+	write   *Write // in progress
+	applied []Entry
+	starts  uint64
+}
+
+type simRead struct {
+	node  MemberID
+	floor uint64 // greatest commit index of any node when the read began
+}
+
+// sim runs nodes over a network that loses, repeats and reorders messages, and checks the
+// invariants after each step.
+type sim struct {
+	fatalf    func(format string, args ...any)
+	nodes     []*simNode
+	lost      map[MemberID]bool // ids whose disk was lost
+	cut       map[MemberID]bool // nodes that no message reaches or leaves
+	installs  int               // snapshots installed
+	network   []Message
+	committed []Entry // by index-1, as first seen committed
+	leaders   map[uint64]MemberID
+	reads     map[uint64]simRead
+	maxCommit uint64
+	served    int
+	proposals int
+	nextID    int
+	nextRead  uint64
+}
+
+const simHeartbeat, simElection = 1, 5
+
+func newSim(fatalf func(string, ...any), size int) *sim {
+	s := &sim{fatalf: fatalf, lost: map[MemberID]bool{}, cut: map[MemberID]bool{}, leaders: map[uint64]MemberID{}, reads: map[uint64]simRead{}}
+	var members Membership
+	for i := range size {
+		n := s.addNode(model.GatewayID(fmt.Sprint("g", i)))
+		members = members.With(n.member)
+	}
+	data, err := EncodeMembership(members)
+	if err != nil {
+		s.fatalf("%v", err)
+	}
+	for _, n := range s.nodes {
+		n.disk.saved = Saved{Hard: HardState{Term: 1}, Entries: []Entry{{Index: 1, Term: 1, Kind: EntryMembership, Data: data}}}
+		s.start(n)
+	}
+	return s
+}
+
+func (s *sim) addNode(gateway model.GatewayID) *simNode {
+	s.nextID++
+	n := &simNode{member: Member{ID: MemberID(fmt.Sprintf("id%03d", s.nextID)), Gateway: gateway}}
+	s.nodes = append(s.nodes, n)
+	return n
+}
+
+func (s *sim) start(n *simNode) {
+	n.starts++
+	saved := n.disk.saved
+	saved.Entries = slices.Clone(saved.Entries)
+	node, err := New(Options{
+		ID: n.member.ID, Rand: rand.New(rand.NewPCG(uint64(len(n.member.ID))+n.starts, uint64(n.member.ID[4]))),
+		HeartbeatTicks: simHeartbeat, ElectionTicks: simElection,
+		MaxBatchBytes: 150, MaxInflight: 3, MaxUncommittedBytes: 1 << 20, Saved: saved,
+	})
+	if err != nil {
+		s.fatalf("start %s: %v", n.member.ID, err)
+		return
+	}
+	n.node, n.write, n.disk.receive = node, nil, nil
+	n.applied = s.decodeApplied(n.disk.data)
+}
+
+func (s *sim) decodeApplied(data []byte) []Entry {
+	var entries []Entry
+	if len(data) > 0 {
+		if err := model.Decode(data, &entries); err != nil {
+			s.fatalf("decode snapshot: %v", err)
+		}
+	}
+	return entries
+}
+
+// crash stops the process. Of a write in progress the first parts may be durable.
+func (s *sim) crash(n *simNode, parts int) {
+	if n.write != nil {
+		s.persist(n, *n.write, parts)
+	}
+	for id, read := range s.reads {
+		if read.node == n.member.ID {
+			delete(s.reads, id)
+		}
+	}
+	n.node, n.write = nil, nil
+}
+
+// persist makes the first parts of a write durable, and reports whether a received snapshot is valid.
+func (s *sim) persist(n *simNode, w Write, parts int) bool {
+	saved := &n.disk.saved
+	if w.Hard != nil && parts > 0 {
+		saved.Hard = *w.Hard
+	}
+	if w.Chunk != nil && parts > 1 {
+		if w.Chunk.Offset == 0 {
+			n.disk.receive = nil
+		}
+		n.disk.receive = append(slices.Clone(n.disk.receive), w.Chunk.Data...)
+	}
+	if w.Install != nil && parts > 2 {
+		saved.Snapshot, saved.Entries = *w.Install, nil
+		n.disk.data = n.disk.receive
+	}
+	for i, e := range w.Entries {
+		if parts <= 3+i {
+			break
+		}
+		keep := slices.IndexFunc(saved.Entries, func(o Entry) bool { return o.Index >= e.Index })
+		if keep >= 0 {
+			saved.Entries = slices.Clone(saved.Entries[:keep])
+		}
+		saved.Entries = append(saved.Entries, e)
+	}
+	return true
+}
+
+const allParts = 1 << 30
+
+func (s *sim) finishWrite(n *simNode) {
+	if n.node == nil || n.write == nil {
+		return
+	}
+	w := *n.write
+	n.write = nil
+	n.node.WriteDone(w.Seq, s.persist(n, w, allParts))
+	s.drive(n)
+}
+
+// drive carries out the node's outputs and checks the invariants.
+func (s *sim) drive(n *simNode) {
+	out := n.node.Take()
+	for _, m := range out.Messages {
+		s.network = append(s.network, s.fill(n, m))
+	}
+	if out.Write != nil {
+		if n.write != nil {
+			s.fatalf("%s has two writes in progress", n.member.ID)
+		}
+		n.write = out.Write
+	}
+	if out.Install != nil {
+		s.installs++
+		n.applied = s.decodeApplied(n.disk.data)
+		if got := uint64(len(n.applied)); got != out.Install.Index {
+			s.fatalf("%s: snapshot %d holds %d entries", n.member.ID, out.Install.Index, got)
+		}
+	}
+	for _, e := range out.Committed {
+		s.apply(n, e)
+	}
+	for _, read := range out.Reads {
+		s.served++
+		if floor := s.reads[read.ID].floor; read.Index < floor {
+			s.fatalf("stale read at %s: index %d, but %d was committed before the read began", n.member.ID, read.Index, floor)
+		}
+		delete(s.reads, read.ID)
+	}
+	s.checkLeader(n)
+	s.maxCommit = max(s.maxCommit, n.node.log.commit)
+}
+
+func (s *sim) fill(n *simNode, m Message) Message {
+	if m.Chunk != nil {
+		c := *m.Chunk
+		if !c.Snapshot.same(n.disk.saved.Snapshot) {
+			s.fatalf("%s sends a snapshot that it does not have", n.member.ID)
+		}
+		c.Data = n.disk.data[c.Offset : c.Offset+c.Length]
+		m.Chunk = &c
+	}
+	return m
+}
+
+// apply checks that all nodes apply the same entries in the same order.
+func (s *sim) apply(n *simNode, e Entry) {
+	if e.Index != uint64(len(n.applied))+1 {
+		s.fatalf("%s applies entry %d after %d entries", n.member.ID, e.Index, len(n.applied))
+	}
+	n.applied = append(n.applied, e)
+	if e.Index > uint64(len(s.committed)) {
+		s.committed = append(s.committed, e)
+		return
+	}
+	if !sameEntry(s.committed[e.Index-1], e) {
+		s.fatalf("%s applies another entry %d (term %d) than was committed (term %d)", n.member.ID, e.Index, e.Term, s.committed[e.Index-1].Term)
+	}
+}
+
+func sameEntry(a, b Entry) bool {
+	return a.Index == b.Index && a.Term == b.Term && a.Kind == b.Kind && bytes.Equal(a.Data, b.Data)
+}
+
+// checkLeader checks that a term has one leader, and that it holds every committed entry.
+func (s *sim) checkLeader(n *simNode) {
+	if n.node.Role() != RoleLeader {
+		return
+	}
+	term := n.node.Term()
+	if other, ok := s.leaders[term]; ok {
+		if other != n.member.ID {
+			s.fatalf("term %d has two leaders, %s and %s", term, other, n.member.ID)
+		}
+		return
+	}
+	s.leaders[term] = n.member.ID
+	for _, e := range s.committed {
+		got, known := n.node.log.term(e.Index)
+		if e.Index > n.node.log.baseIndex && (!known || got != e.Term) {
+			s.fatalf("leader %s of term %d lacks committed entry %d of term %d", n.member.ID, term, e.Index, e.Term)
+		}
+	}
+}
+
+// checkLogs checks that logs which agree on the term of an entry agree on the entry and on
+// everything before it.
+func (s *sim) checkLogs() {
+	for i, a := range s.nodes {
+		for _, b := range s.nodes[i+1:] {
+			if a.node == nil || b.node == nil {
+				continue
+			}
+			s.checkPair(a.node, b.node)
+		}
+	}
+}
+
+func (s *sim) checkPair(a, b *Node) {
+	matched := false
+	low := max(a.log.baseIndex, b.log.baseIndex)
+	for index := min(a.log.last(), b.log.last()); index > low; index-- {
+		x, y := a.log.slice(index, index)[0], b.log.slice(index, index)[0]
+		if x.Term == y.Term && !sameEntry(x, y) || matched && x.Term != y.Term {
+			s.fatalf("logs of %s and %s do not match at entry %d", a.id, b.id, index)
+		}
+		matched = matched || x.Term == y.Term
+	}
+}
+
+func (s *sim) step(m Message) {
+	for _, n := range s.nodes {
+		if n.member.ID == m.To && n.node != nil && !s.cut[m.To] && !s.cut[m.From] {
+			n.node.Step(m)
+			s.drive(n)
+		}
+	}
+}
+
+func (s *sim) tick(n *simNode) {
+	if n.node != nil {
+		n.node.Tick()
+		s.drive(n)
+	}
+}
+
+func (s *sim) propose(n *simNode) {
+	if n.node == nil {
+		return
+	}
+	s.proposals++
+	if _, _, err := n.node.Propose([]byte(fmt.Sprint("command ", s.proposals))); err == nil {
+		s.drive(n)
+	}
+}
+
+func (s *sim) read(n *simNode) {
+	if n.node == nil {
+		return
+	}
+	s.nextRead++
+	if n.node.Read(s.nextRead) == nil {
+		s.reads[s.nextRead] = simRead{n.member.ID, s.maxCommit}
+		s.drive(n)
+	}
+}
+
+// compact takes a snapshot of what the node has applied.
+func (s *sim) compact(n *simNode) {
+	if n.node == nil || n.write != nil || len(n.applied) == 0 {
+		return
+	}
+	last := n.applied[len(n.applied)-1]
+	snapshot := Snapshot{Index: last.Index, Term: last.Term}
+	for _, e := range n.applied {
+		if e.Kind == EntryMembership {
+			snapshot.Members, _ = DecodeMembership(e.Data)
+		}
+	}
+	data, err := model.Encode(n.applied)
+	if err != nil {
+		s.fatalf("%v", err)
+	}
+	snapshot.Size = uint64(len(data))
+	if snapshot.Index <= n.disk.saved.Snapshot.Index {
+		return
+	}
+	n.disk.saved.Snapshot, n.disk.data = snapshot, data
+	n.disk.receive = nil
+	n.node.receiving = nil // the harness keeps one file for both
+	to := n.node.Compacted(snapshot, 60)
+	n.disk.saved.Entries = slices.DeleteFunc(slices.Clone(n.disk.saved.Entries), func(e Entry) bool { return e.Index < to })
+	s.drive(n)
+}
+
+// changeInFlight reports whether a node or a message holds a membership that is not committed. A disk that is lost meanwhile can leave the group without a quorum for good: with
+// {a,b,c}, b's removal stored only on c and a lost, b cannot win because c's log is longer,
+// and c needs the vote of a.
+func (s *sim) changeInFlight() bool {
+	for _, n := range s.nodes {
+		if n.node != nil && n.node.configs[len(n.node.configs)-1].index > uint64(len(s.committed)) {
+			return true
+		}
+	}
+	for _, m := range s.network {
+		for _, e := range m.Entries {
+			if e.Kind == EntryMembership && e.Index > uint64(len(s.committed)) {
+				return true
+			}
+		}
+	}
+	return false
+}
+
+// loseDisk ends a process for good and starts a new one at its gateway, if every node's
+// membership still has a quorum of voters with a disk, also if all learners were promoted
+// before a leader notices that their disk is lost.
+func (s *sim) loseDisk(n *simNode) {
+	if s.lost[n.member.ID] || s.changeInFlight() {
+		return
+	}
+	for _, o := range s.nodes {
+		if o.node == nil {
+			return
+		}
+		members := o.node.Members()
+		alive, voters := 0, 0
+		for _, m := range members {
+			if s.lost[m.ID] || m.ID == n.member.ID {
+				continue
+			}
+			alive++
+			if !m.Learner {
+				voters++
+			}
+		}
+		if len(members) > 0 && (voters < members.Quorum() || alive < len(members)/2+1) {
+			return
+		}
+	}
+	s.crash(n, 0)
+	s.lost[n.member.ID] = true
+	s.nodes = slices.DeleteFunc(s.nodes, func(o *simNode) bool { return o == n })
+	s.start(s.addNode(n.member.Gateway))
+}
+
+// admit asks the leaders to add the nodes that are not members, and sometimes removes one.
+func (s *sim) admit(n *simNode) {
+	if n.node == nil || n.node.Role() != RoleLeader {
+		return
+	}
+	for _, o := range s.nodes {
+		if _, ok := n.node.Members().Find(o.member.ID); !ok {
+			_ = n.node.Add(o.member)
+		}
+	}
+	s.drive(n)
+}
--- a/core/consensus/membership.go
+++ b/core/consensus/membership.go
@@ -8,6 +8,7 @@
 	ErrNotMember   = errors.New("no such member")
 	ErrLeaderStays = errors.New("the leader cannot be removed; transfer the leadership first")
 	ErrLastVoter   = errors.New("the last voter cannot be removed")
+	ErrQuorumLost  = errors.New("too few voters of the new membership answer; the group would stop")
 )
 
 const (
@@ -55,6 +56,9 @@
 	if err := n.mayChange(); err != nil {
 		return err
 	}
+	if !n.quorumAnswers(members) {
+		return ErrQuorumLost
+	}
 	data, err := EncodeMembership(members)
 	if err != nil {
 		return err
@@ -65,6 +69,22 @@
 	return nil
 }
 
+// quorumAnswers reports whether the live voters that also have a vote now are a quorum of
+// the new membership. A change that cannot be committed could not be taken back either. A
+// learner that is being promoted is not counted: if its disk is lost at that moment, the
+// group must not depend on its vote. A group of one can only grow by depending on it.
+func (n *Node) quorumAnswers(members Membership) bool {
+	now := n.members()
+	alive := 0
+	for _, member := range members {
+		counts := now.IsVoter(member.ID) || now.Voters() == 1
+		if !member.Learner && counts && n.alive(member.ID) {
+			alive++
+		}
+	}
+	return alive >= members.Quorum()
+}
+
 // mayChange reports why the membership may not be changed now.
 func (n *Node) mayChange() error {
 	if n.role != RoleLeader {
