--- /dev/null
+++ b/core/placement/placement_test.go
@@ -0,0 +1,128 @@
+package placement_test
+
+import (
+	"errors"
+	"fmt"
+	"strings"
+	"testing"
+
+	"samphirepaddle.example/core/model"
+	"samphirepaddle.example/core/placement"
+)
+
+var capacity = model.Resources{Slots: 8, Connections: 64, CPUMillis: 16_000, MemoryMiB: 60 << 10}
+
+func newPlacer(targets int) *placement.Placer {
+	p := placement.New(placement.Config{Seed: 1})
+	for i := range targets {
+		p.SetTarget(placement.TargetInfo{
+			ID:       model.TargetID(fmt.Sprintf("w%02d", i)),
+			Pool:     "pool",
+			Zone:     model.Zone(fmt.Sprint("z", i%3)),
+			Rack:     model.Rack(fmt.Sprint("r", i/3%4)),
+			Capacity: capacity,
+			Kept:     model.Resources{Slots: 2},
+		})
+	}
+	return p
+}
+
+func job(n int, size model.Resources) placement.Job {
+	id := model.JobID(fmt.Sprint("job-", n))
+	return placement.Job{ID: id, Tenant: "t", Pool: "pool", Kind: "k", Size: size, Attempt: model.AttemptID{Job: id, Number: 1}}
+}
+
+func place(t *testing.T, p *placement.Placer, j placement.Job) placement.Decision {
+	t.Helper()
+	d, err := p.Place(j)
+	if err != nil {
+		t.Fatal(err)
+	}
+	if err := p.Reserve(d); err != nil {
+		t.Fatal(err)
+	}
+	if err := p.Bind(j.Attempt); err != nil {
+		t.Fatal(err)
+	}
+	return d
+}
+
+// Guards against a target being given more than it can carry, and against errors that do
+// not say why each target did not fit.
+func TestFitsAndSaysWhyNot(t *testing.T) {
+	p := newPlacer(2)
+	size := model.Resources{Slots: 1, CPUMillis: 7_000}
+	for i := range 4 {
+		place(t, p, job(i, size))
+	}
+	_, err := p.Place(job(9, size))
+	var noFit *placement.NoFitError
+	if !errors.As(err, &noFit) || noFit.Never || len(noFit.Rejections) != 2 {
+		t.Fatalf("err = %v, want two rejections and not never", err)
+	}
+	if text := err.Error(); !strings.Contains(text, "cpu_millis: need 7000, free 2000") {
+		t.Fatalf("error %q does not name the shortfall", text)
+	}
+	_, err = p.Place(job(10, model.Resources{Slots: 1, MemoryMiB: 600 << 10}))
+	if !errors.As(err, &noFit) || !noFit.Never {
+		t.Fatalf("err = %v, want a job that can never run", err)
+	}
+	p.Release(job(0, size).Attempt)
+	place(t, p, job(9, size))
+}
+
+// Guards against one rack or zone holding most tasks of a class.
+func TestSpreadsOverRacksAndZones(t *testing.T) {
+	p := newPlacer(24)
+	zones := map[int]int{}
+	for i := range 24 {
+		var n int
+		fmt.Sscanf(string(place(t, p, job(i, model.Resources{Slots: 1})).Target), "w%d", &n)
+		zones[n%3]++
+	}
+	for zone, n := range zones {
+		if n < 6 || n > 10 {
+			t.Errorf("zone %d holds %d of 24 tasks", zone, n)
+		}
+	}
+}
+
+// Guards against an urgent job evicting a task that loses more than another would.
+func TestPreemptsTheTaskThatLosesLeast(t *testing.T) {
+	p := newPlacer(2)
+	size := model.Resources{Slots: 3}
+	for i := range 4 {
+		place(t, p, job(i, size))
+		p.SetLoss(job(i, size).Attempt, float64(1000+100*((i+2)%4)), false)
+	}
+	plan, err := p.Preempt(job(9, size))
+	if err != nil || len(plan.Victims) != 1 || plan.Victims[0].Job != "job-2" {
+		t.Fatalf("plan = %+v, %v, want job-2", plan, err)
+	}
+}
+
+// Guards against one tenant with many waiting jobs starving another, and against quotas
+// being passed.
+func TestQuotaAndFairShare(t *testing.T) {
+	tenants := placement.NewTenants(model.Resources{Slots: 10})
+	tenants.SetTenant(model.Tenant{ID: "a", BatchQuota: model.Resources{Slots: 2}})
+	var jobs []placement.Job
+	for i := range 4 {
+		j := job(i, model.Resources{Slots: 1})
+		j.Tenant = "a"
+		jobs = append(jobs, j)
+	}
+	b := job(8, model.Resources{Slots: 1})
+	b.Tenant = "b"
+	urgent := job(9, model.Resources{Slots: 1})
+	urgent.Urgent = true
+	order := tenants.Order(append(jobs, b, urgent))
+	if order[0].ID != "job-9" || (order[1].Tenant != "b" && order[2].Tenant != "b") {
+		t.Fatalf("order = %v", order)
+	}
+	tenants.Charge("a", model.Resources{Slots: 2})
+	var quota *placement.QuotaError
+	if err := tenants.Allow("a", model.Resources{Slots: 1}); !errors.As(err, &quota) || quota.Never {
+		t.Fatalf("err = %v, want a quota error", err)
+	}
+}
--- /dev/null
+++ b/core/placement/victim.go
@@ -0,0 +1,108 @@
+package placement
+
+import (
+	"cmp"
+	"math"
+	"slices"
+
+	"samphirepaddle.example/core/model"
+)
+
+// Preemption is a target and the tasks to evict there so that an urgent job fits.
+type Preemption struct {
+	Target  model.TargetID
+	Victims []model.AttemptID
+	LossMs  float64 // work that the victims lose together
+}
+
+// SetLoss records the work that a task would lose if it were evicted now. Evicting marks a
+// task whose eviction is in progress; it is never chosen again.
+func (p *Placer) SetLoss(attempt model.AttemptID, lossMs float64, evicting bool) {
+	t := p.tasks[attempt]
+	if t == nil {
+		return
+	}
+	task := &t.tasks[t.find(attempt)]
+	task.LossMs = lossMs
+	task.Evicting = evicting
+}
+
+// Preempt chooses the tasks to evict for an urgent job that fits nowhere: of the sampled
+// targets, the one whose victims lose the least work. Urgent and unbound tasks are never
+// victims. If no eviction helps, the error is a *NoFitError.
+func (p *Placer) Preempt(job Job) (Preemption, error) {
+	var best *Preemption
+	pool := p.pools[job.Pool]
+	if pool == nil || len(pool.targets) == 0 {
+		return Preemption{}, p.noFit(job)
+	}
+	seen := 0
+	visit := func(i int) bool {
+		t := pool.targets[i]
+		if t.info.Blocked != "" || avoided(job, t) {
+			return true
+		}
+		plan := preemptOn(job, t)
+		if plan == nil {
+			return true
+		}
+		seen++
+		if best == nil || plan.LossMs < best.LossMs {
+			best = plan
+		}
+		return seen < p.cfg.Candidates
+	}
+	start := p.rng.IntN(len(pool.targets))
+	if pool.capacity.walk(job.Size, start, len(pool.targets), visit) {
+		pool.capacity.walk(job.Size, 0, start, visit)
+	}
+	if best == nil {
+		return Preemption{}, p.noFit(job)
+	}
+	return *best, nil
+}
+
+// preemptOn evicts the cheapest tasks until the job fits, then spares those that turn out
+// to be unnecessary, the dearest first.
+func preemptOn(job Job, t *target) *Preemption {
+	tasks := victims(t)
+	free := t.free
+	taken := 0
+	for taken < len(tasks) && !job.Size.Fits(free) {
+		free = free.Add(tasks[taken].Size)
+		taken++
+	}
+	if !job.Size.Fits(free) {
+		return nil
+	}
+	plan := &Preemption{Target: t.info.ID}
+	for i := taken - 1; i >= 0; i-- {
+		if without := free.Sub(tasks[i].Size); job.Size.Fits(without) {
+			free = without
+			continue
+		}
+		plan.Victims = append(plan.Victims, tasks[i].Attempt)
+		plan.LossMs += tasks[i].LossMs
+	}
+	return plan
+}
+
+func victims(t *target) []Task {
+	var tasks []Task
+	for _, task := range t.tasks {
+		if task.Bound && !task.Urgent && !task.Evicting {
+			tasks = append(tasks, task)
+		}
+	}
+	slices.SortStableFunc(tasks, func(a, b Task) int { return cmp.Compare(a.LossMs, b.LossMs) })
+	return tasks
+}
+
+// Loss returns the work that an eviction costs: the time of the checkpoint if the task can
+// be checkpointed, otherwise everything since its start.
+func Loss(sinceStart, checkpointCost model.Millis, canCheckpoint bool) float64 {
+	if canCheckpoint {
+		return math.Min(float64(checkpointCost), float64(sinceStart))
+	}
+	return float64(sinceStart)
+}
