--- a/core/placement/place.go
+++ b/core/placement/place.go
@@ -77,7 +77,7 @@
 func (p *Placer) predict(job Job, t *target) float64 {
 	worst := 1.0
 	for _, quick := range t.loads {
-		present := p.cfg.Predictor.Predict(t.info.ID, quick.Service, quick.Load)
+		present := p.cfg.Predictor.PredictFull(t.info.ID, quick.Service, quick.Load)
 		added := p.cfg.Predictor.Added(quick.Service, job.Kind, quick.Load)
 		std := math.Hypot(present.Std, added.Std)
 		worst = max(worst, present.Mean+added.Mean+p.cfg.Caution*std)
--- a/core/placement/target.go
+++ b/core/placement/target.go
@@ -16,7 +16,7 @@
 
 // Predictor predicts slowdowns; slowdown.Model implements it.
 type Predictor interface {
-	Predict(target model.TargetID, service model.ServiceID, load float64) slowdown.Estimate
+	PredictFull(target model.TargetID, service model.ServiceID, load float64) slowdown.Estimate
 	Added(service model.ServiceID, kind string, load float64) slowdown.Estimate
 }
 
--- a/core/slowdown/history.go
+++ b/core/slowdown/history.go
@@ -1,13 +1,10 @@
 package slowdown
 
-import "samphirepaddle.example/core/model"
+import (
+	"slices"
 
-// Neighbour is a batch task that runs on the same target as quick work.
-type Neighbour struct {
-	Attempt model.AttemptID // zero for a task that has not started
-	Kind    string
-	Share   float64 // throttle level times the part of the interval in which it ran, 0 to 1
-}
+	"samphirepaddle.example/core/model"
+)
 
 // levelChange is a throttle level that holds from At on.
 type levelChange struct {
@@ -17,12 +14,12 @@
 
 // taskRecord is the presence of one task on one target.
 type taskRecord struct {
-	attempt model.AttemptID
-	kind    string
-	levels  []levelChange
-	ended   bool
-	end     model.Millis
-	effect  effect
+	attempt  model.AttemptID
+	kind     string
+	levels   []levelChange
+	hasEnded bool
+	end      model.Millis
+	effect   effect
 }
 
 // share is the mean throttle level over the interval; time outside the task's life counts as zero.
@@ -33,7 +30,7 @@
 		if i+1 < len(r.levels) {
 			end = min(end, r.levels[i+1].at)
 		}
-		if r.ended {
+		if r.hasEnded {
 			end = min(end, r.end)
 		}
 		start := max(from, change.at)
@@ -51,27 +48,16 @@
 // history records which tasks ran together on one target.
 type history struct {
 	slots   int32
-	records []*taskRecord
+	running []*taskRecord
+	ended   []*taskRecord
 }
 
-func (h *history) running(attempt model.AttemptID) *taskRecord {
-	for _, r := range h.records {
-		if r.attempt == attempt && !r.ended {
-			return r
-		}
-	}
-	return nil
+func (h *history) find(attempt model.AttemptID) int {
+	return slices.IndexFunc(h.running, func(r *taskRecord) bool { return r.attempt == attempt })
 }
 
 func (h *history) prune(before model.Millis) {
-	kept := h.records[:0]
-	for _, r := range h.records {
-		if !r.ended || r.end >= before {
-			kept = append(kept, r)
-		}
-	}
-	clear(h.records[len(kept):])
-	h.records = kept
+	h.ended = slices.DeleteFunc(h.ended, func(r *taskRecord) bool { return r.end < before })
 }
 
 // SetTarget makes a target known. Slots scale its load.
@@ -96,11 +82,11 @@
 		m.SetTarget(id, 1)
 		h = m.targets[id]
 	}
-	if h.running(attempt) != nil {
+	if h.find(attempt) >= 0 {
 		return
 	}
 	h.prune(at - m.cfg.HistoryMs)
-	h.records = append(h.records, &taskRecord{
+	h.running = append(h.running, &taskRecord{
 		attempt: attempt,
 		kind:    kind,
 		levels:  []levelChange{{at: at, level: 1}},
@@ -114,7 +100,8 @@
 	if h == nil {
 		return
 	}
-	if r := h.running(attempt); r != nil {
+	if i := h.find(attempt); i >= 0 {
+		r := h.running[i]
 		r.levels = append(r.levels, levelChange{at: at, level: min(max(level, 0), 1)})
 	}
 }
@@ -125,23 +112,11 @@
 	if h == nil {
 		return
 	}
-	if r := h.running(attempt); r != nil {
-		r.ended = true
+	if i := h.find(attempt); i >= 0 {
+		r := h.running[i]
+		r.hasEnded = true
 		r.end = at
+		h.running = slices.Delete(h.running, i, i+1)
+		h.ended = append(h.ended, r)
 	}
 }
-
-// Neighbours returns the tasks that run on the target now.
-func (m *Model) Neighbours(id model.TargetID) []Neighbour {
-	h := m.targets[id]
-	if h == nil {
-		return nil
-	}
-	var out []Neighbour
-	for _, r := range h.records {
-		if !r.ended {
-			out = append(out, Neighbour{Attempt: r.attempt, Kind: r.kind, Share: r.level()})
-		}
-	}
-	return out
-}
--- a/core/slowdown/model.go
+++ b/core/slowdown/model.go
@@ -174,28 +174,38 @@
 	return Estimate{Mean: mean / base, Std: math.Sqrt(variance) / base}
 }
 
-// Predict returns the slowdown of a service on a target beside the tasks that run there.
-// A target that is not known counts as empty.
+// Predict returns the slowdown of a service on a target beside the tasks that run there at
+// their present throttle levels. A target that is not known counts as empty.
 func (m *Model) Predict(target model.TargetID, id model.ServiceID, load float64) Estimate {
+	return m.predict(target, id, load, false)
+}
+
+// PredictFull is Predict as if no task were throttled. Placement uses it, so that it does
+// not fill a target whose tasks are throttled.
+func (m *Model) PredictFull(target model.TargetID, id model.ServiceID, load float64) Estimate {
+	return m.predict(target, id, load, true)
+}
+
+func (m *Model) predict(target model.TargetID, id model.ServiceID, load float64, full bool) Estimate {
 	sum, variance := 1.0, 0.0
 	h := m.targets[target]
 	if h == nil {
 		return Estimate{Mean: 1}
 	}
-	for _, r := range h.records {
-		if r.ended {
-			continue
+	for _, r := range h.running {
+		level := 1.0
+		if !full {
+			level = r.level()
 		}
-		added := m.taskAdded(r, id, load)
+		added := m.taskAdded(r, id, load, level)
 		sum += added.Mean
 		variance += added.Std * added.Std
 	}
 	return Estimate{Mean: sum, Std: math.Sqrt(variance)}
 }
 
-func (m *Model) taskAdded(r *taskRecord, id model.ServiceID, load float64) Estimate {
+func (m *Model) taskAdded(r *taskRecord, id model.ServiceID, load, level float64) Estimate {
 	added := m.Added(id, r.kind, load)
-	level := r.level()
 	factor := max(r.effect.mean, minEffect)
 	std := math.Hypot(added.Std*factor, added.Mean*math.Sqrt(r.effect.variance))
 	return Estimate{Mean: added.Mean * factor * level, Std: std * level}
@@ -216,10 +226,9 @@
 		return nil
 	}
 	var out []Blame
-	for _, r := range h.records {
-		if !r.ended {
-			out = append(out, Blame{Attempt: r.attempt, Kind: r.kind, Level: r.level(), Added: m.taskAdded(r, id, load)})
-		}
+	for _, r := range h.running {
+		level := r.level()
+		out = append(out, Blame{Attempt: r.attempt, Kind: r.kind, Level: level, Added: m.taskAdded(r, id, load, level)})
 	}
 	slices.SortStableFunc(out, func(a, b Blame) int { return cmp.Compare(b.Added.Mean, a.Added.Mean) })
 	return out
--- a/core/slowdown/observe.go
+++ b/core/slowdown/observe.go
@@ -166,7 +166,12 @@
 // relax gathers the tasks of the interval and forgets up to its end.
 func (m *Model) relax(s *service, h *history, report model.UsageReport) {
 	m.terms = m.terms[:0]
-	for _, r := range h.records {
+	m.gather(s, h.ended, report)
+	m.gather(s, h.running, report)
+}
+
+func (m *Model) gather(s *service, records []*taskRecord, report model.UsageReport) {
+	for _, r := range records {
 		share := r.share(report.FromMs, report.ToMs)
 		if share <= 0 {
 			continue
--- /dev/null
+++ b/test/decisions/table.go
@@ -0,0 +1,117 @@
+// Package decisions measures the scheduler's decisions on the seeded fake of both sites.
+package decisions
+
+import (
+	"fmt"
+	"io"
+	"math"
+	"slices"
+	"sync"
+
+	"samphirepaddle.example/core/fake"
+)
+
+// Seeds on which the policies were developed.
+var Seeds = []uint64{1, 2, 3, 4, 5, 6, 7, 8, 9, 10}
+
+// parallelRuns leaves cores free for the other work of the machine.
+const parallelRuns = 4
+
+// Sites returns both sites.
+func Sites() []fake.Site { return []fake.Site{fake.SobreAndino(), fake.Tamworth()} }
+
+// Measure runs a policy on every seed, in parallel, and returns the results in order of the seeds.
+func Measure(site fake.Site, options fake.Options, seeds []uint64) []fake.Result {
+	results := make([]fake.Result, len(seeds))
+	limit := make(chan struct{}, parallelRuns)
+	var wait sync.WaitGroup
+	for i, seed := range seeds {
+		wait.Add(1)
+		limit <- struct{}{}
+		go func() {
+			defer wait.Done()
+			results[i] = fake.Run(site, seed, func(w *fake.World) fake.Policy {
+				return fake.NewScheduler(w, seed, options)
+			})
+			<-limit
+		}()
+	}
+	wait.Wait()
+	return results
+}
+
+// Row is one policy's results on one site.
+type Row struct {
+	Policy  string
+	Results []fake.Result
+}
+
+// MeasureAll runs every policy on a site.
+func MeasureAll(site fake.Site, policies []fake.Options, seeds []uint64) []Row {
+	var rows []Row
+	for _, options := range policies {
+		rows = append(rows, Row{options.Name, Measure(site, options, seeds)})
+	}
+	return rows
+}
+
+// Spread is a mean over seeds with the least and the greatest value.
+type Spread struct{ Mean, Min, Max float64 }
+
+func spreadOf(values []float64) Spread {
+	sum := 0.0
+	for _, v := range values {
+		sum += v
+	}
+	return Spread{sum / float64(len(values)), slices.Min(values), slices.Max(values)}
+}
+
+// String formats the spread as mean [min max].
+func (s Spread) String() string {
+	return fmt.Sprintf("%.3f [%.3f %.3f]", s.Mean, s.Min, s.Max)
+}
+
+// Column computes one figure of a run; oracle is the oracle's run on the same seed.
+type Column struct {
+	Name  string
+	Value func(run, oracle fake.Result) float64
+}
+
+// Columns are the figures of the table.
+var Columns = []Column{
+	{"p99", func(r, _ fake.Result) float64 { return r.P99 }},
+	{"p99.9", func(r, _ fake.Result) float64 { return r.P999 }},
+	{"p99/oracle", func(r, o fake.Result) float64 { return r.P99 / o.P99 }},
+	{"p99.9/oracle", func(r, o fake.Result) float64 { return r.P999 / o.P999 }},
+	{"late %", func(r, _ fake.Result) float64 { return 100 * r.LateShare() }},
+	{"work/oracle", func(r, o fake.Result) float64 { return r.Work / o.Work }},
+	{"evictions/1000", func(r, _ fake.Result) float64 { return r.EvictionsPer1000() }},
+	{"lost %", func(r, _ fake.Result) float64 { return 100 * r.WorkLost / math.Max(r.Work, 1) }},
+}
+
+// Figure returns one column of a row.
+func Figure(c Column, row, oracle Row) Spread {
+	var values []float64
+	for i := range row.Results {
+		values = append(values, c.Value(row.Results[i], oracle.Results[i]))
+	}
+	return spreadOf(values)
+}
+
+// Print writes the table of one site; the last row is the oracle.
+func Print(out io.Writer, site fake.Site, rows []Row) {
+	fmt.Fprintf(out, "\n%s: mean [min max] over %d seeds\n", site.Name, len(rows[0].Results))
+	fmt.Fprintf(out, "%-16s", "policy")
+	for _, c := range Columns {
+		fmt.Fprintf(out, " %24s", c.Name)
+	}
+	fmt.Fprintln(out)
+	oracle := rows[len(rows)-1]
+	for _, row := range rows {
+		fmt.Fprintf(out, "%-16s", row.Policy)
+		for _, c := range Columns {
+			fmt.Fprintf(out, " %24s", Figure(c, row, oracle))
+		}
+		fmt.Fprintln(out)
+	}
+}
