--- /dev/null
+++ b/core/fake/fake_test.go
@@ -0,0 +1,24 @@
+package fake_test
+
+import (
+	"testing"
+
+	"samphirepaddle.example/core/fake"
+)
+
+// run measures one of the policies.
+func run(seed uint64, options fake.Options) fake.Result {
+	return fake.Run(fake.Tamworth(), seed, func(w *fake.World) fake.Policy {
+		return fake.NewScheduler(w, seed, options)
+	})
+}
+
+// Guards against a source of randomness or an order of iteration that makes two runs of the
+// same seed differ, which would make every figure unrepeatable.
+func TestSameSeedGivesTheSameResult(t *testing.T) {
+	policies := fake.Policies()
+	full := policies[len(policies)-2]
+	if a, b := run(3, full), run(3, full); a != b {
+		t.Fatalf("two runs of one seed differ: p99 %v and %v, work %v and %v", a.P99, b.P99, a.Work, b.Work)
+	}
+}
--- a/core/fake/policy.go
+++ b/core/fake/policy.go
@@ -1,13 +1,14 @@
 package fake
 
 import (
-	"cmp"
 	"errors"
 	"slices"
 
 	"samphirepaddle.example/core/health"
 	"samphirepaddle.example/core/model"
 	"samphirepaddle.example/core/placement"
+	"samphirepaddle.example/core/response"
+	"samphirepaddle.example/core/routing"
 	"samphirepaddle.example/core/sizing"
 	"samphirepaddle.example/core/slowdown"
 )
@@ -19,15 +20,52 @@
 	Neighbours bool // place by predicted slowdown
 	LearnSizes bool
 	Health     bool
-	AtArrival  bool // take reports as if they covered the time of their arrival
-	Truth      bool // know the hidden state: the oracle
+	Respond    bool
+	// RouteSlowdown routes by predicted slowdown and queue, not by free slots only.
+	RouteSlowdown bool
+	AtArrival     bool // take reports as if they covered the time of their arrival
+	Truth         bool // know the hidden state: the oracle
 }
 
-// Policies returns the policies that are measured side by side.
+// Policies returns the policies that are measured side by side; the last is the oracle.
 func Policies() []Options {
-	fitOnly := Options{Name: "fit-only"}
-	reserved := Options{Name: "fit+reserved", KeepSlots: true}
-	return []Options{fitOnly, reserved}
+	full := Options{
+		Name:          "full",
+		KeepSlots:     true,
+		Neighbours:    true,
+		LearnSizes:    true,
+		Health:        true,
+		Respond:       true,
+		RouteSlowdown: true,
+	}
+	atArrival, oracle := full, full
+	atArrival.Name, atArrival.AtArrival = "at-arrival", true
+	oracle.Name, oracle.Truth = "oracle", true
+	return []Options{
+		{Name: "fit-only"},
+		{Name: "fit+reserved", KeepSlots: true},
+		atArrival,
+		full,
+		oracle,
+	}
+}
+
+// Steps returns the full policy built up part by part, each a policy of its own.
+func Steps() []Options {
+	steps := []Options{{Name: "fit+reserved", KeepSlots: true}}
+	add := func(name string, change func(*Options)) {
+		next := steps[len(steps)-1]
+		next.Name = name
+		change(&next)
+		steps = append(steps, next)
+	}
+	add("+sizes", func(o *Options) { o.LearnSizes = true })
+	add("+health", func(o *Options) { o.Health = true })
+	add("+neighbours", func(o *Options) { o.Neighbours = true })
+	add("+response", func(o *Options) { o.Respond = true })
+	add("+routing", func(o *Options) { o.RouteSlowdown = true })
+	add("oracle", func(o *Options) { o.Truth = true })
+	return steps
 }
 
 // waiting is a job as the scheduler knows it.
@@ -68,6 +106,8 @@
 	placer    *placement.Placer
 	tenants   *placement.Tenants
 	health    *health.Tracker
+	response  *response.Controller
+	routes    []routing.Candidate // reused
 
 	targets map[model.TargetID]*targetState
 	ids     []model.TargetID
@@ -81,7 +121,8 @@
 type targetState struct {
 	capacity model.Resources
 	loads    [numServices]float64
-	newest   model.Millis // start of the newest interval that was used
+	slow     [numServices]float64 // predicted, refreshed each second
+	newest   model.Millis         // start of the newest interval that was used
 	tasks    []*running
 }
 
@@ -101,13 +142,14 @@
 	}
 	s.predictor = s.model
 	if options.Truth {
-		s.predictor = truth{w}
+		s.predictor = truth{s}
 	}
-	cfg := placement.Config{Seed: seed, Weights: w.Site.Weights, MaxSlowdown: w.Site.MaxSlowdown}
+	cfg := placement.Config{Seed: seed, Weights: w.Site.Weights, MaxSlowdown: w.Site.MaxSlowdown, ListedTargets: -1}
 	if options.Neighbours {
 		cfg.Predictor = s.predictor
 	}
 	s.placer = placement.New(cfg)
+	s.response = response.New(response.Config{Weights: w.Site.Weights, MaxSlowdown: w.Site.MaxSlowdown})
 	return s
 }
 
@@ -133,8 +175,10 @@
 	for _, d := range news.Reports {
 		s.report(d)
 	}
+	s.respond()
 	s.probe()
 	s.place()
+	s.predictAll()
 	return s.orders
 }
 
@@ -409,16 +453,3 @@
 		}
 	}
 }
-
-// Route implements Policy: the candidate with the most free slots.
-func (s *Scheduler) Route(_ model.ServiceID, candidates []Candidate) int {
-	best := 0
-	for i, c := range candidates {
-		if cmp.Compare(free(c), free(candidates[best])) > 0 {
-			best = i
-		}
-	}
-	return best
-}
-
-func free(c Candidate) float64 { return float64(c.Slots) - c.Assigned }
--- /dev/null
+++ b/core/fake/respond.go
@@ -0,0 +1,111 @@
+package fake
+
+import (
+	"samphirepaddle.example/core/model"
+	"samphirepaddle.example/core/response"
+	"samphirepaddle.example/core/routing"
+	"samphirepaddle.example/core/slowdown"
+)
+
+// respond asks for a response on every target with new evidence and carries it out.
+func (s *Scheduler) respond() {
+	if !s.options.Respond {
+		return
+	}
+	s.response.Refill(s.now, len(s.open))
+	for _, id := range s.ids {
+		t := s.targets[id]
+		if len(t.tasks) == 0 {
+			continue
+		}
+		from := t.newest
+		if s.options.Truth {
+			from = s.now
+		}
+		for _, action := range s.response.Decide(s.evidence(id, t, from)) {
+			s.carryOut(action)
+		}
+	}
+}
+
+// evidence describes the worst-hit service of a target.
+func (s *Scheduler) evidence(id model.TargetID, t *targetState, from model.Millis) response.Evidence {
+	e := response.Evidence{Target: id, Now: s.now, From: from, Slowdown: slowdown.Estimate{Mean: 1}}
+	worst := 0
+	for i, load := range t.loads {
+		if p := s.predictor.Predict(id, services[i].id, load); p.Mean > e.Slowdown.Mean {
+			e.Slowdown = p
+			worst = i
+		}
+	}
+	for _, b := range s.predictor.Blame(id, services[worst].id, t.loads[worst]) {
+		r := s.open[b.Attempt]
+		if r == nil {
+			continue
+		}
+		e.Tasks = append(e.Tasks, response.Task{
+			Attempt:  b.Attempt,
+			Level:    r.level,
+			Added:    b.Added,
+			LossMs:   s.loss(r),
+			Evicting: r.evicting,
+			Urgent:   r.job.spec.Urgent,
+		})
+	}
+	return e
+}
+
+func (s *Scheduler) carryOut(action response.Action) {
+	if action.Kind == response.Evict {
+		s.evict(action.Attempt)
+		return
+	}
+	r := s.open[action.Attempt]
+	r.level = action.Level
+	s.model.TaskThrottled(r.target, r.id, action.Level, s.now)
+	s.orders.Throttle = append(s.orders.Throttle, Throttle{r.id, action.Level})
+}
+
+// predictAll refreshes the slowdowns that routing uses in this second.
+func (s *Scheduler) predictAll() {
+	if !s.options.RouteSlowdown {
+		return
+	}
+	for _, id := range s.ids {
+		t := s.targets[id]
+		for i, load := range t.loads {
+			t.slow[i] = s.predictor.Predict(id, services[i].id, load).Mean
+		}
+	}
+}
+
+// Route implements Policy.
+func (s *Scheduler) Route(id model.ServiceID, candidates []Candidate) int {
+	if !s.options.RouteSlowdown {
+		return mostFree(candidates)
+	}
+	i := serviceIndex(id)
+	s.routes = s.routes[:0]
+	for _, c := range candidates {
+		s.routes = append(s.routes, routing.Candidate{
+			Target:   c.Target,
+			Slots:    float64(c.Slots),
+			Busy:     c.Assigned,
+			Slowdown: s.targets[c.Target].slow[i],
+		})
+	}
+	return max(routing.Choose(s.routes), 0)
+}
+
+// mostFree is the choice without predictions.
+func mostFree(candidates []Candidate) int {
+	best := 0
+	for i, c := range candidates {
+		if free(c) > free(candidates[best]) {
+			best = i
+		}
+	}
+	return best
+}
+
+func free(c Candidate) float64 { return float64(c.Slots) - c.Assigned }
--- a/core/fake/truth.go
+++ b/core/fake/truth.go
@@ -9,7 +9,8 @@
 )
 
 // truth answers the questions about slowdowns from the hidden state, without lag or error.
-type truth struct{ w *World }
+// It counts the tasks that the scheduler holds, which include those placed in this round.
+type truth struct{ s *Scheduler }
 
 func serviceIndex(id model.ServiceID) int {
 	for i := range services {
@@ -23,22 +24,46 @@
 // PredictFull implements placement.Predictor. The load passed in is the scheduler's late
 // estimate; the truth uses the present one.
 func (t truth) PredictFull(target model.TargetID, id model.ServiceID, _ float64) slowdown.Estimate {
-	s := serviceIndex(id)
-	return slowdown.Estimate{Mean: t.w.slowdown(t.w.byID[target], s, t.w.loadAt(s), false)}
+	return t.predict(target, id, true)
 }
 
 // Predict is PredictFull at the present throttle levels.
 func (t truth) Predict(target model.TargetID, id model.ServiceID, _ float64) slowdown.Estimate {
+	return t.predict(target, id, false)
+}
+
+func (t truth) predict(target model.TargetID, id model.ServiceID, full bool) slowdown.Estimate {
+	sum, cpu := 1.0, 0.0
+	state := t.s.targets[target]
+	for _, r := range state.tasks {
+		level := r.level
+		if full {
+			level = 1
+		}
+		sum += t.added(r, id) * level
+		cpu += float64(t.s.world.jobs[r.job.spec.ID].size.CPUMillis) * level
+	}
+	return slowdown.Estimate{Mean: sum * max(1, cpu/float64(state.capacity.CPUMillis))}
+}
+
+// added returns the slowdown that a task adds at full level.
+func (t truth) added(r *running, id model.ServiceID) float64 {
+	w := t.s.world
 	s := serviceIndex(id)
-	return slowdown.Estimate{Mean: t.w.slowdown(t.w.byID[target], s, t.w.loadAt(s), true)}
+	added := w.added(s, w.jobs[r.job.spec.ID].kind, w.loadAt(s))
+	if task := w.tasks[r.id]; task != nil {
+		added *= task.noise
+	}
+	return added
 }
 
 // Added implements placement.Predictor.
 func (t truth) Added(id model.ServiceID, kind string, _ float64) slowdown.Estimate {
+	w := t.s.world
 	s := serviceIndex(id)
-	for k := range t.w.kinds {
-		if t.w.kinds[k].name == kind {
-			return slowdown.Estimate{Mean: t.w.added(s, k, t.w.loadAt(s))}
+	for k := range w.kinds {
+		if w.kinds[k].name == kind {
+			return slowdown.Estimate{Mean: w.added(s, k, w.loadAt(s))}
 		}
 	}
 	return slowdown.Estimate{}
@@ -46,15 +71,13 @@
 
 // Blame returns the tasks on a target, the most to blame first.
 func (t truth) Blame(target model.TargetID, id model.ServiceID, _ float64) []slowdown.Blame {
-	s := serviceIndex(id)
 	var out []slowdown.Blame
-	for _, task := range t.w.byID[target].tasks {
-		added := t.w.added(s, task.job.kind, t.w.loadAt(s)) * task.level * task.noise
+	for _, r := range t.s.targets[target].tasks {
 		out = append(out, slowdown.Blame{
-			Attempt: task.id,
-			Kind:    task.job.spec.Kind,
-			Level:   task.level,
-			Added:   slowdown.Estimate{Mean: added},
+			Attempt: r.id,
+			Kind:    r.job.spec.Kind,
+			Level:   r.level,
+			Added:   slowdown.Estimate{Mean: t.added(r, id) * r.level},
 		})
 	}
 	slices.SortStableFunc(out, func(a, b slowdown.Blame) int { return cmp.Compare(b.Added.Mean, a.Added.Mean) })
--- a/core/placement/nofit.go
+++ b/core/placement/nofit.go
@@ -8,9 +8,6 @@
 	"samphirepaddle.example/core/model"
 )
 
-// maxListed bounds the targets that an error lists one by one. Explain lists all of them.
-const maxListed = 100
-
 // Rejection says why one target did not fit.
 type Rejection struct {
 	Target model.TargetID
@@ -22,7 +19,7 @@
 	Job        model.JobID
 	Never      bool        // it exceeds the capacity of every known target of its pool
 	Targets    int         // known targets of the pool
-	Rejections []Rejection // of each target, if the pool has at most 100
+	Rejections []Rejection // of each target, if the pool has at most Config.ListedTargets
 }
 
 // Error lists the reasons, grouped.
@@ -38,8 +35,8 @@
 	return b.String()
 }
 
-// noFit builds the error. Beyond maxListed targets the list is left to Explain, because a
-// list of 17,000 reasons costs more than the decision.
+// noFit builds the error. Beyond ListedTargets targets the list is left to Explain, because
+// a list of 17,000 reasons costs more than the decision.
 func (p *Placer) noFit(job Job) error {
 	e := &NoFitError{Job: job.ID, Never: p.NeverFits(job)}
 	pool := p.pools[job.Pool]
@@ -47,7 +44,7 @@
 		return e
 	}
 	e.Targets = len(pool.targets) - len(pool.vacant)
-	if e.Targets <= maxListed {
+	if e.Targets <= p.cfg.ListedTargets {
 		e.Rejections = p.Explain(job)
 	}
 	return e
--- a/core/placement/target.go
+++ b/core/placement/target.go
@@ -31,12 +31,16 @@
 	MaxSlowdown float64
 	// Caution is the number of standard deviations added to a prediction; default 0.5.
 	Caution float64
+	// ListedTargets is the size of a pool up to which an error lists every target's reason;
+	// default 100, negative for never.
+	ListedTargets int
 }
 
 const (
 	defaultCandidates  = 32
 	defaultMaxSlowdown = 1.5
 	defaultCaution     = 0.5
+	defaultListed      = 100
 )
 
 // TargetInfo describes a target.
@@ -125,6 +129,7 @@
 	cfg.Candidates = cmp.Or(cfg.Candidates, defaultCandidates)
 	cfg.MaxSlowdown = cmp.Or(cfg.MaxSlowdown, defaultMaxSlowdown)
 	cfg.Caution = cmp.Or(cfg.Caution, defaultCaution)
+	cfg.ListedTargets = cmp.Or(cfg.ListedTargets, defaultListed)
 	return &Placer{
 		cfg:     cfg,
 		rng:     rand.New(rand.NewPCG(cfg.Seed, 1)),
--- a/test/cmd/decisions/main.go
+++ b/test/cmd/decisions/main.go
@@ -13,6 +13,7 @@
 
 func main() {
 	only := flag.String("policies", "", "comma-separated names of the policies to run beside the oracle; empty for all")
+	steps := flag.Bool("steps", false, "build the full policy up part by part")
 	first := flag.Uint64("first-seed", 1, "first seed")
 	count := flag.Int("seeds", len(decisions.Seeds), "number of seeds")
 	flag.Parse()
@@ -21,14 +22,17 @@
 		seeds = append(seeds, *first+uint64(i))
 	}
 	for _, site := range decisions.Sites() {
-		rows := decisions.MeasureAll(site, selected(*only), seeds)
+		rows := decisions.MeasureAll(site, selected(*only, *steps), seeds)
 		decisions.Print(os.Stdout, site, rows)
 	}
 	fmt.Println()
 }
 
-func selected(names string) []fake.Options {
+func selected(names string, steps bool) []fake.Options {
 	all := fake.Policies()
+	if steps {
+		all = fake.Steps()
+	}
 	if names == "" {
 		return all
 	}
--- a/test/decisions/table.go
+++ b/test/decisions/table.go
@@ -68,7 +68,7 @@
 
 // String formats the spread as mean [min max].
 func (s Spread) String() string {
-	return fmt.Sprintf("%.3f [%.3f %.3f]", s.Mean, s.Min, s.Max)
+	return fmt.Sprintf("%.2f [%.2f %.2f]", s.Mean, s.Min, s.Max)
 }
 
 // Column computes one figure of a run; oracle is the oracle's run on the same seed.
@@ -103,14 +103,14 @@
 	fmt.Fprintf(out, "\n%s: mean [min max] over %d seeds\n", site.Name, len(rows[0].Results))
 	fmt.Fprintf(out, "%-16s", "policy")
 	for _, c := range Columns {
-		fmt.Fprintf(out, " %24s", c.Name)
+		fmt.Fprintf(out, " %22s", c.Name)
 	}
 	fmt.Fprintln(out)
 	oracle := rows[len(rows)-1]
 	for _, row := range rows {
 		fmt.Fprintf(out, "%-16s", row.Policy)
 		for _, c := range Columns {
-			fmt.Fprintf(out, " %24s", Figure(c, row, oracle))
+			fmt.Fprintf(out, " %22s", Figure(c, row, oracle))
 		}
 		fmt.Fprintln(out)
 	}
