core/placement: urgent work beyond the slowdown bound, one preemption at a time

An urgent job that fitted by resources but not by predicted slowdown stayed queued, and each round asked for further victims while the first ones were still stopping. Urgent jobs now pass the slowdown bound, and the measured scheduler waits for the room it made.

--- a/core/fake/policy.go
+++ b/core/fake/policy.go
@@ -73,6 +73,8 @@
 	spec     model.JobSpec
 	attempts uint32
 	avoid    []model.TargetID
+	// preemptedUntil is the time before which no further room is made for the job.
+	preemptedUntil model.Millis
 }
 
 // running is an open attempt as the scheduler knows it.
@@ -389,8 +391,16 @@
 	s.preempt(job)
 }
 
-// preempt makes room for an urgent job that waits.
+// preemptWait is the time for which a preemption may make room before another one is asked for.
+const preemptWait = model.Millis(4000)
+
+// preempt makes room for an urgent job that waits, once per job until the room is there.
 func (s *Scheduler) preempt(job placement.Job) {
+	j := s.jobs[job.ID]
+	if s.now < j.preemptedUntil {
+		return
+	}
+	j.preemptedUntil = s.now + preemptWait
 	for _, r := range s.open {
 		s.placer.SetLoss(r.id, s.loss(r), r.evicting)
 	}
@@ -400,6 +410,7 @@
 	}
 	for _, id := range plan.Victims {
 		s.evict(id)
+		s.world.notePreemption()
 	}
 }
 
--- a/core/fake/result.go
+++ b/core/fake/result.go
@@ -16,7 +16,8 @@
 	P999        float64
 	Work        float64 // seconds of batch work done and not lost
 	WorkLost    float64
-	Evictions   int
+	Evictions   int // of all causes
+	Preempted   int // evictions that made room for urgent jobs
 	Started     int
 	Finished    int
 	GivenUp     int
--- a/core/placement/place.go
+++ b/core/placement/place.go
@@ -30,17 +30,23 @@
 // Place runs filter and score and changes nothing. If the job fits nowhere now, the error
 // is a *NoFitError.
 func (p *Placer) Place(job Job) (Decision, error) {
-	candidates := p.filter(job)
-	best := p.score(job, candidates)
+	best := p.score(job, p.filter(job, p.withinSlowdown))
+	if best == nil && job.Urgent {
+		// Urgent work starts even where it slows quick work beyond the bound; the response
+		// then throttles its neighbours.
+		best = p.score(job, p.filter(job, anySlowdown))
+	}
 	if best == nil {
 		return Decision{}, p.noFit(job)
 	}
 	return *best, nil
 }
 
-// filter returns up to cfg.Candidates targets on which the job fits and whose quick work
-// stays within the slowdown bound, in index order from a random offset.
-func (p *Placer) filter(job Job) []*target {
+func anySlowdown(Job, *target) bool { return true }
+
+// filter returns up to cfg.Candidates targets on which the job fits and whose quick work is
+// acceptable, in index order from a random offset.
+func (p *Placer) filter(job Job, acceptable func(Job, *target) bool) []*target {
 	p.found = p.found[:0]
 	pool := p.pools[job.Pool]
 	if pool == nil || len(pool.targets) == 0 {
@@ -48,7 +54,7 @@
 	}
 	visit := func(i int) bool {
 		t := pool.targets[i]
-		if !avoided(job, t) && p.withinSlowdown(job, t) {
+		if !avoided(job, t) && acceptable(job, t) {
 			p.found = append(p.found, t)
 		}
 		return len(p.found) < p.cfg.Candidates
--- a/test/decisions/table.go
+++ b/test/decisions/table.go
@@ -86,6 +86,7 @@
 	{"late %", func(r, _ fake.Result) float64 { return 100 * r.LateShare() }},
 	{"work/oracle", func(r, o fake.Result) float64 { return r.Work / o.Work }},
 	{"evictions/1000", func(r, _ fake.Result) float64 { return r.EvictionsPer1000() }},
+	{"preempted/1000", func(r, _ fake.Result) float64 { return 1000 * float64(r.Preempted) / math.Max(float64(r.Started), 1) }},
 	{"lost %", func(r, _ fake.Result) float64 { return 100 * r.WorkLost / math.Max(r.Work, 1) }},
 }
 
