--- a/core/model/resources.go
+++ b/core/model/resources.go
@@ -5,13 +5,14 @@
 	"strings"
 )
 
-// Resources is an amount of each resource that a target offers or a task takes.
+// Resources is an amount of each resource that a target offers or a task takes. In CBOR its
+// keys are numbers, because most of a gateway's reports consists of amounts.
 type Resources struct {
-	Slots        int32 `json:"slots"`
-	Connections  int32 `json:"connections"`
-	CPUMillis    int64 `json:"cpu_millis"` // thousandths of a core
-	MemoryMiB    int64 `json:"memory_mib"` // mebibytes
-	Accelerators int32 `json:"accelerators"`
+	Slots        int32 `json:"slots" cbor:"1,keyasint,omitempty"`
+	Connections  int32 `json:"connections" cbor:"2,keyasint,omitempty"`
+	CPUMillis    int64 `json:"cpu_millis" cbor:"3,keyasint,omitempty"` // thousandths of a core
+	MemoryMiB    int64 `json:"memory_mib" cbor:"4,keyasint,omitempty"` // mebibytes
+	Accelerators int32 `json:"accelerators" cbor:"5,keyasint,omitempty"`
 }
 
 // Add returns the sum of r and o.
@@ -77,3 +78,24 @@
 func (r Resources) Negative() bool {
 	return r.Slots < 0 || r.Connections < 0 || r.CPUMillis < 0 || r.MemoryMiB < 0 || r.Accelerators < 0
 }
+
+// UnlimitedZeros returns the quota r with its zero amounts, which mean no limit, replaced by
+// those of held.
+func (r Resources) UnlimitedZeros(held Resources) Resources {
+	if r.Slots == 0 {
+		r.Slots = held.Slots
+	}
+	if r.Connections == 0 {
+		r.Connections = held.Connections
+	}
+	if r.CPUMillis == 0 {
+		r.CPUMillis = held.CPUMillis
+	}
+	if r.MemoryMiB == 0 {
+		r.MemoryMiB = held.MemoryMiB
+	}
+	if r.Accelerators == 0 {
+		r.Accelerators = held.Accelerators
+	}
+	return r
+}
--- a/core/model/validate.go
+++ b/core/model/validate.go
@@ -10,9 +10,11 @@
 	MaxTicketObjects  = 256     // objects in one ticket
 	MaxPayloadBytes   = 4 << 20 // payload of one job
 	maxIdentifierSize = 128     // bytes of an identifier
+	maxTextSize       = 256     // bytes of an author, a version or a kind of job
 	maxAttempts       = 100     // failures that a job may be allowed
 	maxDeadlineMs     = Millis(10 * 60 * 1000)
 	maxQueueLength    = 100_000
+	maxWeight         = 1_000_000 // of a site's weights and of a tenant's share; also excludes NaN
 )
 
 var identifier = regexp.MustCompile(`^[A-Za-z0-9][A-Za-z0-9._-]*$`)
@@ -31,6 +33,13 @@
 	return nil
 }
 
+func checkText(field, text string) error {
+	if len(text) > maxTextSize {
+		return fmt.Errorf("%s has %d bytes, at most %d are allowed", field, len(text), maxTextSize)
+	}
+	return nil
+}
+
 // Refs returns every object that the ticket touches; naming one twice is an error.
 func (t Ticket) Refs() ([]ObjectRef, error) {
 	var refs []ObjectRef
@@ -81,6 +90,9 @@
 
 // Validate checks each object of the ticket by itself.
 func (t Ticket) Validate() error {
+	if err := checkText("author", t.Author); err != nil {
+		return err
+	}
 	for _, s := range t.Services {
 		if err := s.Validate(); err != nil {
 			return fmt.Errorf("service %q: %w", s.ID, err)
@@ -118,6 +130,9 @@
 	if s.DeadlineMs < 1 || s.DeadlineMs > maxDeadlineMs {
 		return fmt.Errorf("deadline_ms %d is outside 1 to %d", s.DeadlineMs, maxDeadlineMs)
 	}
+	if err := checkText("version", s.Version); err != nil {
+		return err
+	}
 	if s.QueueLength < 0 || s.QueueLength > maxQueueLength {
 		return fmt.Errorf("queue_length %d is outside 0 to %d", s.QueueLength, maxQueueLength)
 	}
@@ -125,15 +140,20 @@
 }
 
 func (w Weights) validate() error {
-	if w.TailLatency < 0 || w.Throughput < 0 || w.Evictions < 0 {
-		return fmt.Errorf("weights %+v must not be negative", w)
+	for _, weight := range []float64{w.TailLatency, w.Throughput, w.Evictions} {
+		if !(weight >= 0 && weight <= maxWeight) {
+			return fmt.Errorf("weights %+v are outside 0 to %d", w, maxWeight)
+		}
 	}
 	return nil
 }
 
 // Validate checks a tenant's limits.
 func (t Tenant) Validate() error {
-	if t.BatchQuota.Negative() || t.MaxQueuedJobs < 0 || t.QuickPerSecond < 0 || t.QuickConcurrent < 0 || t.Share < 0 {
+	if !(t.Share >= 0 && t.Share <= maxWeight) {
+		return fmt.Errorf("share %v is outside 0 to %d", t.Share, maxWeight)
+	}
+	if t.BatchQuota.Negative() || t.MaxQueuedJobs < 0 || t.QuickPerSecond < 0 || t.QuickConcurrent < 0 {
 		return fmt.Errorf("limits must not be negative, got %+v", t)
 	}
 	return nil
@@ -156,6 +176,9 @@
 	if j.Declared.Negative() || j.Declared.Slots < 1 {
 		return fmt.Errorf("declared must take at least 1 slot and no negative amount, got %+v", j.Declared)
 	}
+	if err := checkText("kind", j.Kind); err != nil {
+		return err
+	}
 	if j.RunTimeMs < 0 {
 		return fmt.Errorf("run_time_ms %d is negative", j.RunTimeMs)
 	}
--- a/core/state/apply.go
+++ b/core/state/apply.go
@@ -10,6 +10,7 @@
 	s.Revision = index
 	s.Now = max(s.Now, c.At)
 	result := s.dispatch(c)
+	s.trim()
 	if result.Revision == 0 {
 		result.Revision = index
 	}
--- a/core/state/commands.go
+++ b/core/state/commands.go
@@ -81,11 +81,14 @@
 	Epoch  model.Epoch    `json:"epoch"` // ownership epoch of the proposing gateway
 }
 
-// QuarantineTarget sets or lifts the quarantine of a target.
+// QuarantineTarget sets or lifts the quarantine of a target. The scheduler gets probes to a
+// target that it quarantined itself and lifts the quarantine when they pass; a quarantine
+// that an operator set stays until an operator lifts it.
 type QuarantineTarget struct {
-	Target model.TargetID `json:"target"`
-	On     bool           `json:"on"`
-	Reason string         `json:"reason"`
+	Target   model.TargetID `json:"target"`
+	On       bool           `json:"on"`
+	Reason   string         `json:"reason"`
+	Operator bool           `json:"operator,omitempty"`
 }
 
 // SubmitJob queues a job. The same key of one tenant with the same content returns the
@@ -128,8 +131,14 @@
 )
 
 // EndAttempt closes an attempt. It is accepted only for the open attempt of the job.
+//
+// Epoch is the ownership epoch of the proposing gateway. The outcomes refused, evicted,
+// stopped and lost are conclusions of the owner and count only under the present epoch: a
+// late one of an earlier owner would requeue a job that the present owner has started.
+// The outcomes finished and failed are reported by the target and count under any epoch.
 type EndAttempt struct {
 	Attempt    model.AttemptID `json:"attempt"`
+	Epoch      model.Epoch     `json:"epoch"`
 	Outcome    Outcome         `json:"outcome"`
 	Message    string          `json:"message,omitempty"`
 	Result     []byte          `json:"result,omitempty"`
@@ -191,7 +200,7 @@
 	Revision model.Revision `json:"revision"`           // revision at which the effect is visible
 	Epoch    model.Epoch    `json:"epoch,omitempty"`    // session or ownership epoch, if one was given
 	Job      model.JobID    `json:"job,omitempty"`      // of SubmitJob
-	Accepted *model.Ticket  `json:"accepted,omitempty"` // of SubmitTicket with CodeConflict: the accepted one
+	Accepted *TicketRecord  `json:"accepted,omitempty"` // of SubmitTicket: the ticket that was accepted instead
 	Answer   *StoredAnswer  `json:"answer,omitempty"`   // of BeginRequest with CodeRepeated
 }
 
--- a/core/state/jobs.go
+++ b/core/state/jobs.go
@@ -1,35 +1,67 @@
 package state
 
 import (
+	"crypto/sha256"
 	"fmt"
 
 	"samphirepaddle.example/core/model"
 )
 
-// defaultMaxAttempts applies if a job declares no limit of failures.
-const defaultMaxAttempts = 5
-
-// maxStoredResult bounds the result of a job that the state keeps.
-const maxStoredResult = 64 << 10 // bytes
+// Bounds on jobs.
+const (
+	// defaultMaxAttempts applies if a job declares no limit of failures.
+	defaultMaxAttempts = 5
+	// maxLiveBytes bounds the payloads and checkpoints of all jobs that have not ended. New
+	// jobs are refused above it; checkpoints of running jobs are always taken.
+	maxLiveBytes = 64 << 20
+	// maxCancelled bounds the jobs of one CancelJobs command.
+	maxCancelled = 10_000
+)
 
 func (s *State) submitJob(c *SubmitJob) Result {
 	if c.Key == "" {
 		return resultf(CodeInvalid, "a job needs a key, so that a resend does not queue it twice")
 	}
+	if len(c.Key) > maxKeyBytes {
+		return resultf(CodeInvalid, "key has %d bytes, at most %d are allowed", len(c.Key), maxKeyBytes)
+	}
 	key := RequestKey{c.Spec.Tenant, c.Key}
-	if id, ok := s.JobKeys[key]; ok {
-		return s.repeatedJob(id, c.Spec)
+	hash := hashOf(c.Spec)
+	if record, ok := s.JobKeys[key]; ok {
+		return repeatedJob(record, hash)
 	}
 	spec := c.Spec
 	if spec.ID == "" {
 		spec.ID = model.JobID(fmt.Sprintf("job-%d", s.Revision))
 	}
+	if result := s.checkNewJob(spec); !result.OK() {
+		return result
+	}
+	s.declareJob(spec, 0)
+	s.Jobs[spec.ID].Key = c.Key
+	s.JobKeys[key] = &JobKey{Job: spec.ID, SpecHash: hash}
+	return Result{Code: CodeOK, Job: spec.ID}
+}
+
+func repeatedJob(record *JobKey, hash [32]byte) Result {
+	if record.SpecHash != hash {
+		result := resultf(CodeConflict, "the key was used before for job %q with other content", record.Job)
+		result.Job = record.Job
+		return result
+	}
+	return Result{Code: CodeRepeated, Job: record.Job}
+}
+
+func (s *State) checkNewJob(spec model.JobSpec) Result {
 	if err := spec.Validate(); err != nil {
 		return resultf(CodeInvalid, "%v", err)
 	}
 	if _, ok := s.Jobs[spec.ID]; ok {
 		return resultf(CodeConflict, "job %q exists already", spec.ID)
 	}
+	if last, ok := s.LastTicket[model.ObjectRef{Kind: model.KindJob, ID: string(spec.ID)}]; ok {
+		return resultf(CodeConflict, "job %q was declared before by ticket %d", spec.ID, last)
+	}
 	if _, ok := s.Config.Pools[spec.Pool]; !ok {
 		return resultf(CodeNotFound, "pool %q does not exist", spec.Pool)
 	}
@@ -37,40 +69,56 @@
 	if !ok {
 		return resultf(CodeNotFound, "tenant %q does not exist", spec.Tenant)
 	}
-	if limit := tenant.MaxQueuedJobs; limit > 0 && s.queuedJobs(spec.Tenant) >= int(limit) {
+	if limit := tenant.MaxQueuedJobs; limit > 0 && s.index.queued[spec.Tenant] >= int(limit) {
 		return resultf(CodeLimit, "tenant %q has reached its limit of %d queued jobs", spec.Tenant, limit)
 	}
-	s.declareJob(spec, 0)
-	s.Jobs[spec.ID].Key = c.Key
-	s.JobKeys[key] = spec.ID
-	return Result{Code: CodeOK, Job: spec.ID}
+	return s.checkLiveBytes(int64(len(spec.Payload)))
 }
 
-func (s *State) repeatedJob(id model.JobID, spec model.JobSpec) Result {
-	job, ok := s.Jobs[id]
-	if !ok {
-		return resultf(CodeStale, "job %q was submitted with this key and is no longer kept", id)
+func (s *State) checkLiveBytes(more int64) Result {
+	if more > 0 && s.index.liveBytes+more > maxLiveBytes {
+		return resultf(CodeLimit, "the payloads and checkpoints of waiting and running jobs take %d bytes, at most %d are kept",
+			s.index.liveBytes, maxLiveBytes)
 	}
-	if spec.ID == "" {
-		spec.ID = id
-	}
-	if !sameContent(job.Spec, spec) {
-		return resultf(CodeConflict, "the key was used before for job %q with other content", id)
+	return Result{Code: CodeOK}
+}
+
+// hashOf returns the SHA-256 of the CBOR form of v, and zero for what has none.
+func hashOf(v any) [32]byte {
+	data, err := model.Encode(v)
+	if err != nil {
+		return [32]byte{}
 	}
-	return Result{Code: CodeRepeated, Job: id}
+	return sha256.Sum256(data)
 }
 
-func (s *State) queuedJobs(tenant model.TenantID) int {
-	count := 0
-	for _, job := range s.Jobs {
-		if job.Phase == JobQueued && job.Spec.Tenant == tenant {
-			count++
+// declareJob queues a job, or replaces the content of a queued one that was never assigned.
+func (s *State) declareJob(spec model.JobSpec, ticket uint64) {
+	hash := hashOf(spec)
+	if old, ok := s.Jobs[spec.ID]; ok {
+		if old.SpecHash == hash {
+			return
 		}
+		s.index.dropJob(old)
+	}
+	job := &Job{
+		Spec:        spec,
+		Phase:       JobQueued,
+		Ticket:      ticket,
+		SubmittedAt: s.Now,
+		QueuedAt:    s.Now,
+		Sequence:    s.takeSequence(),
+		SpecHash:    hash,
+		Changed:     s.Revision,
 	}
-	return count
+	s.Jobs[spec.ID] = job
+	s.index.addJob(job)
 }
 
 func (s *State) cancelJobs(c *CancelJobs) Result {
+	if len(c.Jobs) > maxCancelled {
+		return resultf(CodeInvalid, "jobs names %d jobs, at most %d are allowed", len(c.Jobs), maxCancelled)
+	}
 	for _, id := range c.Jobs {
 		s.cancelJob(id)
 	}
@@ -93,166 +141,37 @@
 	}
 }
 
+// endJob closes a job. The payload and the checkpoint are dropped: nothing runs it again.
 func (s *State) endJob(job *Job, phase JobPhase) {
 	s.touchJob(job)
+	s.noteClosed(job)
+	s.index.dropJob(job)
 	job.Phase = phase
 	job.Open = nil
 	job.Cancelling = false
+	job.Spec.Payload = nil
+	job.Checkpoint = nil
 	job.EndedAt = s.Now
-}
-
-func (s *State) assignAttempt(c *AssignAttempt) Result {
-	job, ok := s.Jobs[c.Attempt.Job]
-	if !ok {
-		return resultf(CodeNotFound, "job %q does not exist", c.Attempt.Job)
-	}
-	if job.Phase != JobQueued || c.Attempt.Number != job.Attempts+1 {
-		return resultf(CodeStale, "job %q is %s with %d attempts; attempt %d cannot be assigned",
-			job.Spec.ID, job.Phase, job.Attempts, c.Attempt.Number)
-	}
-	target, ok := s.Targets[c.Target]
-	if !ok || target.Epoch != c.Epoch || target.Owner == "" {
-		return resultf(CodeStale, "target %q is not owned under epoch %d", c.Target, c.Epoch)
-	}
-	if reason := target.blocked(); reason != "" {
-		return resultf(CodeStale, "target %q takes no work: %s", c.Target, reason)
-	}
-	if result := s.checkBatchQuota(job.Spec.Tenant, c.Reserved); !result.OK() {
-		return result
-	}
-	job.Attempts = c.Attempt.Number
-	job.Phase = JobAssigned
-	job.NeverReason = ""
-	job.Open = &Attempt{
-		ID:       c.Attempt,
-		Target:   c.Target,
-		StartID:  target.StartID,
-		Epoch:    c.Epoch,
-		Reserved: c.Reserved,
-		At:       s.Now,
-	}
-	s.touchJob(job)
-	return Result{Code: CodeOK}
-}
-
-func (t *Target) blocked() string {
-	switch {
-	case t.Lost:
-		return "its lease ran out"
-	case t.Leaving:
-		return "it is leaving"
-	default:
-		return ""
+	job.Sequence = s.takeSequence()
+	if record, ok := s.JobKeys[RequestKey{job.Spec.Tenant, job.Key}]; ok && record.Job == job.Spec.ID {
+		record.Ended = true
+		record.EndedAt = job.EndedAt
+		record.Sequence = job.Sequence
 	}
-}
-
-func (s *State) checkBatchQuota(id model.TenantID, more model.Resources) Result {
-	quota := s.Config.Tenants[id].BatchQuota
-	if quota == (model.Resources{}) {
-		return Result{Code: CodeOK}
-	}
-	held := more
-	for _, job := range s.Jobs {
-		if job.Open != nil && job.Spec.Tenant == id {
-			held = held.Add(job.Open.Reserved)
-		}
-	}
-	if short := held.Shortfall(unlimitedZeros(quota, held)); short != "" {
-		return resultf(CodeLimit, "tenant %q would exceed its batch quota: %s", id, short)
-	}
-	return Result{Code: CodeOK}
-}
-
-// unlimitedZeros replaces the zero amounts of a quota, which mean no limit.
-func unlimitedZeros(quota, held model.Resources) model.Resources {
-	if quota.Slots == 0 {
-		quota.Slots = held.Slots
-	}
-	if quota.Connections == 0 {
-		quota.Connections = held.Connections
-	}
-	if quota.CPUMillis == 0 {
-		quota.CPUMillis = held.CPUMillis
-	}
-	if quota.MemoryMiB == 0 {
-		quota.MemoryMiB = held.MemoryMiB
-	}
-	if quota.Accelerators == 0 {
-		quota.Accelerators = held.Accelerators
-	}
-	return quota
-}
-
-func (s *State) evictAttempt(c *EvictAttempt) Result {
-	job := s.openJob(c.Attempt)
-	if job == nil {
-		return resultf(CodeStale, "attempt %s is not open", c.Attempt)
-	}
-	if job.Open.Evicting != "" {
-		return Result{Code: CodeRepeated}
-	}
-	job.Open.Evicting = c.Reason
-	s.touchJob(job)
-	return Result{Code: CodeOK}
-}
-
-// openJob returns the job of which the attempt is the open one, else nil.
-func (s *State) openJob(id model.AttemptID) *Job {
-	job, ok := s.Jobs[id.Job]
-	if !ok || job.Open == nil || job.Open.ID != id {
-		return nil
-	}
-	return job
-}
-
-func (s *State) endAttempt(c *EndAttempt) Result {
-	job := s.openJob(c.Attempt)
-	if job == nil {
-		return resultf(CodeStale, "attempt %s is not open", c.Attempt)
-	}
-	if len(c.Result) > maxStoredResult {
-		return resultf(CodeInvalid, "result has %d bytes, at most %d are kept", len(c.Result), maxStoredResult)
-	}
-	s.closeAttempt(job, c)
-	return Result{Code: CodeOK}
-}
-
-func (s *State) closeAttempt(job *Job, c *EndAttempt) {
-	if len(c.Checkpoint) > 0 {
-		job.Checkpoint = c.Checkpoint
-	}
-	switch c.Outcome {
-	case OutcomeFinished:
-		job.Result = c.Result
-		s.endJob(job, JobFinished)
-		return
-	case OutcomeFailed:
-		s.noteFailure(job, c.Message)
-	case OutcomeEvicted:
-		job.Evictions++
-	}
-	if job.Cancelling {
-		s.endJob(job, JobCancelled)
-		return
-	}
-	if job.Failures >= job.maxAttempts() {
-		s.endJob(job, JobFailed)
-		return
-	}
-	s.requeue(job)
-}
-
-func (s *State) noteFailure(job *Job, message string) {
-	job.Failures++
-	job.Message = message
-	job.FailedOn = append(job.FailedOn, job.Open.Target)
+	s.index.endedJobs.push(job.endedEntry())
+	s.index.keptJobs++
+	s.index.keptBytes += job.keptSize()
 }
 
 func (s *State) requeue(job *Job) {
 	s.touchJob(job)
+	s.noteClosed(job)
+	s.index.dropJob(job)
 	job.Phase = JobQueued
 	job.Open = nil
 	job.QueuedAt = s.Now
+	job.Sequence = s.takeSequence()
+	s.index.addJob(job)
 }
 
 func (j *Job) maxAttempts() uint32 {
@@ -270,7 +189,10 @@
 	if job.NeverReason == c.Reason {
 		return Result{Code: CodeRepeated}
 	}
+	s.index.dropJob(job)
 	job.NeverReason = c.Reason
+	job.Sequence = s.takeSequence()
+	s.index.addJob(job)
 	s.touchJob(job)
 	return Result{Code: CodeOK}
 }
--- a/core/state/members.go
+++ b/core/state/members.go
@@ -46,7 +46,7 @@
 	}
 	gateway.Expired = true
 	s.releaseTargets(c.Gateway)
-	s.forgetRequests(c.Gateway, c.Epoch)
+	s.forgetRequests(c.Gateway)
 	return Result{Code: CodeOK}
 }
 
@@ -64,24 +64,29 @@
 }
 
 func (s *State) releaseTargets(owner model.GatewayID) {
-	for _, id := range sortedKeys(s.Targets) {
+	for _, id := range sortedKeys(s.index.ownedBy[owner]) {
 		target := s.Targets[id]
-		if target.Owner == owner {
-			s.touchTarget(target)
-			target.Owner = ""
-		}
+		s.touchTarget(target)
+		s.setOwner(target, "")
 	}
+	delete(s.closed, owner)
 	s.adoptTargets()
 }
 
+// setOwner changes the owner and keeps the index. The caller touches the target.
+func (s *State) setOwner(target *Target, owner model.GatewayID) {
+	s.ownershipChanged[target.Owner] = s.Revision
+	s.ownershipChanged[owner] = s.Revision
+	s.index.dropTarget(target)
+	target.Owner = owner
+	s.index.addTarget(target)
+}
+
 // adoptTargets gives each target without an owner to a live gateway.
 func (s *State) adoptTargets() {
 	load := s.ownedCounts()
-	for _, id := range sortedKeys(s.Targets) {
-		target := s.Targets[id]
-		if target.Owner == "" && !target.Lost {
-			s.assignOwner(target, load)
-		}
+	for _, id := range sortedKeys(s.index.unowned) {
+		s.assignOwner(s.Targets[id], load)
 	}
 }
 
@@ -89,12 +94,7 @@
 	load := map[model.GatewayID]int{}
 	for id, gateway := range s.Gateways {
 		if gateway.Live() {
-			load[id] = 0
-		}
-	}
-	for _, target := range s.Targets {
-		if _, ok := load[target.Owner]; ok {
-			load[target.Owner]++
+			load[id] = len(s.index.ownedBy[id])
 		}
 	}
 	return load
@@ -111,7 +111,7 @@
 		return
 	}
 	load[owner]++
-	target.Owner = owner
+	s.setOwner(target, owner)
 	target.Epoch = s.takeEpoch()
 	s.touchTarget(target)
 }
@@ -133,6 +133,9 @@
 	if err := model.CheckIdentifier("target", string(c.Target)); err != nil {
 		return resultf(CodeInvalid, "%v", err)
 	}
+	if c.StartID == "" || len(c.StartID) > maxStartIDBytes {
+		return resultf(CodeInvalid, "target %q: start_id has %d bytes, 1 to %d are allowed", c.Target, len(c.StartID), maxStartIDBytes)
+	}
 	if c.Capacity.Negative() || c.Capacity.Slots < 1 {
 		return resultf(CodeInvalid, "target %q: capacity must have at least 1 slot and no negative amount", c.Target)
 	}
@@ -140,18 +143,26 @@
 	if !ok {
 		target = &Target{ID: c.Target}
 		s.Targets[c.Target] = target
+		s.index.addTarget(target)
 	}
 	if ok && target.StartID == c.StartID && !target.Lost {
 		return Result{Code: CodeRepeated, Epoch: target.Epoch}
 	}
-	target.StartID = c.StartID
+	if target.StartID != c.StartID {
+		if result := s.replaceProcess(target, c.StartID); !result.OK() {
+			return result
+		}
+	}
 	target.Address = c.Address
 	target.Zone = c.Zone
 	target.Rack = c.Rack
 	target.Pool = c.Pool
 	target.Capacity = c.Capacity
-	target.Leaving = false
+	s.index.dropTarget(target)
 	target.Lost = false
+	target.LostAt = 0
+	target.LostSequence = 0
+	s.index.addTarget(target)
 	if target.Owner == "" {
 		s.assignOwner(target, s.ownedCounts())
 	}
@@ -159,6 +170,34 @@
 	return Result{Code: CodeOK, Epoch: target.Epoch}
 }
 
+// Bounds on the processes of a target.
+const (
+	keptStartIDs    = 4 // earlier processes that are remembered
+	maxStartIDBytes = 128
+)
+
+// replaceProcess records a new process of a target. A late announcement of an earlier
+// process changes nothing. While attempts of the earlier process are open, the new one has
+// to wait until its lease is over: the earlier process may still run them.
+func (s *State) replaceProcess(target *Target, start string) Result {
+	if slices.Contains(target.PastStartIDs, start) {
+		return resultf(CodeStale, "process %q of target %q was replaced by %q", start, target.ID, target.StartID)
+	}
+	if open := len(s.index.openOn[target.ID]); open > 0 {
+		return resultf(CodeInProgress, "process %q of target %q has %d open attempts; its lease must end first",
+			target.StartID, target.ID, open)
+	}
+	if target.StartID != "" {
+		target.PastStartIDs = append(target.PastStartIDs, target.StartID)
+		if extra := len(target.PastStartIDs) - keptStartIDs; extra > 0 {
+			target.PastStartIDs = append([]string(nil), target.PastStartIDs[extra:]...)
+		}
+	}
+	target.StartID = start
+	target.Leaving = false
+	return Result{Code: CodeOK}
+}
+
 func (s *State) leaveTarget(c *LeaveTarget) Result {
 	target, ok := s.Targets[c.Target]
 	if !ok || target.StartID != c.StartID {
@@ -181,14 +220,16 @@
 		return Result{Code: CodeRepeated}
 	}
 	s.touchTarget(target)
-	target.Lost = true
-	target.Owner = ""
-	for _, id := range sortedKeys(s.Jobs) {
+	for _, id := range sortedKeys(s.index.openOn[c.Target]) {
 		job := s.Jobs[id]
-		if job.Open != nil && job.Open.Target == c.Target {
-			s.closeAttempt(job, &EndAttempt{Attempt: job.Open.ID, Outcome: OutcomeLost, Message: "the target's lease ran out"})
-		}
+		s.closeAttempt(job, &EndAttempt{Attempt: job.Open.ID, Outcome: OutcomeLost})
 	}
+	s.setOwner(target, "")
+	s.index.dropTarget(target)
+	target.Lost = true
+	target.LostAt = s.Now
+	target.LostSequence = s.takeSequence()
+	s.index.lost.push(lostTarget{target.LostSequence, s.Now, target.ID})
 	return Result{Code: CodeOK}
 }
 
@@ -204,10 +245,15 @@
 			reason = "no reason given"
 		}
 	}
-	if target.Quarantined == reason {
+	if target.Quarantined != "" && target.QuarantinedByOperator && !c.Operator {
+		return resultf(CodeStale, "the quarantine of target %q was set by an operator", c.Target)
+	}
+	byOperator := c.On && c.Operator
+	if target.Quarantined == reason && target.QuarantinedByOperator == byOperator {
 		return Result{Code: CodeRepeated}
 	}
 	target.Quarantined = reason
+	target.QuarantinedByOperator = byOperator
 	s.touchTarget(target)
 	return Result{Code: CodeOK}
 }
--- a/core/state/queries.go
+++ b/core/state/queries.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"iter"
 	"maps"
 	"slices"
 
@@ -10,36 +11,88 @@
 
 // OwnedTargets returns the targets of a gateway in order of their ids.
 func (s *State) OwnedTargets(gateway model.GatewayID) []*Target {
-	var owned []*Target
-	for _, id := range sortedKeys(s.Targets) {
-		if s.Targets[id].Owner == gateway {
-			owned = append(owned, s.Targets[id])
-		}
+	owned := s.index.ownedBy[gateway]
+	list := make([]*Target, 0, len(owned))
+	for _, id := range sortedKeys(owned) {
+		list = append(list, owned[id])
+	}
+	return list
+}
+
+// OpenOn returns the jobs that have an open attempt on the target, in order of their ids.
+func (s *State) OpenOn(target model.TargetID) []*Job {
+	open := s.index.openOn[target]
+	if len(open) == 0 {
+		return nil
+	}
+	list := make([]*Job, 0, len(open))
+	for _, id := range sortedKeys(open) {
+		list = append(list, open[id])
+	}
+	return list
+}
+
+// Held returns what the open attempts of a tenant have reserved.
+func (s *State) Held(tenant model.TenantID) model.Resources { return s.index.held[tenant] }
+
+// QueuedCount returns the number of queued jobs of all tenants.
+func (s *State) QueuedCount() int {
+	count := len(s.index.never)
+	for _, queue := range s.index.ready {
+		count += queue.len()
 	}
-	return owned
+	return count
 }
 
-// OpenJobsOn returns the jobs that have an open attempt on one of the targets.
-func (s *State) OpenJobsOn(targets map[model.TargetID]bool) []*Job {
-	var open []*Job
-	for _, id := range sortedKeys(s.Jobs) {
-		job := s.Jobs[id]
-		if job.Open != nil && targets[job.Open.Target] {
-			open = append(open, job)
+// OpenCount returns the number of open attempts.
+func (s *State) OpenCount() int {
+	count := 0
+	for _, open := range s.index.openOn {
+		count += len(open)
+	}
+	return count
+}
+
+// ReadyTenants returns the tenants that have runnable queued jobs, in order of their ids.
+func (s *State) ReadyTenants() []model.TenantID { return sortedKeys(s.index.ready) }
+
+// ReadyJobs yields the runnable queued jobs of a tenant, urgent ones first, each in the
+// order in which they were queued.
+func (s *State) ReadyJobs(tenant model.TenantID) iter.Seq[*Job] {
+	return func(yield func(*Job) bool) {
+		queue := s.index.ready[tenant]
+		if queue == nil {
+			return
+		}
+		for job := range queue.urgent.all() {
+			if !yield(job) {
+				return
+			}
+		}
+		for job := range queue.normal.all() {
+			if !yield(job) {
+				return
+			}
 		}
 	}
-	return open
 }
 
-// QueuedJobs returns the queued jobs, urgent ones first, then by the time they were queued.
+// NeverRunnable returns the queued jobs that are marked as never runnable, in order of their ids.
+func (s *State) NeverRunnable() []*Job {
+	var list []*Job
+	for _, id := range sortedKeys(s.index.never) {
+		list = append(list, s.index.never[id])
+	}
+	return list
+}
+
+// QueuedJobs returns the runnable queued jobs, urgent ones first, then by the order of queueing.
 func (s *State) QueuedJobs() []*Job {
 	var queued []*Job
-	for _, id := range sortedKeys(s.Jobs) {
-		if s.Jobs[id].Phase == JobQueued {
-			queued = append(queued, s.Jobs[id])
-		}
+	for _, tenant := range s.ReadyTenants() {
+		queued = slices.AppendSeq(queued, s.ReadyJobs(tenant))
 	}
-	slices.SortStableFunc(queued, compareQueued)
+	slices.SortFunc(queued, compareQueued)
 	return queued
 }
 
@@ -50,7 +103,7 @@
 		}
 		return 1
 	}
-	return cmp.Compare(a.QueuedAt, b.QueuedAt)
+	return cmp.Compare(a.Sequence, b.Sequence)
 }
 
 // LiveGateways returns the gateways whose session is not over, in order of their ids.
@@ -70,6 +123,77 @@
 	return revision == 0 || s.ownedChanged[gateway] > revision
 }
 
+// OwnershipChangedSince reports whether the set of targets of a gateway has changed after the
+// revision.
+func (s *State) OwnershipChangedSince(gateway model.GatewayID, revision model.Revision) bool {
+	return revision == 0 || s.ownershipChanged[gateway] > revision
+}
+
+// ConfigDelta is the difference of two configurations.
+type ConfigDelta struct {
+	Revision model.Revision    `json:"revision"`
+	Services []model.Service   `json:"services,omitempty"`
+	Pools    []model.Pool      `json:"pools,omitempty"`
+	Tenants  []model.Tenant    `json:"tenants,omitempty"`
+	Deleted  []model.ObjectRef `json:"deleted,omitempty"`
+}
+
+// ConfigSince returns what changed in the configuration after the revision. It reports false
+// if that is no longer known.
+func (s *State) ConfigSince(revision model.Revision) (ConfigDelta, bool) {
+	if revision == 0 || revision < s.configSince {
+		return ConfigDelta{}, false
+	}
+	delta := ConfigDelta{Revision: s.Config.Revision}
+	for ref, changed := range s.configChanged {
+		if changed > revision {
+			s.addObject(&delta, ref)
+		}
+	}
+	return delta, true
+}
+
+func (s *State) addObject(delta *ConfigDelta, ref model.ObjectRef) {
+	if !s.exists(ref) {
+		delta.Deleted = append(delta.Deleted, ref)
+		return
+	}
+	switch ref.Kind {
+	case model.KindService:
+		delta.Services = append(delta.Services, s.Config.Services[model.ServiceID(ref.ID)])
+	case model.KindPool:
+		delta.Pools = append(delta.Pools, s.Config.Pools[model.PoolID(ref.ID)])
+	case model.KindTenant:
+		delta.Tenants = append(delta.Tenants, s.Config.Tenants[model.TenantID(ref.ID)])
+	}
+}
+
+// With returns a copy of the configuration with the difference applied.
+func (c Config) With(delta ConfigDelta) Config {
+	next := c.Clone()
+	next.Revision = delta.Revision
+	for _, service := range delta.Services {
+		next.Services[service.ID] = service
+	}
+	for _, pool := range delta.Pools {
+		next.Pools[pool.ID] = pool
+	}
+	for _, tenant := range delta.Tenants {
+		next.Tenants[tenant.ID] = tenant
+	}
+	for _, ref := range delta.Deleted {
+		switch ref.Kind {
+		case model.KindService:
+			delete(next.Services, model.ServiceID(ref.ID))
+		case model.KindPool:
+			delete(next.Pools, model.PoolID(ref.ID))
+		case model.KindTenant:
+			delete(next.Tenants, model.TenantID(ref.ID))
+		}
+	}
+	return next
+}
+
 // HasNews reports whether a gateway with a view of the given revision must be told of a change.
 func (s *State) HasNews(gateway model.GatewayID, revision model.Revision) bool {
 	return s.Config.Revision > revision || s.OwnedChangedSince(gateway, revision)
--- a/core/state/requests.go
+++ b/core/state/requests.go
@@ -1,15 +1,13 @@
 package state
 
 import (
+	"slices"
+
 	"samphirepaddle.example/core/model"
 )
 
-// Bounds on the records of non-idempotent requests.
-const (
-	maxKeyBytes       = 256
-	requestRetention  = model.Millis(24 * 60 * 60 * 1000) // how long an ended record is kept
-	requestsPerTenant = 100_000
-)
+// maxKeyBytes bounds the key of a request or job.
+const maxKeyBytes = 256
 
 // beginRequest records the intent to dispatch, or answers what became of an earlier
 // request with the same key.
@@ -25,13 +23,20 @@
 	if !ok || gateway.Epoch != c.Epoch || gateway.Expired {
 		return resultf(CodeStale, "gateway %q has no session %d", c.Gateway, c.Epoch)
 	}
-	s.Requests[key] = &RequestRecord{
+	if !s.makeRoom(c.Tenant) {
+		return resultf(CodeLimit, "tenant %q has %d requests with a key in the last %d minutes",
+			c.Tenant, requestsPerTenant, requestGuard/60_000)
+	}
+	record := &RequestRecord{
 		BodyHash: c.BodyHash,
 		Request:  c.Request,
 		Gateway:  c.Gateway,
 		Epoch:    c.Epoch,
 		At:       s.Now,
 	}
+	s.Requests[key] = record
+	addCount(s.index.requests, c.Tenant, 1)
+	put(s.index.inProgress, c.Gateway, key, record)
 	return Result{Code: CodeOK}
 }
 
@@ -45,9 +50,12 @@
 	if !record.Ended {
 		return resultf(CodeInProgress, "the request with this key is in progress")
 	}
-	if record.Verdict == model.VerdictRan {
+	if record.Verdict == model.VerdictRan && record.Answer != nil {
 		return Result{Code: CodeRepeated, Answer: record.Answer}
 	}
+	if record.Verdict == model.VerdictRan {
+		return resultf(CodeUnknown, "the request with this key has run; its answer is no longer kept")
+	}
 	return resultf(CodeUnknown, "the request with this key may have run; its answer was lost")
 }
 
@@ -61,24 +69,51 @@
 	if record.Ended {
 		return resultf(CodeStale, "request %q has ended before", c.Request)
 	}
+	take(s.index.inProgress, record.Gateway, key)
 	if c.Verdict == model.VerdictNotRun {
 		delete(s.Requests, key)
+		addCount(s.index.requests, c.Tenant, -1)
 		return Result{Code: CodeOK}
 	}
+	s.closeRequest(key, record, c.Verdict, c.Answer)
+	return Result{Code: CodeOK}
+}
+
+// closeRequest stores the outcome. An answer that is too large is not kept; a resend then
+// gets the verdict without it.
+func (s *State) closeRequest(key RequestKey, record *RequestRecord, verdict model.Verdict, answer *StoredAnswer) {
+	if answer.size() > maxAnswerBytes {
+		answer = nil
+	}
 	record.Ended = true
-	record.Verdict = c.Verdict
-	record.Answer = c.Answer
+	record.Verdict = verdict
+	record.Answer = answer
 	record.At = s.Now
-	return Result{Code: CodeOK}
+	record.Sequence = s.takeSequence()
+	entry := endedRequest{record.Sequence, record.At, key}
+	s.index.endedRequests.push(entry)
+	s.index.tenantQueue(key.Tenant).push(entry)
+	s.index.answerBytes += answer.size()
+}
+
+// size is the memory that an answer takes, in bytes.
+func (a *StoredAnswer) size() int64 {
+	if a == nil {
+		return 0
+	}
+	return int64(len(a.Body) + len(a.ContentType))
 }
 
 // forgetRequests marks what an expired session left in progress as unknown.
-func (s *State) forgetRequests(gateway model.GatewayID, epoch model.Epoch) {
-	for _, record := range s.Requests {
-		if record.Gateway == gateway && record.Epoch == epoch && !record.Ended {
-			record.Ended = true
-			record.Verdict = model.VerdictUnknown
-			record.At = s.Now
-		}
+func (s *State) forgetRequests(gateway model.GatewayID) {
+	open := s.index.inProgress[gateway]
+	keys := make([]RequestKey, 0, len(open))
+	for key := range open {
+		keys = append(keys, key)
+	}
+	slices.SortFunc(keys, RequestKey.compare)
+	for _, key := range keys {
+		s.closeRequest(key, open[key], model.VerdictUnknown, nil)
 	}
+	delete(s.index.inProgress, gateway)
 }
--- a/core/state/snapshot.go
+++ b/core/state/snapshot.go
@@ -9,24 +9,25 @@
 )
 
 // snapshotVersion is raised with each change of the snapshot's form.
-const snapshotVersion = 1
+const snapshotVersion = 2
 
 // snapshot is the stored form of State. Maps with struct keys are stored as lists,
 // because CBOR map keys are plain values.
 type snapshot struct {
-	Version     int
-	Revision    model.Revision
-	Now         model.Millis
-	NextEpoch   model.Epoch
-	Config      Config
-	LastTicket  []lastTicketEntry
-	Tickets     map[uint64]*TicketRecord
-	TicketFloor uint64
-	Gateways    map[model.GatewayID]*Gateway
-	Targets     map[model.TargetID]*Target
-	Jobs        map[model.JobID]*Job
-	JobKeys     []jobKeyEntry
-	Requests    []requestEntry
+	Version      int
+	Revision     model.Revision
+	Now          model.Millis
+	NextEpoch    model.Epoch
+	NextSequence uint64
+	Config       Config
+	LastTicket   []lastTicketEntry
+	Tickets      map[uint64]*TicketRecord
+	TicketFloor  uint64
+	Gateways     map[model.GatewayID]*Gateway
+	Targets      map[model.TargetID]*Target
+	Jobs         map[model.JobID]*Job
+	JobKeys      []jobKeyEntry
+	Requests     []requestEntry
 }
 
 type lastTicketEntry struct {
@@ -36,7 +37,7 @@
 
 type jobKeyEntry struct {
 	Key RequestKey
-	Job model.JobID
+	Job *JobKey
 }
 
 type requestEntry struct {
@@ -47,19 +48,20 @@
 // Snapshot returns the stored form of the state; equal states have equal snapshots.
 func (s *State) Snapshot() ([]byte, error) {
 	return model.Encode(snapshot{
-		Version:     snapshotVersion,
-		Revision:    s.Revision,
-		Now:         s.Now,
-		NextEpoch:   s.NextEpoch,
-		Config:      s.Config,
-		LastTicket:  s.lastTicketEntries(),
-		Tickets:     s.Tickets,
-		TicketFloor: s.TicketFloor,
-		Gateways:    s.Gateways,
-		Targets:     s.Targets,
-		Jobs:        s.Jobs,
-		JobKeys:     s.jobKeyEntries(),
-		Requests:    s.requestEntries(),
+		Version:      snapshotVersion,
+		Revision:     s.Revision,
+		Now:          s.Now,
+		NextEpoch:    s.NextEpoch,
+		NextSequence: s.NextSequence,
+		Config:       s.Config,
+		LastTicket:   s.lastTicketEntries(),
+		Tickets:      s.Tickets,
+		TicketFloor:  s.TicketFloor,
+		Gateways:     s.Gateways,
+		Targets:      s.Targets,
+		Jobs:         s.Jobs,
+		JobKeys:      s.jobKeyEntries(),
+		Requests:     s.requestEntries(),
 	})
 }
 
@@ -76,6 +78,7 @@
 	s.Revision = stored.Revision
 	s.Now = stored.Now
 	s.NextEpoch = stored.NextEpoch
+	s.NextSequence = stored.NextSequence
 	s.Config = stored.Config
 	s.Tickets = stored.Tickets
 	s.TicketFloor = stored.TicketFloor
@@ -84,6 +87,7 @@
 	s.Jobs = stored.Jobs
 	for id := range s.Gateways {
 		s.ownedChanged[id] = s.Revision
+		s.ownershipChanged[id] = s.Revision
 	}
 	for _, e := range stored.LastTicket {
 		s.LastTicket[e.Ref] = e.Number
@@ -94,6 +98,9 @@
 	for _, e := range stored.Requests {
 		s.Requests[e.Key] = e.Record
 	}
+	s.closedSince = s.Revision
+	s.configSince = s.Revision
+	s.rebuild()
 	return s, nil
 }
 
--- a/core/state/state.go
+++ b/core/state/state.go
@@ -27,9 +27,12 @@
 	Ticket      uint64           `json:"ticket,omitempty"` // ticket that declared it, zero if submitted by a caller
 	SubmittedAt model.Millis     `json:"submitted_at"`
 	QueuedAt    model.Millis     `json:"queued_at"` // of the present wait; requeueing sets it anew
+	Sequence    uint64           `json:"sequence"`  // order of queueing, and after the end the order of ends
+	SpecHash    [32]byte         `json:"spec_hash"` // of the whole spec; the payload is dropped at the end
 	Attempts    uint32           `json:"attempts"`  // attempts assigned so far
 	Failures    uint32           `json:"failures"`
 	Evictions   uint32           `json:"evictions"`
+	Losses      uint32           `json:"losses,omitempty"` // attempts whose target was lost
 	Open        *Attempt         `json:"open,omitempty"`
 	FailedOn    []model.TargetID `json:"failed_on,omitempty"`
 	NeverReason string           `json:"never_reason,omitempty"`
@@ -41,6 +44,33 @@
 	Changed     model.Revision   `json:"changed"`
 }
 
+// Ended reports whether the job will not run again.
+func (j *Job) Ended() bool {
+	return j.Phase == JobFinished || j.Phase == JobFailed || j.Phase == JobCancelled
+}
+
+// keptSize is an estimate of the memory that an ended job takes, in bytes.
+func (j *Job) keptSize() int64 {
+	return int64(len(j.Result)+len(j.Message)) + jobOverhead
+}
+
+func (j *Job) endedEntry() endedJob {
+	entry := endedJob{sequence: j.Sequence, at: j.EndedAt, job: j.Spec.ID}
+	if j.Key != "" {
+		entry.key = RequestKey{j.Spec.Tenant, j.Key}
+	}
+	return entry
+}
+
+// JobKey is the record of the key of a submitted job.
+type JobKey struct {
+	Job      model.JobID  `json:"job"`
+	SpecHash [32]byte     `json:"spec_hash"` // of the spec as the caller sent it
+	Ended    bool         `json:"ended,omitempty"`
+	EndedAt  model.Millis `json:"ended_at,omitempty"`
+	Sequence uint64       `json:"sequence,omitempty"` // order of ends
+}
+
 // Attempt is an open execution of a job.
 type Attempt struct {
 	ID       model.AttemptID `json:"id"`
@@ -83,14 +113,24 @@
 	Leaving     bool            `json:"leaving,omitempty"`
 	Lost        bool            `json:"lost,omitempty"`
 	Quarantined string          `json:"quarantined,omitempty"` // reason
-	Changed     model.Revision  `json:"changed"`
+	// QuarantinedByOperator keeps the quarantine until an operator lifts it.
+	QuarantinedByOperator bool `json:"quarantined_by_operator,omitempty"`
+
+	PastStartIDs []string       `json:"past_start_ids,omitempty"` // earlier processes, whose late announcements are refused
+	LostAt       model.Millis   `json:"lost_at,omitempty"`
+	LostSequence uint64         `json:"lost_sequence,omitempty"` // order of losses
+	Changed      model.Revision `json:"changed"`
 }
 
-// TicketRecord is the outcome of an accepted ticket.
+// TicketRecord is the outcome of an accepted ticket. Its content is kept as a hash, because
+// 4,096 tickets with job payloads would not fit into the memory of an entry VM.
 type TicketRecord struct {
-	Ticket   model.Ticket   `json:"ticket"`
-	Revision model.Revision `json:"revision"`
-	At       model.Millis   `json:"at"`
+	Number   uint64            `json:"number"`
+	Author   string            `json:"author"`
+	Hash     [32]byte          `json:"hash"`
+	Objects  []model.ObjectRef `json:"objects"`
+	Revision model.Revision    `json:"revision"`
+	At       model.Millis      `json:"at"`
 }
 
 // RequestKey identifies a non-idempotent request.
@@ -109,6 +149,7 @@
 	Verdict  model.Verdict   `json:"verdict"`
 	Answer   *StoredAnswer   `json:"answer,omitempty"`
 	At       model.Millis    `json:"at"`
+	Sequence uint64          `json:"sequence,omitempty"` // order of ends
 }
 
 // Config is the part of the state that tickets declare and every gateway keeps a copy of.
@@ -126,6 +167,8 @@
 	Now       model.Millis // greatest command time seen
 	NextEpoch model.Epoch  // grows with each session or ownership grant
 
+	NextSequence uint64 // orders queued jobs, ends and losses
+
 	Config      Config
 	LastTicket  map[model.ObjectRef]uint64 // number of the last ticket that touched an object
 	Tickets     map[uint64]*TicketRecord
@@ -134,12 +177,24 @@
 	Gateways map[model.GatewayID]*Gateway
 	Targets  map[model.TargetID]*Target
 	Jobs     map[model.JobID]*Job
-	JobKeys  map[RequestKey]model.JobID
+	JobKeys  map[RequestKey]*JobKey
 	Requests map[RequestKey]*RequestRecord
 
 	// ownedChanged is the revision of the last change that concerns a gateway's targets or the
 	// attempts on them. It is not part of snapshots: after a restore every gateway counts as changed.
 	ownedChanged map[model.GatewayID]model.Revision
+	index        index
+
+	// ownershipChanged is like ownedChanged, for changes of the set of owned targets only.
+	ownershipChanged map[model.GatewayID]model.Revision
+	// configChanged holds the revision of the last change of each service, pool and tenant
+	// that changed after configSince.
+	configChanged map[model.ObjectRef]model.Revision
+	configSince   model.Revision
+
+	// closed remembers the attempts that closed after closedSince, by owner; not part of snapshots.
+	closed      map[model.GatewayID]*closedLog
+	closedSince model.Revision
 }
 
 // New returns an empty state.
@@ -156,10 +211,15 @@
 		Gateways:   map[model.GatewayID]*Gateway{},
 		Targets:    map[model.TargetID]*Target{},
 		Jobs:       map[model.JobID]*Job{},
-		JobKeys:    map[RequestKey]model.JobID{},
+		JobKeys:    map[RequestKey]*JobKey{},
 		Requests:   map[RequestKey]*RequestRecord{},
 
 		ownedChanged: map[model.GatewayID]model.Revision{},
+		index:        newIndex(),
+		closed:       map[model.GatewayID]*closedLog{},
+
+		ownershipChanged: map[model.GatewayID]model.Revision{},
+		configChanged:    map[model.ObjectRef]model.Revision{},
 	}
 }
 
@@ -169,6 +229,11 @@
 	return epoch
 }
 
+func (s *State) takeSequence() uint64 {
+	s.NextSequence++
+	return s.NextSequence
+}
+
 // touchTarget records a change of a target for its owner.
 func (s *State) touchTarget(t *Target) {
 	t.Changed = s.Revision
--- /dev/null
+++ b/core/state/ticketcheck.go
@@ -0,0 +1,179 @@
+package state
+
+import (
+	"fmt"
+
+	"samphirepaddle.example/core/model"
+)
+
+// checkTicket validates the ticket against the state that it would lead to and returns
+// the objects that it touches.
+func (s *State) checkTicket(t model.Ticket) ([]model.ObjectRef, error) {
+	refs, err := t.Refs()
+	if err != nil {
+		return nil, err
+	}
+	if err := t.Validate(); err != nil {
+		return nil, err
+	}
+	for _, service := range t.Services {
+		if !s.poolAfter(t, service.Pool) {
+			return nil, fmt.Errorf("service %q names pool %q, which does not exist", service.ID, service.Pool)
+		}
+	}
+	for _, job := range t.Jobs {
+		if err := s.checkTicketJob(t, job); err != nil {
+			return nil, err
+		}
+	}
+	return refs, s.checkDeletes(t)
+}
+
+// poolAfter and tenantAfter report whether an object exists once the ticket is applied.
+func (s *State) poolAfter(t model.Ticket, id model.PoolID) bool {
+	for _, pool := range t.Pools {
+		if pool.ID == id {
+			return true
+		}
+	}
+	_, ok := s.Config.Pools[id]
+	return ok && !deletes(t, model.ObjectRef{Kind: model.KindPool, ID: string(id)})
+}
+
+func (s *State) tenantAfter(t model.Ticket, id model.TenantID) bool {
+	for _, tenant := range t.Tenants {
+		if tenant.ID == id {
+			return true
+		}
+	}
+	_, ok := s.Config.Tenants[id]
+	return ok && !deletes(t, model.ObjectRef{Kind: model.KindTenant, ID: string(id)})
+}
+
+func deletes(t model.Ticket, ref model.ObjectRef) bool {
+	for _, other := range t.Delete {
+		if other == ref {
+			return true
+		}
+	}
+	return false
+}
+
+func (s *State) checkTicketJob(t model.Ticket, spec model.JobSpec) error {
+	if !s.poolAfter(t, spec.Pool) {
+		return fmt.Errorf("job %q names pool %q, which does not exist", spec.ID, spec.Pool)
+	}
+	if !s.tenantAfter(t, spec.Tenant) {
+		return fmt.Errorf("job %q names tenant %q, which does not exist", spec.ID, spec.Tenant)
+	}
+	return s.checkJobUnchanged(spec)
+}
+
+// checkJobUnchanged refuses a ticket that changes a job which was assigned or has ended: its
+// work may already have run with the earlier content. A job that is no longer kept has ended.
+func (s *State) checkJobUnchanged(spec model.JobSpec) error {
+	job, ok := s.Jobs[spec.ID]
+	if !ok {
+		if last, declared := s.LastTicket[model.ObjectRef{Kind: model.KindJob, ID: string(spec.ID)}]; declared {
+			return fmt.Errorf("job %q was declared by ticket %d and has ended; a new run needs a new id", spec.ID, last)
+		}
+		return nil
+	}
+	if job.Phase == JobCancelled {
+		return fmt.Errorf("job %q was cancelled; a new run needs a new id", spec.ID)
+	}
+	if job.SpecHash == hashOf(spec) {
+		return nil
+	}
+	if job.Key != "" {
+		return fmt.Errorf("job %q was submitted by a caller and cannot be changed by a ticket", spec.ID)
+	}
+	if job.Phase != JobQueued || job.Attempts > 0 {
+		return fmt.Errorf("job %q has started (phase %s) and cannot be changed", spec.ID, job.Phase)
+	}
+	return nil
+}
+
+func (s *State) checkDeletes(t model.Ticket) error {
+	for _, ref := range t.Delete {
+		if !s.exists(ref) {
+			return fmt.Errorf("%s %q to delete does not exist", ref.Kind, ref.ID)
+		}
+	}
+	for _, ref := range t.Delete {
+		var err error
+		switch ref.Kind {
+		case model.KindPool:
+			err = s.checkPoolUnused(model.PoolID(ref.ID), t)
+		case model.KindTenant:
+			err = s.checkTenantUnused(model.TenantID(ref.ID), t)
+		}
+		if err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+func (s *State) checkPoolUnused(pool model.PoolID, t model.Ticket) error {
+	moved := map[model.ServiceID]bool{}
+	for _, service := range t.Services {
+		moved[service.ID] = true
+	}
+	for _, id := range sortedKeys(s.Config.Services) {
+		if s.Config.Services[id].Pool != pool || moved[id] {
+			continue
+		}
+		if !deletes(t, model.ObjectRef{Kind: model.KindService, ID: string(id)}) {
+			return fmt.Errorf("pool %q is used by service %q", pool, id)
+		}
+	}
+	left := s.index.livePool[pool] - s.released(t, func(spec model.JobSpec) bool { return spec.Pool == pool })
+	if left > 0 {
+		return fmt.Errorf("pool %q is used by %d jobs that have not ended", pool, left)
+	}
+	return nil
+}
+
+func (s *State) checkTenantUnused(tenant model.TenantID, t model.Ticket) error {
+	left := s.index.live[tenant] - s.released(t, func(spec model.JobSpec) bool { return spec.Tenant == tenant })
+	if left > 0 {
+		return fmt.Errorf("tenant %q has %d jobs that have not ended", tenant, left)
+	}
+	return nil
+}
+
+// released counts the jobs that match now and do so no longer once the ticket is applied.
+// A job with an open attempt ends only when its target has stopped it, so it still counts.
+func (s *State) released(t model.Ticket, match func(model.JobSpec) bool) int {
+	count := 0
+	for _, ref := range t.Delete {
+		if ref.Kind != model.KindJob {
+			continue
+		}
+		if job, ok := s.Jobs[model.JobID(ref.ID)]; ok && job.Phase == JobQueued && match(job.Spec) {
+			count++
+		}
+	}
+	for _, spec := range t.Jobs {
+		if job, ok := s.Jobs[spec.ID]; ok && !job.Ended() && match(job.Spec) && !match(spec) {
+			count++
+		}
+	}
+	return count
+}
+
+func (s *State) exists(ref model.ObjectRef) bool {
+	var ok bool
+	switch ref.Kind {
+	case model.KindService:
+		_, ok = s.Config.Services[model.ServiceID(ref.ID)]
+	case model.KindPool:
+		_, ok = s.Config.Pools[model.PoolID(ref.ID)]
+	case model.KindTenant:
+		_, ok = s.Config.Tenants[model.TenantID(ref.ID)]
+	case model.KindJob:
+		_, ok = s.Jobs[model.JobID(ref.ID)]
+	}
+	return ok
+}
--- /dev/null
+++ b/core/syncmsg/view.go
@@ -0,0 +1,119 @@
+package syncmsg
+
+import (
+	"maps"
+	"slices"
+
+	"samphirepaddle.example/core/model"
+	"samphirepaddle.example/core/state"
+)
+
+// View merges partial answers, so that the layers above see full ones. It is not safe for
+// concurrent use.
+type View struct {
+	epoch    model.Epoch
+	revision model.Revision
+	number   uint64
+	config   state.Config
+	peers    map[model.GatewayID]Peer
+	owned    []model.TargetID
+	open     map[model.AttemptID]model.TargetID // target of each open attempt, empty if not known
+}
+
+// Prepare asks for a partial answer if the view is the one that the request starts from.
+func (v *View) Prepare(request *Request) {
+	request.Partial = v.number > 0 && request.Revision > 0 &&
+		request.Epoch == v.epoch && request.Revision == v.revision
+	request.Ack = 0
+	if request.Partial {
+		request.Ack = v.number
+	}
+}
+
+// Merge completes an answer and keeps the view that it leads to.
+func (v *View) Merge(request Request, response *Response) {
+	if !response.Known {
+		*v = View{}
+		return
+	}
+	if !request.Partial {
+		*v = View{}
+	}
+	v.mergeConfig(response)
+	v.mergePeers(response)
+	v.mergeChanges(response.Changes)
+	v.epoch = request.Epoch
+	v.revision = response.Revision
+	v.number = response.Number
+}
+
+func (v *View) mergeConfig(response *Response) {
+	if response.ConfigDelta != nil {
+		config := v.config.With(*response.ConfigDelta)
+		response.Config = &config
+		response.ConfigDelta = nil
+	}
+	if response.Config != nil {
+		v.config = *response.Config
+	}
+}
+
+func (v *View) mergePeers(response *Response) {
+	if !response.PeersPartial || v.peers == nil {
+		v.peers = map[model.GatewayID]Peer{}
+	}
+	for _, peer := range response.Peers {
+		v.peers[peer.ID] = peer
+	}
+	for _, id := range response.PeersGone {
+		delete(v.peers, id)
+	}
+	response.Peers = make([]Peer, 0, len(v.peers))
+	for _, id := range slices.Sorted(maps.Keys(v.peers)) {
+		response.Peers = append(response.Peers, v.peers[id])
+	}
+	response.PeersPartial = false
+	response.PeersGone = nil
+}
+
+func (v *View) mergeChanges(changes *Changes) {
+	if changes == nil {
+		return
+	}
+	if changes.SameOwned {
+		changes.Owned = slices.Clone(v.owned)
+	}
+	v.owned = changes.Owned
+	before := v.open
+	if !changes.Partial || before == nil {
+		v.open = make(map[model.AttemptID]model.TargetID, len(changes.Open))
+	}
+	for _, id := range changes.Open {
+		v.open[id] = before[id]
+	}
+	for _, id := range changes.Closed {
+		delete(v.open, id)
+	}
+	for _, order := range changes.Orders {
+		v.open[order.Attempt.ID] = order.Attempt.Target
+	}
+	v.dropReleased()
+	changes.Open = make([]model.AttemptID, 0, len(v.open))
+	for id := range v.open {
+		changes.Open = append(changes.Open, id)
+	}
+	changes.Partial, changes.SameOwned, changes.Closed = false, false, nil
+}
+
+// dropReleased forgets the attempts on targets that the gateway no longer owns.
+func (v *View) dropReleased() {
+	owned := make(map[model.TargetID]bool, len(v.owned))
+	for _, id := range v.owned {
+		owned[id] = true
+	}
+	for id, target := range v.open {
+		if target != "" && !owned[target] {
+			delete(v.open, id)
+		}
+	}
+}
