--- a/daemon/cmd/samphired/daemon.go
+++ b/daemon/cmd/samphired/daemon.go
@@ -84,6 +84,7 @@
 	ttl := time.Duration(d.settings.SessionTTLMs) * time.Millisecond
 	d.controller = controller.NewService(d.log, ttl, d.logger)
 	d.scheduler = scheduler.New(d.log, d.controller, d.logger)
+	d.controller.SetExplainer(d.scheduler)
 	peerMux.Handle(rpc.ControlPathPrefix, rpc.NewControlServer(d.controller))
 	return nil
 }
--- a/daemon/control/client.go
+++ b/daemon/control/client.go
@@ -41,6 +41,10 @@
 	leader    string   // address that answered last, or empty
 	next      int
 	clients   map[string]rpc.Control
+
+	// syncMu guards view. Renewals follow one another, so it is held during the call.
+	syncMu sync.Mutex
+	view   syncmsg.View
 }
 
 // NewClient returns a client that knows the controllers' peer addresses.
@@ -75,8 +79,11 @@
 }
 
 // Sync renews the session once; it does not retry, because the lease counts from the time
-// at which this call was sent.
+// at which this call was sent. The answer is complete: partial answers are merged here.
 func (c *Client) Sync(ctx context.Context, request syncmsg.Request) (syncmsg.Response, error) {
+	c.syncMu.Lock()
+	defer c.syncMu.Unlock()
+	c.view.Prepare(&request)
 	data, err := model.Encode(request)
 	if err != nil {
 		return syncmsg.Response{}, err
@@ -89,7 +96,11 @@
 	}
 	c.confirm(address)
 	var response syncmsg.Response
-	return response, model.Decode(answer.Body, &response)
+	if err := model.Decode(answer.Body, &response); err != nil {
+		return syncmsg.Response{}, err
+	}
+	c.view.Merge(request, &response)
+	return response, nil
 }
 
 // Read answers a linearizable query; the answer is JSON.
--- /dev/null
+++ b/daemon/controller/operators.go
@@ -0,0 +1,279 @@
+package controller
+
+import (
+	"cmp"
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"slices"
+	"time"
+
+	"samphirepaddle.example/core/model"
+	"samphirepaddle.example/core/state"
+)
+
+// maxInForceWaitMs bounds one wait of the ticket query. It stays below the time that the
+// client of the controllers allows for one call; longer waits repeat the query.
+const maxInForceWaitMs = model.Millis(400)
+
+// maxListedJobs bounds the answer of the jobs query.
+const maxListedJobs = 1000
+
+// TicketQuery is the argument of the ticket query.
+type TicketQuery struct {
+	Number uint64       `json:"number"`
+	WaitMs model.Millis `json:"wait_ms"` // longest time to wait until the ticket is in force
+}
+
+// TicketStatus is the answer of the ticket query. A ticket is in force when each live
+// session has applied its revision or has expired.
+type TicketStatus struct {
+	Found   bool                `json:"found"`
+	Record  *state.TicketRecord `json:"record,omitempty"`
+	InForce bool                `json:"in_force"`
+	Behind  []model.GatewayID   `json:"behind,omitempty"` // gateways that have not applied it
+}
+
+func (s *Service) ticketStatus(st *state.State, number uint64) (TicketStatus, <-chan struct{}) {
+	record, ok := st.Tickets[number]
+	if !ok {
+		return TicketStatus{}, nil
+	}
+	var open []state.Gateway
+	for _, gateway := range st.LiveGateways() {
+		open = append(open, *gateway)
+	}
+	behind, changed := s.sessions.applied(open, record.Revision)
+	kept := *record
+	return TicketStatus{Found: true, Record: &kept, InForce: len(behind) == 0, Behind: behind}, changed
+}
+
+func queryTicket(s *Service, st *state.State, arguments []byte) ([]byte, error) {
+	var query TicketQuery
+	if err := model.Decode(arguments, &query); err != nil {
+		return nil, err
+	}
+	status, _ := s.ticketStatus(st, query.Number)
+	return json.Marshal(status)
+}
+
+// waitInForce returns when the ticket is in force or the wait is over. The answer is read
+// afterwards, under a confirmed leadership.
+func (s *Service) waitInForce(ctx context.Context, arguments []byte) {
+	var query TicketQuery
+	if model.Decode(arguments, &query) != nil || query.WaitMs <= 0 || !s.log.Leader().Self {
+		return
+	}
+	timer := time.NewTimer(time.Duration(min(query.WaitMs, maxInForceWaitMs)) * time.Millisecond)
+	defer timer.Stop()
+	for {
+		applied := s.log.Changed()
+		var status TicketStatus
+		var reported <-chan struct{}
+		s.log.View(func(st *state.State) { status, reported = s.ticketStatus(st, query.Number) })
+		if status.InForce || !status.Found {
+			return
+		}
+		select {
+		case <-ctx.Done():
+			return
+		case <-timer.C:
+			return
+		case <-applied:
+		case <-reported:
+		}
+	}
+}
+
+// JobSummary is one line of the jobs query.
+type JobSummary struct {
+	ID        model.JobID    `json:"id"`
+	Tenant    model.TenantID `json:"tenant"`
+	Pool      model.PoolID   `json:"pool"`
+	Phase     state.JobPhase `json:"phase"`
+	Urgent    bool           `json:"urgent"`
+	Attempts  uint32         `json:"attempts"`
+	Failures  uint32         `json:"failures"`
+	Evictions uint32         `json:"evictions"`
+	Losses    uint32         `json:"losses"`
+	Target    model.TargetID `json:"target,omitempty"`
+	Never     string         `json:"never_reason,omitempty"`
+	Message   string         `json:"message,omitempty"`
+	Changed   model.Revision `json:"changed"`
+}
+
+// Jobs is the answer of the jobs query: the jobs that changed last.
+type Jobs struct {
+	Total int          `json:"total"` // jobs that match
+	Jobs  []JobSummary `json:"jobs"`
+}
+
+// JobsQuery is the argument of the jobs query; empty fields match every job.
+type JobsQuery struct {
+	Tenant model.TenantID `json:"tenant"`
+	Phase  state.JobPhase `json:"phase"`
+}
+
+func queryJobs(_ *Service, st *state.State, arguments []byte) ([]byte, error) {
+	var query JobsQuery
+	if err := model.Decode(arguments, &query); err != nil {
+		return nil, err
+	}
+	answer := Jobs{Jobs: []JobSummary{}}
+	for _, job := range st.Jobs {
+		if (query.Tenant == "" || job.Spec.Tenant == query.Tenant) && (query.Phase == "" || job.Phase == query.Phase) {
+			answer.Jobs = append(answer.Jobs, summarize(job))
+		}
+	}
+	slices.SortFunc(answer.Jobs, func(a, b JobSummary) int {
+		return cmp.Or(cmp.Compare(b.Changed, a.Changed), cmp.Compare(a.ID, b.ID))
+	})
+	answer.Total = len(answer.Jobs)
+	answer.Jobs = answer.Jobs[:min(len(answer.Jobs), maxListedJobs)]
+	return json.Marshal(answer)
+}
+
+func summarize(job *state.Job) JobSummary {
+	summary := JobSummary{
+		ID:        job.Spec.ID,
+		Tenant:    job.Spec.Tenant,
+		Pool:      job.Spec.Pool,
+		Phase:     job.Phase,
+		Urgent:    job.Spec.Urgent,
+		Attempts:  job.Attempts,
+		Failures:  job.Failures,
+		Evictions: job.Evictions,
+		Losses:    job.Losses,
+		Never:     job.NeverReason,
+		Message:   job.Message,
+		Changed:   job.Changed,
+	}
+	if job.Open != nil {
+		summary.Target = job.Open.Target
+	}
+	return summary
+}
+
+// SessionLease is a gateway's session as the leader sees it.
+type SessionLease struct {
+	Gateway  state.Gateway  `json:"gateway"`
+	EndsInMs model.Millis   `json:"ends_in_ms"` // by the granter's bound
+	Applied  model.Revision `json:"applied"`
+}
+
+// TargetLease is the ownership of a target. The time of its lease is known to its owner only.
+type TargetLease struct {
+	Target  model.TargetID  `json:"target"`
+	Owner   model.GatewayID `json:"owner"`
+	Epoch   model.Epoch     `json:"epoch"`
+	Start   string          `json:"start_id"`
+	Leaving bool            `json:"leaving"`
+	Lost    bool            `json:"lost"`
+	Open    int             `json:"open_attempts"`
+}
+
+// Leases is the answer of the leases query.
+type Leases struct {
+	Sessions []SessionLease `json:"sessions"`
+	Targets  []TargetLease  `json:"targets"`
+}
+
+func queryLeases(s *Service, st *state.State, _ []byte) ([]byte, error) {
+	answer := Leases{Sessions: []SessionLease{}, Targets: []TargetLease{}}
+	for _, gateway := range st.LiveGateways() {
+		answer.Sessions = append(answer.Sessions, s.sessions.lease(*gateway))
+	}
+	for _, t := range st.AllTargets() {
+		answer.Targets = append(answer.Targets, TargetLease{t.ID, t.Owner, t.Epoch, t.StartID, t.Leaving, t.Lost, len(st.OpenOn(t.ID))})
+	}
+	return json.Marshal(answer)
+}
+
+// QuarantinedTarget is one line of the quarantine query.
+type QuarantinedTarget struct {
+	Target     model.TargetID `json:"target"`
+	Reason     string         `json:"reason"`
+	ByOperator bool           `json:"by_operator"`
+}
+
+func queryQuarantine(_ *Service, st *state.State, _ []byte) ([]byte, error) {
+	list := []QuarantinedTarget{}
+	for _, t := range st.AllTargets() {
+		if t.Quarantined != "" {
+			list = append(list, QuarantinedTarget{t.ID, t.Quarantined, t.QuarantinedByOperator})
+		}
+	}
+	return json.Marshal(list)
+}
+
+// Explainer says why a queued job waits; the scheduler implements it. It is called with the
+// state locked.
+type Explainer interface {
+	Explain(st *state.State, job *state.Job) Waiting
+}
+
+// Waiting says why a queued job waits.
+type Waiting struct {
+	Reason  string         `json:"reason"`
+	Targets []TargetReason `json:"targets,omitempty"`
+}
+
+// TargetReason says why a job is not on one target.
+type TargetReason struct {
+	Target model.TargetID `json:"target"`
+	Reason string         `json:"reason"`
+}
+
+// Explanation is the answer of the explain query.
+type Explanation struct {
+	Job     JobSummary `json:"job"`
+	Waiting *Waiting   `json:"waiting,omitempty"` // of a queued job
+}
+
+// SetExplainer sets the source of the explain query. It is called before serving.
+func (s *Service) SetExplainer(e Explainer) { s.explainer = e }
+
+func queryExplain(s *Service, st *state.State, arguments []byte) ([]byte, error) {
+	var id model.JobID
+	if err := model.Decode(arguments, &id); err != nil {
+		return nil, err
+	}
+	job, ok := st.Jobs[id]
+	if !ok {
+		return nil, fmt.Errorf("job %q does not exist", id)
+	}
+	explanation := Explanation{Job: summarize(job)}
+	if job.Phase == state.JobQueued && s.explainer != nil {
+		waiting := s.explainer.Explain(st, job)
+		explanation.Waiting = &waiting
+	}
+	return json.Marshal(explanation)
+}
+
+// Member is one controller.
+type Member struct {
+	ID       model.GatewayID `json:"id"`
+	PeerAddr string          `json:"peer_addr"`
+	Role     string          `json:"role"` // leader, voter, learner
+	Match    uint64          `json:"match,omitempty"`
+}
+
+// Members answers the controllers with their roles; the replica implements it.
+type Members interface {
+	Members() []Member
+}
+
+// SetMembers sets the source of the members query. It is called before serving.
+func (s *Service) SetMembers(m Members) { s.members = m }
+
+func queryMembers(s *Service, _ *state.State, _ []byte) ([]byte, error) {
+	if s.members != nil {
+		return json.Marshal(s.members.Members())
+	}
+	leader := s.log.Leader()
+	if !leader.Self {
+		return nil, errors.New("the members are known to the leader only")
+	}
+	return json.Marshal([]Member{{ID: leader.ID, PeerAddr: leader.PeerAddr, Role: "leader"}})
+}
--- a/daemon/controller/queries.go
+++ b/daemon/controller/queries.go
@@ -17,10 +17,15 @@
 
 // queries lists the named queries of Read.
 var queries = map[string]query{
-	"job":    queryJob,
-	"owner":  queryOwner,
-	"status": queryStatus,
-	"ticket": queryTicket,
+	"explain":    queryExplain,
+	"job":        queryJob,
+	"jobs":       queryJobs,
+	"leases":     queryLeases,
+	"members":    queryMembers,
+	"owner":      queryOwner,
+	"quarantine": queryQuarantine,
+	"status":     queryStatus,
+	"ticket":     queryTicket,
 }
 
 // Read answers a linearizable query.
@@ -29,6 +34,9 @@
 	if !ok {
 		return nil, twirp.InvalidArgumentError("query", fmt.Sprintf("%q is unknown", request.Query))
 	}
+	if request.Query == "ticket" {
+		s.waitInForce(ctx, request.Arguments)
+	}
 	var body []byte
 	var failure error
 	err := s.log.Read(ctx, func(st *state.State) {
@@ -70,6 +78,8 @@
 	Gateways []state.Gateway `json:"gateways"`
 	Targets  []state.Target  `json:"targets"`
 	Queued   int             `json:"queued_jobs"`
+	Never    int             `json:"never_runnable_jobs"` // of the queued ones
+	Tickets  int             `json:"kept_tickets"`
 	Open     int             `json:"open_attempts"`
 }
 
@@ -81,43 +91,9 @@
 	for _, target := range st.AllTargets() {
 		status.Targets = append(status.Targets, *target)
 	}
-	for _, job := range st.Jobs {
-		switch job.Phase {
-		case state.JobQueued:
-			status.Queued++
-		case state.JobAssigned:
-			status.Open++
-		}
-	}
+	status.Queued = st.QueuedCount()
+	status.Never = len(st.NeverRunnable())
+	status.Open = st.OpenCount()
+	status.Tickets = len(st.Tickets)
 	return json.Marshal(status)
 }
-
-// TicketStatus is the answer of the ticket query.
-type TicketStatus struct {
-	Found    bool              `json:"found"`
-	Revision model.Revision    `json:"revision,omitempty"`
-	InForce  bool              `json:"in_force"`
-	Behind   []model.GatewayID `json:"behind,omitempty"` // gateways that have not applied it
-}
-
-func queryTicket(s *Service, st *state.State, arguments []byte) ([]byte, error) {
-	var number uint64
-	if err := model.Decode(arguments, &number); err != nil {
-		return nil, err
-	}
-	record, ok := st.Tickets[number]
-	if !ok {
-		return json.Marshal(TicketStatus{})
-	}
-	var open []state.Gateway
-	for _, gateway := range st.LiveGateways() {
-		open = append(open, *gateway)
-	}
-	behind := s.sessions.applied(open, record.Revision)
-	return json.Marshal(TicketStatus{
-		Found:    true,
-		Revision: record.Revision,
-		InForce:  len(behind) == 0,
-		Behind:   behind,
-	})
-}
--- a/daemon/controller/service.go
+++ b/daemon/controller/service.go
@@ -23,6 +23,11 @@
 	log      replica.Log
 	logger   zerolog.Logger
 	sessions *sessions
+
+	usage     usageQueue
+	throttles throttleTable
+	explainer Explainer
+	members   Members
 }
 
 // NewService returns the service. Run must be called to let sessions expire.
@@ -36,6 +41,11 @@
 	if err := model.Decode(request.Command, &command); err != nil {
 		return nil, twirp.InvalidArgumentError("command", err.Error())
 	}
+	if command.RegisterGateway != nil {
+		if err := s.endOldSession(ctx, command.RegisterGateway); err != nil {
+			return nil, s.wrap(err)
+		}
+	}
 	command.At = model.Millis(time.Now().UnixMilli())
 	result, err := s.log.Propose(ctx, command)
 	if err != nil {
@@ -55,17 +65,17 @@
 	if err := model.Decode(request.Body, &body); err != nil {
 		return nil, twirp.InvalidArgumentError("body", err.Error())
 	}
-	if leader := s.log.Leader(); !leader.Self {
+	leader := s.log.Leader()
+	if !leader.Self {
 		return nil, s.wrap(replica.ErrNotLeader)
 	}
-	s.sessions.report(s.log.Leader().Term, body)
+	s.sessions.report(leader.Term, body)
+	s.usage.take(body)
 	s.waitForNews(ctx, body)
-	// The lease is granted only under a leadership that a quorum confirmed after the call
-	// began: a deposed leader must not extend sessions that its successor lets expire.
-	if err := s.log.Confirm(ctx); err != nil {
+	response, err := s.answer(ctx, leader.Term, body)
+	if err != nil {
 		return nil, s.wrap(err)
 	}
-	response := s.answer(body)
 	data, err := model.Encode(response)
 	if err != nil {
 		return nil, twirp.InternalErrorWith(err)
@@ -97,21 +107,23 @@
 	return news
 }
 
-func (s *Service) answer(body syncmsg.Request) syncmsg.Response {
+// answer grants the lease only under a leadership that a quorum confirmed after the call
+// began: a deposed leader must not extend sessions that its successor lets expire. The view
+// is read together with that confirmation, so a lease never comes with an older view.
+func (s *Service) answer(ctx context.Context, term uint64, body syncmsg.Request) (syncmsg.Response, error) {
 	var response syncmsg.Response
-	s.log.View(func(st *state.State) { response = syncView(st, body) })
-	if !response.Known {
-		return response
-	}
-	term := s.log.Leader().Term
-	granted, sendAll := s.sessions.grant(term, body.Gateway, body.Epoch)
-	if !granted {
-		return syncmsg.Response{}
-	}
-	response.SendAll = sendAll
-	response.LeaseMs = model.Millis(s.sessions.ttl.Milliseconds())
-	s.sessions.addFreeQuick(response.Peers)
-	return response
+	err := s.log.Read(ctx, func(st *state.State) { response = syncView(st, body) })
+	if err != nil {
+		return syncmsg.Response{}, err
+	}
+	if leader := s.log.Leader(); !leader.Self || leader.Term != term {
+		return syncmsg.Response{}, replica.ErrNotLeader
+	}
+	if !response.Known || !s.sessions.grant(term, body, &response) {
+		return syncmsg.Response{}, nil
+	}
+	s.throttles.fill(body, &response)
+	return response, nil
 }
 
 // wrap turns the log's errors into twirp errors that name the leader.
@@ -154,17 +166,71 @@
 		}
 	})
 	for _, gateway := range s.sessions.overdue(leader.Term, open) {
-		command := state.Command{ExpireGateway: &state.ExpireGateway{Gateway: gateway.ID, Epoch: gateway.Epoch}}
-		command.At = model.Millis(time.Now().UnixMilli())
-		if _, err := s.log.Propose(ctx, command); err != nil {
-			s.logger.Warn().Err(err).Str("gateway", string(gateway.ID)).Msg("session expiry not committed")
-			continue
+		s.expire(ctx, gateway)
+	}
+}
+
+func (s *Service) expire(ctx context.Context, gateway state.Gateway) {
+	command := state.Command{
+		At:            model.Millis(time.Now().UnixMilli()),
+		ExpireGateway: &state.ExpireGateway{Gateway: gateway.ID, Epoch: gateway.Epoch},
+	}
+	if _, err := s.log.Propose(ctx, command); err != nil {
+		s.logger.Warn().Err(err).Str("gateway", string(gateway.ID)).Msg("session expiry not committed")
+		return
+	}
+	s.logger.Info().Str("gateway", string(gateway.ID)).Uint64("epoch", uint64(gateway.Epoch)).Msg("session expired")
+}
+
+// endOldSession waits, before a gateway is registered with a new incarnation, until the lease
+// of its old session is over. The old process may still dispatch under that lease. A process
+// that shuts down ends its own session with ExpireGateway as its last step, and then nothing
+// is waited for.
+func (s *Service) endOldSession(ctx context.Context, c *state.RegisterGateway) error {
+	for {
+		leader := s.log.Leader()
+		if !leader.Self {
+			return replica.ErrNotLeader
+		}
+		changed := s.log.Changed()
+		if !s.hasOldSession(c) {
+			return nil
+		}
+		timer := time.NewTimer(expiryTick)
+		select {
+		case <-ctx.Done():
+			timer.Stop()
+			return ctx.Err()
+		case <-changed:
+		case <-timer.C:
 		}
-		s.logger.Info().Str("gateway", string(gateway.ID)).Uint64("epoch", uint64(gateway.Epoch)).Msg("session expired")
+		timer.Stop()
+		s.expireSessions(ctx)
 	}
 }
 
-// Summaries returns the free capacity that the owners reported.
-func (s *Service) Summaries() map[model.TargetID]syncmsg.TargetSummary {
+func (s *Service) hasOldSession(c *state.RegisterGateway) bool {
+	old := false
+	s.log.View(func(st *state.State) {
+		gateway, ok := st.Gateways[c.Gateway]
+		old = ok && !gateway.Expired && gateway.Incarnation != c.Incarnation
+	})
+	return old
+}
+
+// Summaries returns the free capacity that the owners reported, and a number that grows with
+// each report.
+func (s *Service) Summaries() (map[model.TargetID]syncmsg.TargetSummary, uint64) {
 	return s.sessions.summaries()
 }
+
+// Reported returns a channel that is closed at the next report of free capacity.
+func (s *Service) Reported() <-chan struct{} { return s.sessions.reported() }
+
+// TakeUsage returns the usage reports that arrived since the last call.
+func (s *Service) TakeUsage() []syncmsg.TargetUsage { return s.usage.drain() }
+
+// SetThrottles replaces the levels of the throttled attempts of all gateways.
+func (s *Service) SetThrottles(levels map[model.GatewayID][]syncmsg.Throttle) {
+	s.throttles.set(levels)
+}
--- a/daemon/controller/sessions.go
+++ b/daemon/controller/sessions.go
@@ -19,37 +19,45 @@
 
 // session is what the leader knows about a gateway's session beyond the replicated state.
 type session struct {
-	epoch    model.Epoch
-	answered time.Time
-	ended    bool           // expiry was decided; no more grants
-	revision model.Revision // revision that the gateway has applied
-	all      bool           // summaries hold every target
-	targets  map[model.TargetID]syncmsg.TargetSummary
+	epoch     model.Epoch
+	answered  time.Time
+	ended     bool           // expiry was decided; no more grants
+	revision  model.Revision // revision that the gateway has applied
+	all       bool           // summaries hold every target
+	targets   map[model.TargetID]syncmsg.TargetSummary
+	sent      sentPeers // of the last answer
+	freeQuick map[model.PoolID]int32
 }
 
 // sessions tracks the leases that this leader granted. It is reset at each change of term.
 type sessions struct {
 	ttl time.Duration
 
-	mu    sync.Mutex
-	term  uint64
-	since time.Time // begin of this leadership, as far as this table knows
-	byID  map[model.GatewayID]*session
+	mu      sync.Mutex
+	term    uint64
+	since   time.Time // begin of this leadership, as far as this table knows
+	byID    map[model.GatewayID]*session
+	number  uint64        // of the last answer of any session
+	changed chan struct{} // closed when a session has applied a newer revision
+	version uint64        // grows with each report of free capacity
+	news    chan struct{} // closed at the next report of free capacity
 }
 
 func newSessions(ttl time.Duration) *sessions {
-	return &sessions{ttl: ttl, byID: map[model.GatewayID]*session{}}
+	return &sessions{ttl: ttl, byID: map[model.GatewayID]*session{}, changed: make(chan struct{}), news: make(chan struct{})}
 }
 
 // enterTerm forgets the grants of an earlier leadership. A predecessor may have granted a
-// lease until just before the election, so every session counts from now.
-func (t *sessions) enterTerm(term uint64) {
-	if t.term == term {
-		return
+// lease until just before the election, so every session counts from now. It reports false
+// for a term that has passed: a call that started under it must not reset the table.
+func (t *sessions) enterTerm(term uint64) bool {
+	if term <= t.term {
+		return term == t.term
 	}
 	t.term = term
 	t.since = time.Now()
 	t.byID = map[model.GatewayID]*session{}
+	return true
 }
 
 func (t *sessions) get(id model.GatewayID, epoch model.Epoch) *session {
@@ -65,7 +73,9 @@
 func (t *sessions) report(term uint64, body syncmsg.Request) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	t.enterTerm(term)
+	if !t.enterTerm(term) {
+		return
+	}
 	s := t.get(body.Gateway, body.Epoch)
 	if s.epoch != body.Epoch {
 		return
@@ -77,37 +87,62 @@
 	for _, summary := range body.Targets {
 		s.targets[summary.Target] = summary
 	}
-	s.revision = max(s.revision, body.Revision)
+	if body.All || len(body.Targets) > 0 {
+		s.freeQuick = freeQuick(s.targets)
+		t.version++
+		close(t.news)
+		t.news = make(chan struct{})
+	}
+	if body.Revision > s.revision {
+		s.revision = body.Revision
+		close(t.changed)
+		t.changed = make(chan struct{})
+	}
+}
+
+func freeQuick(targets map[model.TargetID]syncmsg.TargetSummary) map[model.PoolID]int32 {
+	free := map[model.PoolID]int32{}
+	for _, summary := range targets {
+		if summary.Open {
+			free[summary.Pool] += summary.FreeQuick
+		}
+	}
+	return free
 }
 
-// grant records that a renewal is being answered now. It refuses a session that is about
-// to be expired, so that the grant cannot follow the decision.
-func (t *sessions) grant(term uint64, id model.GatewayID, epoch model.Epoch) (granted, sendAll bool) {
+// grant records that a renewal is being answered now, before the answer is sent: the granter's
+// bound then lies after the holder's, which counts from the time it sent the call. It
+// refuses a session that is about to be expired, so that the grant cannot follow the decision.
+func (t *sessions) grant(term uint64, body syncmsg.Request, response *syncmsg.Response) bool {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	t.enterTerm(term)
-	s := t.get(id, epoch)
-	if s.epoch != epoch || s.ended {
-		return false, false
+	if !t.enterTerm(term) {
+		return false
+	}
+	s := t.get(body.Gateway, body.Epoch)
+	if s.epoch != body.Epoch || s.ended {
+		return false
 	}
 	s.answered = time.Now()
-	return true, !s.all
+	response.SendAll = !s.all
+	response.LeaseMs = model.Millis(t.ttl.Milliseconds())
+	t.number++
+	response.Number = t.number
+	t.addPeers(s, body, response)
+	return true
 }
 
 // overdue returns the sessions whose lease is over and marks them as ended.
 func (t *sessions) overdue(term uint64, open []state.Gateway) []state.Gateway {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	t.enterTerm(term)
+	if !t.enterTerm(term) {
+		return nil
+	}
 	now := time.Now()
 	var over []state.Gateway
 	for _, gateway := range open {
-		answered := t.since
-		s, ok := t.byID[gateway.ID]
-		if ok && s.epoch == gateway.Epoch {
-			answered = s.answered
-		}
-		if now.Before(lease.GranterEnd(answered, t.ttl, expiryMargin)) {
+		if now.Before(t.endOf(gateway)) {
 			continue
 		}
 		t.get(gateway.ID, gateway.Epoch).ended = true
@@ -116,8 +151,18 @@
 	return over
 }
 
-// applied reports which of the gateways have a view of at least revision.
-func (t *sessions) applied(gateways []state.Gateway, revision model.Revision) (behind []model.GatewayID) {
+// endOf returns when the lease of a session is over by the granter's bound.
+func (t *sessions) endOf(gateway state.Gateway) time.Time {
+	answered := t.since
+	if s, ok := t.byID[gateway.ID]; ok && s.epoch == gateway.Epoch {
+		answered = s.answered
+	}
+	return lease.GranterEnd(answered, t.ttl, expiryMargin)
+}
+
+// applied reports which of the gateways have no view of at least revision, and a channel that
+// is closed when that may have changed.
+func (t *sessions) applied(gateways []state.Gateway, revision model.Revision) (behind []model.GatewayID, changed <-chan struct{}) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	for _, gateway := range gateways {
@@ -126,28 +171,12 @@
 			behind = append(behind, gateway.ID)
 		}
 	}
-	return behind
+	return behind, t.changed
 }
 
-// addFreeQuick adds the free quick slots that the peers reported.
-func (t *sessions) addFreeQuick(peers []syncmsg.Peer) {
-	t.mu.Lock()
-	defer t.mu.Unlock()
-	for i := range peers {
-		s, ok := t.byID[peers[i].ID]
-		if !ok {
-			continue
-		}
-		for _, summary := range s.targets {
-			if summary.Open {
-				peers[i].FreeQuick[summary.Pool] += summary.FreeQuick
-			}
-		}
-	}
-}
-
-// summaries returns the summaries of all live sessions.
-func (t *sessions) summaries() map[model.TargetID]syncmsg.TargetSummary {
+// summaries returns the summaries of all live sessions and a number that grows with each
+// report.
+func (t *sessions) summaries() (map[model.TargetID]syncmsg.TargetSummary, uint64) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	all := map[model.TargetID]syncmsg.TargetSummary{}
@@ -158,5 +187,23 @@
 			}
 		}
 	}
-	return all
+	return all, t.version
+}
+
+// lease describes one session for the leases query.
+func (t *sessions) lease(gateway state.Gateway) SessionLease {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	out := SessionLease{Gateway: gateway, EndsInMs: model.Millis(time.Until(t.endOf(gateway)).Milliseconds())}
+	if s, ok := t.byID[gateway.ID]; ok && s.epoch == gateway.Epoch {
+		out.Applied = s.revision
+	}
+	return out
+}
+
+// reported returns a channel that is closed at the next report of free capacity.
+func (t *sessions) reported() <-chan struct{} {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.news
 }
--- a/daemon/controller/view.go
+++ b/daemon/controller/view.go
@@ -13,16 +13,27 @@
 		return syncmsg.Response{}
 	}
 	response := syncmsg.Response{Known: true, Revision: st.Revision, Peers: peers(st)}
-	if st.Config.Revision > body.Revision || body.Revision == 0 {
-		config := st.Config.Clone()
-		response.Config = &config
-	}
+	addConfig(st, body, &response)
 	if st.OwnedChangedSince(body.Gateway, body.Revision) {
 		response.Changes = changes(st, body)
 	}
 	return response
 }
 
+func addConfig(st *state.State, body syncmsg.Request, response *syncmsg.Response) {
+	if body.Revision > 0 && st.Config.Revision <= body.Revision {
+		return
+	}
+	if body.Partial {
+		if delta, ok := st.ConfigSince(body.Revision); ok {
+			response.ConfigDelta = &delta
+			return
+		}
+	}
+	config := st.Config.Clone()
+	response.Config = &config
+}
+
 func peers(st *state.State) []syncmsg.Peer {
 	var list []syncmsg.Peer
 	for _, gateway := range st.LiveGateways() {
@@ -38,24 +49,42 @@
 	return list
 }
 
+// changes answers what is owned. A client that keeps its view gets only what changed since
+// body.Revision; others, and clients that are far behind, get the full lists.
 func changes(st *state.State, body syncmsg.Request) *syncmsg.Changes {
 	result := &syncmsg.Changes{}
-	owned := map[model.TargetID]bool{}
+	closed, known := st.ClosedSince(body.Gateway, body.Revision)
+	result.Partial = body.Partial && known && body.Revision > 0
+	result.Closed = closed
+	if !result.Partial {
+		result.Closed = nil
+	}
 	for _, target := range st.OwnedTargets(body.Gateway) {
-		owned[target.ID] = true
 		result.Owned = append(result.Owned, target.ID)
-		if target.Changed > body.Revision {
+		changed := target.Changed > body.Revision
+		if changed {
 			result.Targets = append(result.Targets, *target)
 		}
+		addOrders(result, st.OpenOn(target.ID), changed, body.Revision)
 	}
-	for _, job := range st.OpenJobsOn(owned) {
-		result.Open = append(result.Open, job.Open.ID)
-		// A target that changed hands brings all its open attempts to the new owner.
-		if job.Changed > body.Revision || st.Targets[job.Open.Target].Changed > body.Revision {
+	if result.Partial && !st.OwnershipChangedSince(body.Gateway, body.Revision) {
+		result.Owned = nil
+		result.SameOwned = true
+	}
+	return result
+}
+
+// addOrders adds the open attempts of one target. A target that changed hands brings all its
+// open attempts to the new owner.
+func addOrders(result *syncmsg.Changes, jobs []*state.Job, all bool, since model.Revision) {
+	for _, job := range jobs {
+		if !result.Partial {
+			result.Open = append(result.Open, job.Open.ID)
+		}
+		if all || job.Changed > since {
 			result.Orders = append(result.Orders, order(job))
 		}
 	}
-	return result
 }
 
 func order(job *state.Job) syncmsg.Order {
--- a/daemon/owner/attempts.go
+++ b/daemon/owner/attempts.go
@@ -157,6 +157,9 @@
 }
 
 func (t *Table) end(ctx context.Context, o *owned, a *attempt, end state.EndAttempt) {
+	o.mu.Lock()
+	end.Epoch = o.record.Epoch
+	o.mu.Unlock()
 	if err := t.propose(ctx, state.Command{EndAttempt: &end}); err != nil {
 		t.options.Logger.Warn().Err(err).Stringer("attempt", end.Attempt).Msg("end of attempt not committed")
 		return
--- /dev/null
+++ b/daemon/scheduler/explain.go
@@ -0,0 +1,41 @@
+package scheduler
+
+import (
+	"fmt"
+
+	"samphirepaddle.example/core/state"
+	"samphirepaddle.example/daemon/controller"
+)
+
+// Explain says why a queued job waits, with the reason for each target of its pool.
+func (s *Scheduler) Explain(st *state.State, job *state.Job) controller.Waiting {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if job.NeverReason != "" {
+		return controller.Waiting{Reason: "it can never run: " + job.NeverReason}
+	}
+	p := s.picture
+	candidate := p.jobOf(job)
+	if err := p.tenants.Allow(candidate.Tenant, candidate.Size); err != nil {
+		return controller.Waiting{Reason: err.Error()}
+	}
+	waiting := controller.Waiting{}
+	for _, rejection := range p.placer.Explain(candidate) {
+		waiting.Targets = append(waiting.Targets, controller.TargetReason{Target: rejection.Target, Reason: rejection.Reason})
+	}
+	targets := 0
+	for _, known := range p.known {
+		if known.state.Pool == job.Spec.Pool {
+			targets++
+		}
+	}
+	switch {
+	case targets == 0:
+		waiting.Reason = fmt.Sprintf("no target has announced pool %q", job.Spec.Pool)
+	case len(waiting.Targets) == targets:
+		waiting.Reason = fmt.Sprintf("it fits on none of %d targets now", targets)
+	default:
+		waiting.Reason = fmt.Sprintf("it fits on %d targets and waits for its turn", targets-len(waiting.Targets))
+	}
+	return waiting
+}
--- /dev/null
+++ b/daemon/scheduler/picture.go
@@ -0,0 +1,202 @@
+package scheduler
+
+import (
+	"samphirepaddle.example/core/model"
+	"samphirepaddle.example/core/placement"
+	"samphirepaddle.example/core/state"
+	"samphirepaddle.example/core/syncmsg"
+)
+
+// update brings the picture up to date with the state and the owners' reports.
+func (p *picture) update(st *state.State, summaries map[model.TargetID]syncmsg.TargetSummary, now model.Millis) []state.Command {
+	for id := range p.known {
+		if _, ok := st.Targets[id]; !ok {
+			p.forgetTarget(id)
+		}
+	}
+	present := make(map[model.AttemptID]bool, len(p.tracked))
+	for id, target := range st.Targets {
+		p.updateTarget(st, target, summaries[id], now)
+		for _, job := range st.OpenOn(id) {
+			present[job.Open.ID] = true
+			p.track(job)
+		}
+	}
+	for _, tenant := range st.Config.Tenants {
+		p.tenants.SetTenant(tenant)
+	}
+	p.tenants.SetTotal(p.capacity)
+	return p.closeGone(st, present, now)
+}
+
+func (p *picture) forgetTarget(id model.TargetID) {
+	p.capacity = p.capacity.Sub(p.known[id].capacity)
+	delete(p.known, id)
+	p.placer.RemoveTarget(id)
+	p.health.ForgetTarget(id)
+	p.response.forget(id)
+	delete(p.refused, id)
+}
+
+func (p *picture) updateTarget(st *state.State, target *state.Target, summary syncmsg.TargetSummary, now model.Millis) {
+	known := p.known[target.ID]
+	if known == nil {
+		known = &knownTarget{}
+		p.known[target.ID] = known
+	}
+	p.capacity = p.capacity.Sub(known.capacity)
+	known.state, known.capacity = *target, target.Capacity
+	if target.Lost {
+		known.capacity = model.Resources{}
+	}
+	p.capacity = p.capacity.Add(known.capacity)
+	// The state decides, but for a change that is proposed and not yet answered.
+	quarantined := target.Quarantined != ""
+	if quarantined != p.health.Quarantined(target.ID) && !p.changing[target.ID] {
+		p.health.Quarantine(target.ID, quarantined, now)
+	}
+	kept := keptOf(st.Config, target.Pool)
+	p.placer.SetTarget(placement.TargetInfo{
+		ID:       target.ID,
+		Pool:     target.Pool,
+		Zone:     target.Zone,
+		Rack:     target.Rack,
+		Capacity: target.Capacity,
+		Kept:     kept.Add(p.quickExcess(target, summary, kept)),
+		Blocked:  p.blocked(target, summary, now),
+	})
+	p.response.setTarget(target)
+}
+
+// keptOf returns what batch work must leave free on each target of a pool.
+func keptOf(config state.Config, pool model.PoolID) model.Resources {
+	var kept model.Resources
+	for _, service := range config.Services {
+		if service.Pool != pool {
+			continue
+		}
+		n := service.KeptSlots
+		kept = kept.Add(model.Resources{
+			Slots:        service.Quick.Slots * n,
+			Connections:  service.Quick.Connections * n,
+			CPUMillis:    service.Quick.CPUMillis * int64(n),
+			MemoryMiB:    service.Quick.MemoryMiB * int64(n),
+			Accelerators: service.Quick.Accelerators * n,
+		})
+	}
+	return kept
+}
+
+// quickExcess is what the owner reports as taken beyond the kept part and the tasks that are
+// known here: quick work above its kept part. A task that the owner has not reserved yet
+// makes it smaller than it is; the owner then refuses the task and it is placed again.
+func (p *picture) quickExcess(target *state.Target, summary syncmsg.TargetSummary, kept model.Resources) model.Resources {
+	if summary.Epoch != target.Epoch {
+		return model.Resources{}
+	}
+	taken := target.Capacity.Sub(kept).Sub(summary.FreeBatch)
+	for _, task := range p.placer.Tasks(target.ID) {
+		taken = taken.Sub(task.Size)
+	}
+	return taken.Max(model.Resources{})
+}
+
+func (p *picture) blocked(target *state.Target, summary syncmsg.TargetSummary, now model.Millis) string {
+	switch {
+	case target.Lost:
+		return "its lease ran out"
+	case target.Leaving:
+		return "it is leaving"
+	case target.Owner == "":
+		return "no gateway owns it"
+	case p.changing[target.ID]:
+		return "its quarantine is being changed"
+	case target.Quarantined != "":
+		return "it is in quarantine: " + target.Quarantined
+	case summary.Epoch != target.Epoch:
+		return "its owner has not reported its free capacity"
+	case !summary.Open:
+		return "its owner takes no new work for it"
+	case now-p.refused[target.ID] < refusalPause:
+		return "its owner refused a task just now"
+	default:
+		return ""
+	}
+}
+
+// track counts an open attempt that the state holds.
+func (p *picture) track(job *state.Job) {
+	open := job.Open
+	if held, ok := p.tracked[open.ID]; ok {
+		held.at = open.At
+		held.failures, held.evictions, held.losses = job.Failures, job.Evictions, job.Losses
+		p.tracked[open.ID] = held
+	} else {
+		task := placement.Task{Attempt: open.ID, Tenant: job.Spec.Tenant, Kind: job.Spec.Kind, Size: open.Reserved, Urgent: job.Spec.Urgent, Bound: true}
+		if p.placer.Track(open.Target, task) != nil {
+			return
+		}
+		p.hold(job, open.ID, open.Target, open.Reserved, open.At)
+	}
+	p.response.started(open, job.Spec.Kind)
+}
+
+func (p *picture) hold(job *state.Job, id model.AttemptID, target model.TargetID, size model.Resources, at model.Millis) {
+	p.tenants.Charge(job.Spec.Tenant, size)
+	p.tracked[id] = tracked{
+		target:    target,
+		tenant:    job.Spec.Tenant,
+		kind:      job.Spec.Kind,
+		size:      size,
+		at:        at,
+		failures:  job.Failures,
+		evictions: job.Evictions,
+		losses:    job.Losses,
+	}
+}
+
+func (p *picture) release(id model.AttemptID) {
+	held, ok := p.tracked[id]
+	if !ok {
+		return
+	}
+	p.placer.Release(id)
+	p.tenants.Refund(held.tenant, held.size)
+	delete(p.tracked, id)
+}
+
+// closeGone releases the attempts that have ended and judges their outcome.
+func (p *picture) closeGone(st *state.State, present map[model.AttemptID]bool, now model.Millis) []state.Command {
+	var commands []state.Command
+	for id, held := range p.tracked {
+		if present[id] || p.pending[id] {
+			continue
+		}
+		p.release(id)
+		p.response.stopped(held.target, id, now)
+		commands = append(commands, p.judge(st.Jobs[id.Job], id, held, now)...)
+	}
+	return commands
+}
+
+// judge reports the outcome of an attempt to the health tracker and returns its decisions.
+func (p *picture) judge(job *state.Job, id model.AttemptID, held tracked, now model.Millis) []state.Command {
+	ended := job == nil || job.Ended()
+	if ended {
+		defer p.health.Forget(id.Job)
+		delete(p.preempts, id.Job)
+	}
+	switch {
+	case job != nil && job.Phase == state.JobFinished:
+		if held.at > 0 {
+			p.sizes.ObserveRunTime(held.kind, now-held.at)
+		}
+		return p.carryOut(p.health.Succeeded(id.Job, held.target, now))
+	case job != nil && job.Failures > held.failures:
+		return p.carryOut(p.health.Failed(id.Job, held.target, now))
+	case job != nil && !ended && job.Evictions == held.evictions && job.Losses == held.losses:
+		p.refused[held.target] = now
+	}
+	p.health.EndProbe(held.target, id.Job, now)
+	return nil
+}
--- /dev/null
+++ b/daemon/scheduler/plan.go
@@ -0,0 +1,236 @@
+package scheduler
+
+import (
+	"errors"
+	"slices"
+	"strings"
+
+	"samphirepaddle.example/core/health"
+	"samphirepaddle.example/core/model"
+	"samphirepaddle.example/core/placement"
+	"samphirepaddle.example/core/state"
+	"samphirepaddle.example/core/syncmsg"
+)
+
+// Prefixes of the reasons why a job can never run. A job that does not fit is looked at
+// again when targets or limits change; one that fails everywhere stays marked.
+const (
+	neverCapacity = "capacity: "
+	neverQuota    = "quota: "
+	neverFails    = "failures: "
+)
+
+// decide returns the commands of one plan.
+func (p *picture) decide(st *state.State, summaries map[model.TargetID]syncmsg.TargetSummary, usage []syncmsg.TargetUsage, now model.Millis) []state.Command {
+	commands := p.update(st, summaries, now)
+	commands = append(commands, p.respond(st, usage, now)...)
+	jobs := p.tenants.Order(p.candidates(st))
+	commands = append(commands, p.probe(st, jobs, now)...)
+	for _, job := range jobs {
+		if !p.pending[job.Attempt] && !p.proposed[job.ID] {
+			commands = append(commands, p.place(st, job, now)...)
+		}
+	}
+	return append(commands, p.recheckNever(st)...)
+}
+
+// candidates returns the jobs that wait longest, at most perTenant of each tenant.
+func (p *picture) candidates(st *state.State) []placement.Job {
+	var jobs []placement.Job
+	for _, tenant := range st.ReadyTenants() {
+		taken := 0
+		for job := range st.ReadyJobs(tenant) {
+			if taken == perTenant {
+				break
+			}
+			taken++
+			jobs = append(jobs, p.jobOf(job))
+		}
+	}
+	return jobs
+}
+
+func (p *picture) jobOf(job *state.Job) placement.Job {
+	return placement.Job{
+		ID:      job.Spec.ID,
+		Tenant:  job.Spec.Tenant,
+		Pool:    job.Spec.Pool,
+		Kind:    job.Spec.Kind,
+		Size:    p.sizes.Reserve(job.Spec.Kind, job.Spec.Declared),
+		Urgent:  job.Spec.Urgent,
+		Avoid:   p.avoid(job),
+		Attempt: model.AttemptID{Job: job.Spec.ID, Number: job.Attempts + 1},
+	}
+}
+
+// avoid returns the targets on which the job failed, unless that would leave it nowhere to
+// run: a site may have a single target for the pool.
+func (p *picture) avoid(job *state.Job) []model.TargetID {
+	if len(job.FailedOn) == 0 {
+		return nil
+	}
+	for id, known := range p.known {
+		t := &known.state
+		usable := t.Pool == job.Spec.Pool && !t.Lost && !t.Leaving && t.Quarantined == ""
+		if usable && !slices.Contains(job.FailedOn, id) {
+			return job.FailedOn
+		}
+	}
+	return nil
+}
+
+// place decides on one job: a target, a preemption, never, or to wait.
+func (p *picture) place(st *state.State, job placement.Job, now model.Millis) []state.Command {
+	if err := p.tenants.Allow(job.Tenant, job.Size); err != nil {
+		var quota *placement.QuotaError
+		if errors.As(err, &quota) && quota.Never {
+			return p.never(job.ID, neverQuota+err.Error())
+		}
+		return nil
+	}
+	decision, err := p.placer.Place(job)
+	if err == nil {
+		return p.assign(st, decision)
+	}
+	var noFit *placement.NoFitError
+	if errors.As(err, &noFit) && noFit.Never {
+		return p.never(job.ID, neverCapacity+err.Error())
+	}
+	if job.Urgent {
+		return p.preempt(st, job, now)
+	}
+	return nil
+}
+
+// never marks a job; the text is cut because it may name many targets.
+func (p *picture) never(id model.JobID, reason string) []state.Command {
+	const maxReason = 1000 // bytes
+	p.proposed[id] = true
+	return []state.Command{{MarkNeverRunnable: &state.MarkNeverRunnable{Job: id, Reason: reason[:min(len(reason), maxReason)]}}}
+}
+
+func (p *picture) assign(st *state.State, d placement.Decision) []state.Command {
+	if p.placer.Reserve(d) != nil {
+		return nil
+	}
+	p.hold(st.Jobs[d.Job.ID], d.Job.Attempt, d.Target, d.Job.Size, 0)
+	p.pending[d.Job.Attempt] = true
+	return []state.Command{{AssignAttempt: &state.AssignAttempt{
+		Attempt:  d.Job.Attempt,
+		Target:   d.Target,
+		Epoch:    st.Targets[d.Target].Epoch,
+		Reserved: d.Job.Size,
+	}}}
+}
+
+// preempt makes room for an urgent job by evicting the tasks that lose least. The room is
+// not held: urgent jobs come first in the next plan.
+func (p *picture) preempt(st *state.State, job placement.Job, now model.Millis) []state.Command {
+	if at, ok := p.preempts[job.ID]; ok && now-at < preemptPause {
+		return nil
+	}
+	p.setLosses(st, now)
+	plan, err := p.placer.Preempt(job)
+	if err != nil {
+		return nil
+	}
+	p.preempts[job.ID] = now
+	var commands []state.Command
+	for _, victim := range plan.Victims {
+		p.placer.SetLoss(victim, 0, true)
+		commands = append(commands, state.Command{EvictAttempt: &state.EvictAttempt{
+			Attempt: victim,
+			Reason:  "urgent job " + string(job.ID),
+		}})
+	}
+	return commands
+}
+
+// setLosses records what each task would lose. The declared run time is not trusted, so the
+// loss is the time since the start, as if no checkpoint succeeded.
+func (p *picture) setLosses(st *state.State, now model.Millis) {
+	for id, held := range p.tracked {
+		job, ok := st.Jobs[id.Job]
+		evicting := ok && job.Open != nil && job.Open.ID == id && (job.Open.Evicting != "" || job.Cancelling)
+		p.placer.SetLoss(id, placement.Loss(now-held.at, 0, false), evicting)
+	}
+}
+
+// probe sends one job to each quarantined target whose probe is due.
+func (p *picture) probe(st *state.State, jobs []placement.Job, now model.Millis) []state.Command {
+	var commands []state.Command
+	for _, id := range p.health.ProbeDue(now) {
+		known := p.known[id]
+		if known == nil || known.state.QuarantinedByOperator {
+			continue
+		}
+		for _, job := range jobs {
+			if job.Urgent || job.Pool != known.state.Pool || p.pending[job.Attempt] || p.proposed[job.ID] {
+				continue
+			}
+			if command := p.probeWith(st, job, id); command != nil {
+				commands = append(commands, command...)
+				break
+			}
+		}
+	}
+	return commands
+}
+
+func (p *picture) probeWith(st *state.State, job placement.Job, id model.TargetID) []state.Command {
+	target := p.known[id].state
+	if p.tenants.Allow(job.Tenant, job.Size) != nil || target.Lost || target.Leaving || target.Owner == "" {
+		return nil
+	}
+	p.placer.SetBlocked(id, "")
+	defer p.placer.SetBlocked(id, "it is in quarantine: "+target.Quarantined)
+	command := p.assign(st, placement.Decision{Job: job, Target: id})
+	if command != nil {
+		p.health.StartProbe(id, job.ID)
+	}
+	return command
+}
+
+// recheckNever clears the mark of jobs that fit since the targets or the limits changed.
+func (p *picture) recheckNever(st *state.State) []state.Command {
+	if p.checked == st.Config.Revision && p.version == len(p.known) {
+		return nil
+	}
+	p.checked, p.version = st.Config.Revision, len(p.known)
+	var commands []state.Command
+	for _, job := range st.NeverRunnable() {
+		if strings.HasPrefix(job.NeverReason, neverFails) || p.proposed[job.Spec.ID] {
+			continue
+		}
+		candidate := p.jobOf(job)
+		var quota *placement.QuotaError
+		err := p.tenants.Allow(candidate.Tenant, candidate.Size)
+		if p.placer.NeverFits(candidate) || (errors.As(err, &quota) && quota.Never) {
+			continue
+		}
+		p.proposed[job.Spec.ID] = true
+		commands = append(commands, state.Command{MarkNeverRunnable: &state.MarkNeverRunnable{Job: job.Spec.ID}})
+	}
+	return commands
+}
+
+// carryOut turns the decisions of the health tracker into commands. They hold at once, so
+// that the same plan does not use the target or the job again.
+func (p *picture) carryOut(changes []health.Change) []state.Command {
+	var commands []state.Command
+	for _, change := range changes {
+		if change.Target != "" {
+			p.changing[change.Target] = true
+			if change.On {
+				p.placer.SetBlocked(change.Target, "it is in quarantine: "+change.Reason)
+			}
+			commands = append(commands, state.Command{QuarantineTarget: &state.QuarantineTarget{
+				Target: change.Target, On: change.On, Reason: change.Reason,
+			}})
+		}
+		if change.Job != "" {
+			commands = append(commands, p.never(change.Job, neverFails+change.Reason)...)
+		}
+	}
+	return commands
+}
--- a/daemon/scheduler/scheduler.go
+++ b/daemon/scheduler/scheduler.go
@@ -1,93 +1,239 @@
 // Package scheduler places queued jobs on targets. It runs on the leader: it plans against a
 // snapshot and proposes each placement; applying the proposal checks it again.
+//
+// The scheduler keeps a picture of the targets and of the open attempts (package placement),
+// brings it up to date before each plan, and plans when something has changed.
 package scheduler
 
 import (
 	"context"
+	"sync"
 	"time"
 
 	"github.com/rs/zerolog"
 
+	"samphirepaddle.example/core/health"
 	"samphirepaddle.example/core/model"
+	"samphirepaddle.example/core/placement"
+	"samphirepaddle.example/core/sizing"
 	"samphirepaddle.example/core/state"
 	"samphirepaddle.example/core/syncmsg"
 	"samphirepaddle.example/daemon/replica"
 )
 
-// planEvery is the longest time between two plans.
-const planEvery = 100 * time.Millisecond
+// Bounds of the scheduler.
+const (
+	// planPause is the shortest time between two plans, so that a burst of changes is planned
+	// once. It is small beside the 2.1 s in which urgent work has to start.
+	planPause = 20 * time.Millisecond
+	// idlePlan is the longest time between two plans: probes and pauses after refusals become
+	// due without any change.
+	idlePlan = 500 * time.Millisecond
+	// maxInFlight bounds the proposals that wait for their commit. At 2,200 starts/s and a
+	// commit time of 50 ms, 110 are in flight.
+	maxInFlight = 256
+	// perTenant bounds the queued jobs of one tenant that one plan looks at.
+	perTenant = 64
+	// refusalPause keeps new work off a target whose owner refused a task, until its next
+	// reports of free capacity have arrived.
+	refusalPause = model.Millis(500)
+	// preemptPause is how long a preemption may take before another one is tried.
+	preemptPause = model.Millis(1500)
+)
 
-// Summaries answers the free capacity that the owners reported.
-type Summaries interface {
-	Summaries() map[model.TargetID]syncmsg.TargetSummary
+// Owners answers what the owners of the targets reported; the controller implements it.
+type Owners interface {
+	// Summaries returns the free capacity of the targets and a number that grows with each report.
+	Summaries() (map[model.TargetID]syncmsg.TargetSummary, uint64)
+	// Reported returns a channel that is closed at the next report.
+	Reported() <-chan struct{}
+	// TakeUsage returns the usage reports that arrived since the last call.
+	TakeUsage() []syncmsg.TargetUsage
+	// SetThrottles replaces the levels of the throttled attempts of all gateways.
+	SetThrottles(levels map[model.GatewayID][]syncmsg.Throttle)
 }
 
 // Scheduler plans batch work.
 type Scheduler struct {
-	log       replica.Log
-	summaries Summaries
-	logger    zerolog.Logger
+	log    replica.Log
+	owners Owners
+	logger zerolog.Logger
+	slots  chan struct{} // one for each proposal in flight
+	wake   chan struct{} // a proposal has ended
+
+	// mu guards the fields below. It is never held while the log is called, because the
+	// explain query takes it with the state locked.
+	mu      sync.Mutex
+	term    uint64
+	picture *picture
+}
+
+// picture is what the scheduler knows during one leadership.
+type picture struct {
+	placer   *placement.Placer
+	tenants  *placement.Tenants
+	health   *health.Tracker
+	sizes    *sizing.Model
+	response *responder
+
+	known    map[model.TargetID]*knownTarget
+	tracked  map[model.AttemptID]tracked
+	pending  map[model.AttemptID]bool        // proposed and not yet answered
+	proposed map[model.JobID]bool            // commands about a job without a known outcome yet
+	changing map[model.TargetID]bool         // targets with a proposed change of quarantine
+	refused  map[model.TargetID]model.Millis // time of the last refusal
+	preempts map[model.JobID]model.Millis    // time of the last preemption for a job
+	capacity model.Resources
+	checked  model.Revision // configuration that the never-runnable jobs were checked with
+	version  int            // number of targets that they were checked with
+}
+
+// knownTarget is a target as the placer knows it.
+type knownTarget struct {
+	state    state.Target
+	capacity model.Resources
+}
+
+// tracked is an open attempt that holds resources.
+type tracked struct {
+	target    model.TargetID
+	tenant    model.TenantID
+	kind      string
+	size      model.Resources
+	at        model.Millis
+	failures  uint32
+	evictions uint32
+	losses    uint32
 }
 
 // New returns a scheduler.
-func New(log replica.Log, summaries Summaries, logger zerolog.Logger) *Scheduler {
-	return &Scheduler{log: log, summaries: summaries, logger: logger}
+func New(log replica.Log, owners Owners, logger zerolog.Logger) *Scheduler {
+	return &Scheduler{
+		log:     log,
+		owners:  owners,
+		logger:  logger,
+		slots:   make(chan struct{}, maxInFlight),
+		wake:    make(chan struct{}, 1),
+		picture: newPicture(),
+	}
+}
+
+func newPicture() *picture {
+	p := &picture{
+		tenants:  placement.NewTenants(model.Resources{}),
+		health:   health.New(health.Config{}),
+		sizes:    sizing.New(),
+		response: newResponder(),
+		known:    map[model.TargetID]*knownTarget{},
+		tracked:  map[model.AttemptID]tracked{},
+		pending:  map[model.AttemptID]bool{},
+		proposed: map[model.JobID]bool{},
+		changing: map[model.TargetID]bool{},
+		refused:  map[model.TargetID]model.Millis{},
+		preempts: map[model.JobID]model.Millis{},
+	}
+	p.placer = placement.New(placement.Config{Seed: 1, Predictor: p.response.model})
+	return p
 }
 
-// Run plans while this controller is the leader, until ctx is done.
+// Run plans while this controller is the leader, until ctx is done. It sleeps until the
+// state, the reported capacity or a proposal of its own changes.
 func (s *Scheduler) Run(ctx context.Context) {
-	ticker := time.NewTicker(planEvery)
-	defer ticker.Stop()
-	for {
+	for ctx.Err() == nil {
+		changed, reported := s.log.Changed(), s.owners.Reported()
+		if leader := s.log.Leader(); leader.Self {
+			s.plan(ctx, leader.Term)
+			sleep(ctx, planPause)
+		}
+		timer := time.NewTimer(idlePlan)
 		select {
 		case <-ctx.Done():
-			return
-		case <-ticker.C:
-			if s.log.Leader().Self {
-				s.plan(ctx)
-			}
+		case <-changed:
+		case <-reported:
+		case <-s.wake:
+		case <-timer.C:
 		}
+		timer.Stop()
+	}
+}
+
+func sleep(ctx context.Context, d time.Duration) {
+	timer := time.NewTimer(d)
+	defer timer.Stop()
+	select {
+	case <-ctx.Done():
+	case <-timer.C:
 	}
 }
 
-func (s *Scheduler) plan(ctx context.Context) {
-	free := s.summaries.Summaries()
-	var commands []state.AssignAttempt
-	s.log.View(func(st *state.State) { commands = firstFit(st, free) })
+// plan decides on one snapshot and proposes what it decided.
+func (s *Scheduler) plan(ctx context.Context, term uint64) {
+	summaries, _ := s.owners.Summaries()
+	usage := s.owners.TakeUsage()
+	now := model.Millis(time.Now().UnixMilli())
+	var commands []state.Command
+	var levels map[model.GatewayID][]syncmsg.Throttle
+	s.log.View(func(st *state.State) {
+		s.mu.Lock()
+		defer s.mu.Unlock()
+		if s.term != term {
+			s.term = term
+			s.picture = newPicture()
+		}
+		commands = s.picture.decide(st, summaries, usage, now)
+		levels = s.picture.response.levelsByOwner(st)
+	})
+	s.owners.SetThrottles(levels)
 	for i := range commands {
-		command := state.Command{At: model.Millis(time.Now().UnixMilli()), AssignAttempt: &commands[i]}
+		s.propose(ctx, term, commands[i])
+	}
+}
+
+// propose commits a command in the background; it waits only while too many are in flight.
+func (s *Scheduler) propose(ctx context.Context, term uint64, command state.Command) {
+	select {
+	case s.slots <- struct{}{}:
+	case <-ctx.Done():
+		return
+	}
+	go func() {
+		defer func() { <-s.slots }()
+		command.At = model.Millis(time.Now().UnixMilli())
 		result, err := s.log.Propose(ctx, command)
 		if err != nil {
-			return
+			s.logger.Debug().Err(err).Msg("decision not committed")
+		} else if !result.OK() {
+			s.logger.Debug().Str("reason", result.Message).Msg("decision refused")
 		}
-		if !result.OK() {
-			s.logger.Debug().Str("reason", result.Message).Msg("placement refused")
+		s.settle(term, command, err == nil && result.OK())
+		select {
+		case s.wake <- struct{}{}:
+		default:
 		}
-	}
+	}()
 }
 
-// firstFit places each queued job on the first target that has room.
-func firstFit(st *state.State, free map[model.TargetID]syncmsg.TargetSummary) []state.AssignAttempt {
-	var plan []state.AssignAttempt
-	for _, job := range st.QueuedJobs() {
-		for _, target := range st.AllTargets() {
-			summary, ok := free[target.ID]
-			if !ok || !summary.Open || summary.Epoch != target.Epoch || target.Pool != job.Spec.Pool {
-				continue
-			}
-			if target.Quarantined != "" || !job.Spec.Declared.Fits(summary.FreeBatch) {
-				continue
-			}
-			summary.FreeBatch = summary.FreeBatch.Sub(job.Spec.Declared)
-			free[target.ID] = summary
-			plan = append(plan, state.AssignAttempt{
-				Attempt:  model.AttemptID{Job: job.Spec.ID, Number: job.Attempts + 1},
-				Target:   target.ID,
-				Epoch:    target.Epoch,
-				Reserved: job.Spec.Declared,
-			})
-			break
+// settle ends the hold of a proposal. An assignment whose outcome is unknown is released as
+// well: if it was committed, the next plan finds the attempt in the state.
+func (s *Scheduler) settle(term uint64, command state.Command, committed bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.term != term {
+		return
+	}
+	p := s.picture
+	switch {
+	case command.AssignAttempt != nil:
+		id := command.AssignAttempt.Attempt
+		delete(p.pending, id)
+		if !committed {
+			p.release(id)
+		} else if p.placer.Bind(id) != nil {
+			return // the attempt has ended already
 		}
+	case command.QuarantineTarget != nil:
+		delete(p.changing, command.QuarantineTarget.Target)
+	case command.MarkNeverRunnable != nil:
+		delete(p.proposed, command.MarkNeverRunnable.Job)
 	}
-	return plan
 }
--- /dev/null
+++ b/daemon/scheduler/scheduler_test.go
@@ -0,0 +1,371 @@
+package scheduler
+
+import (
+	"context"
+	"fmt"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/rs/zerolog"
+
+	"samphirepaddle.example/core/model"
+	"samphirepaddle.example/core/state"
+	"samphirepaddle.example/core/syncmsg"
+	"samphirepaddle.example/daemon/replica"
+)
+
+// site is a log with targets whose owner reports what the state says.
+type site struct {
+	t   *testing.T
+	log replica.Log
+	s   *Scheduler
+	now model.Millis
+
+	mu       sync.Mutex
+	levels   map[model.GatewayID][]syncmsg.Throttle
+	usage    []syncmsg.TargetUsage
+	reported chan struct{}
+}
+
+func newSite(t *testing.T, log replica.Log, targets int) *site {
+	w := &site{t: t, log: log, now: 1_000_000, reported: make(chan struct{})}
+	w.s = New(log, w, zerolog.Nop())
+	w.ok(state.Command{SubmitTicket: &state.SubmitTicket{Ticket: model.Ticket{
+		Number:  1,
+		Pools:   []model.Pool{{ID: "shops"}},
+		Tenants: []model.Tenant{{ID: "a"}, {ID: "b"}, {ID: "small", BatchQuota: model.Resources{Slots: 1}}},
+	}}})
+	w.ok(state.Command{RegisterGateway: &state.RegisterGateway{Gateway: "gw", Incarnation: "x"}})
+	for i := range targets {
+		w.join(model.TargetID(fmt.Sprintf("t%d", i)), 4)
+	}
+	return w
+}
+
+func (w *site) join(id model.TargetID, slots int32) {
+	w.ok(state.Command{JoinTarget: &state.JoinTarget{Target: id, StartID: "p", Pool: "shops", Capacity: model.Resources{Slots: slots}}})
+}
+
+func (w *site) Summaries() (map[model.TargetID]syncmsg.TargetSummary, uint64) {
+	out := map[model.TargetID]syncmsg.TargetSummary{}
+	w.log.View(func(st *state.State) {
+		for _, target := range st.AllTargets() {
+			free := target.Capacity
+			for _, job := range st.OpenOn(target.ID) {
+				free = free.Sub(job.Open.Reserved)
+			}
+			out[target.ID] = syncmsg.TargetSummary{Target: target.ID, Epoch: target.Epoch, Open: true, FreeBatch: free}
+		}
+	})
+	return out, 0
+}
+
+func (w *site) Reported() <-chan struct{} { return w.reported }
+
+func (w *site) TakeUsage() []syncmsg.TargetUsage {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	usage := w.usage
+	w.usage = nil
+	return usage
+}
+
+func (w *site) SetThrottles(levels map[model.GatewayID][]syncmsg.Throttle) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.levels = levels
+}
+
+func (w *site) ok(c state.Command) {
+	w.t.Helper()
+	if result, err := w.log.Propose(context.Background(), c); err != nil || !result.OK() {
+		w.t.Fatalf("%+v: %+v %v", c, result, err)
+	}
+}
+
+func (w *site) submit(id, tenant string, slots int32, urgent bool) {
+	w.t.Helper()
+	w.ok(state.Command{At: w.now, SubmitJob: &state.SubmitJob{Key: id, Spec: model.JobSpec{
+		ID: model.JobID(id), Tenant: model.TenantID(tenant), Pool: "shops", Class: model.ClassBatch,
+		Kind: "plan", Declared: model.Resources{Slots: slots}, Urgent: urgent, MaxAttempts: 50,
+	}}})
+}
+
+// plan decides at the time of the site and commits every decision.
+func (w *site) plan() []state.Command {
+	summaries, _ := w.Summaries()
+	var commands []state.Command
+	w.log.View(func(st *state.State) { commands = w.s.picture.decide(st, summaries, w.TakeUsage(), w.now) })
+	for _, c := range commands {
+		c.At = w.now
+		result, err := w.log.Propose(context.Background(), c)
+		w.s.settle(0, c, err == nil && result.OK())
+	}
+	w.now += 100
+	return commands
+}
+
+func (w *site) job(id string) state.Job {
+	var job state.Job
+	w.log.View(func(st *state.State) { job = *st.Jobs[model.JobID(id)] })
+	return job
+}
+
+// end closes every open attempt on targets that match with an outcome.
+func (w *site) end(outcome state.Outcome, match func(*state.Job) bool) {
+	var ends []state.Command
+	w.log.View(func(st *state.State) {
+		for _, target := range st.AllTargets() {
+			for _, job := range st.OpenOn(target.ID) {
+				if match(job) {
+					ends = append(ends, state.Command{At: w.now, EndAttempt: &state.EndAttempt{Attempt: job.Open.ID, Epoch: target.Epoch, Outcome: outcome}})
+				}
+			}
+		}
+	})
+	for _, c := range ends {
+		w.ok(c)
+	}
+}
+
+func single() *replica.Single { return replica.NewSingle("c", "") }
+
+// Guards against a job that can never run and blocks others or is not named with its reason,
+// and against one that stays marked when a larger target arrives.
+func TestNeverRunnable(t *testing.T) {
+	w := newSite(t, single(), 1)
+	w.submit("huge", "a", 64, true)
+	w.submit("quota", "small", 2, false)
+	w.submit("fine", "a", 1, false)
+	w.plan()
+	if w.job("fine").Phase != state.JobAssigned {
+		t.Fatal("a runnable job waits behind one that can never run")
+	}
+	if reason := w.job("huge").NeverReason; !strings.HasPrefix(reason, neverCapacity) || !strings.Contains(reason, "slots: need 64") {
+		t.Fatalf("reason %q", reason)
+	}
+	if reason := w.job("quota").NeverReason; !strings.HasPrefix(reason, neverQuota) {
+		t.Fatalf("reason %q", reason)
+	}
+	w.join("large", 64)
+	w.plan()
+	w.plan()
+	if w.job("huge").Phase != state.JobAssigned {
+		t.Fatalf("job after a larger target has arrived: %+v", w.job("huge"))
+	}
+}
+
+// Guards against urgent work that waits behind batch work, against an eviction of a task that
+// loses more than another, and against more evictions than needed.
+func TestUrgentPreemptsTheYoungest(t *testing.T) {
+	w := newSite(t, single(), 1)
+	for i := range 4 {
+		w.submit(fmt.Sprint("batch", i), "a", 1, false)
+		w.plan()
+	}
+	w.submit("urgent", "b", 1, true)
+	w.plan()
+	w.plan()
+	for i := range 4 {
+		if evicting := w.job(fmt.Sprint("batch", i)).Open.Evicting != ""; evicting != (i == 3) {
+			t.Fatalf("batch%d evicting: %v", i, evicting)
+		}
+	}
+	w.end(state.OutcomeEvicted, func(j *state.Job) bool { return j.Open.Evicting != "" })
+	w.plan()
+	if w.job("urgent").Phase != state.JobAssigned {
+		t.Fatal("the urgent job did not get the room of the evicted one")
+	}
+}
+
+// Guards against one tenant's long queue that keeps other tenants out.
+func TestFairShare(t *testing.T) {
+	w := newSite(t, single(), 2)
+	for i := range 100 {
+		w.submit(fmt.Sprint("a", i), "a", 1, false)
+	}
+	for i := range 4 {
+		w.submit(fmt.Sprint("b", i), "b", 1, false)
+	}
+	w.plan()
+	for i := range 4 {
+		if w.job(fmt.Sprint("b", i)).Phase != state.JobAssigned {
+			t.Fatalf("b%d waits behind the queue of the other tenant", i)
+		}
+	}
+}
+
+// Guards against a target that fails everything, stays free, and attracts all work; against
+// more than one probe at a time; and against a quarantine that never ends.
+func TestQuarantineAndProbes(t *testing.T) {
+	w := newSite(t, single(), 1)
+	for i := range 12 {
+		w.submit(fmt.Sprint("j", i), "a", 1, false)
+	}
+	all := func(*state.Job) bool { return true }
+	quarantined := func() (reason string) {
+		w.log.View(func(st *state.State) { reason = st.Targets["t0"].Quarantined })
+		return reason
+	}
+	open := func() (n int) {
+		w.log.View(func(st *state.State) { n = st.OpenCount() })
+		return n
+	}
+	w.plan()
+	w.end(state.OutcomeFailed, all)
+	w.plan()
+	if quarantined() == "" {
+		t.Fatal("four different jobs failed and the target is not in quarantine")
+	}
+	for range 3 {
+		w.plan()
+	}
+	if open() != 0 {
+		t.Fatal("a target in quarantine got work before a probe was due")
+	}
+	for range 2 {
+		w.now += 20_000
+		w.plan()
+		w.plan()
+		if open() != 1 {
+			t.Fatalf("%d probes are open", open())
+		}
+		w.end(state.OutcomeFinished, all)
+		w.plan()
+	}
+	if quarantined() != "" {
+		t.Fatalf("quarantine after two good probes: %q", quarantined())
+	}
+}
+
+// Guards against a broken job that is tried for ever and puts healthy targets in quarantine.
+func TestBrokenJobIsBlamed(t *testing.T) {
+	w := newSite(t, single(), 6)
+	w.submit("broken", "a", 1, false)
+	for range 6 {
+		w.plan()
+		w.end(state.OutcomeFailed, func(*state.Job) bool { return true })
+		w.plan()
+	}
+	if reason := w.job("broken").NeverReason; !strings.HasPrefix(reason, neverFails) {
+		t.Fatalf("job after failures on several targets: %+v", w.job("broken"))
+	}
+	w.log.View(func(st *state.State) {
+		for _, target := range st.AllTargets() {
+			if target.Quarantined != "" {
+				t.Fatalf("target %s is in quarantine: %s", target.ID, target.Quarantined)
+			}
+		}
+	})
+}
+
+// Guards against placements that put one class of work on one rack while others are free.
+func TestSpreadOverRacks(t *testing.T) {
+	w := newSite(t, single(), 0)
+	for i := range 8 {
+		w.ok(state.Command{JoinTarget: &state.JoinTarget{
+			Target: model.TargetID(fmt.Sprint("t", i)), StartID: "p", Pool: "shops",
+			Rack: model.Rack(fmt.Sprint("r", i/2)), Capacity: model.Resources{Slots: 4},
+		}})
+	}
+	for i := range 8 {
+		w.submit(fmt.Sprint("j", i), "a", 1, false)
+	}
+	w.plan()
+	racks := map[model.Rack]int{}
+	w.log.View(func(st *state.State) {
+		for _, target := range st.AllTargets() {
+			racks[target.Rack] += len(st.OpenOn(target.ID))
+		}
+	})
+	for rack, n := range racks {
+		if n != 2 {
+			t.Fatalf("rack %s has %d of 8 tasks on 4 racks", rack, n)
+		}
+	}
+}
+
+// slowLog answers proposals only when released, and counts how many wait.
+type slowLog struct {
+	*replica.Single
+	release chan struct{}
+	waiting atomic.Int32
+}
+
+func (l *slowLog) Propose(ctx context.Context, c state.Command) (state.Result, error) {
+	if c.AssignAttempt != nil {
+		l.waiting.Add(1)
+		<-l.release
+	}
+	return l.Single.Propose(ctx, c)
+}
+
+// Guards against a scheduler that waits for each commit in turn, or keeps any number in flight.
+func TestProposalsInFlightAreBounded(t *testing.T) {
+	log := &slowLog{Single: single(), release: make(chan struct{})}
+	w := newSite(t, log, 100)
+	for i := range 6 {
+		for j := range perTenant {
+			tenant := fmt.Sprint("x", i)
+			if j == 0 {
+				w.ok(state.Command{SubmitTicket: &state.SubmitTicket{Ticket: model.Ticket{
+					Number: uint64(10 + i), Tenants: []model.Tenant{{ID: model.TenantID(tenant)}},
+				}}})
+			}
+			w.submit(fmt.Sprintf("j%d-%d", i, j), tenant, 1, false)
+		}
+	}
+	ctx, cancel := context.WithCancel(context.Background())
+	defer cancel()
+	done := make(chan struct{})
+	go func() {
+		defer close(done)
+		w.s.Run(ctx)
+	}()
+	for log.waiting.Load() < maxInFlight {
+		time.Sleep(time.Millisecond)
+	}
+	time.Sleep(20 * time.Millisecond)
+	if n := log.waiting.Load(); n != maxInFlight {
+		t.Fatalf("%d proposals are in flight, bound %d", n, maxInFlight)
+	}
+	close(log.release)
+	open := 0
+	for open < 6*perTenant {
+		w.log.View(func(st *state.State) { open = st.OpenCount() })
+		time.Sleep(time.Millisecond)
+	}
+	cancel()
+	<-done
+}
+
+// Guards against reports of slow quick work that lead to no throttle, and against throttles
+// that are sent to a gateway which does not own the target.
+func TestSlowdownLeadsToThrottle(t *testing.T) {
+	w := newSite(t, single(), 1)
+	report := func(latency int64) {
+		w.usage = append(w.usage, syncmsg.TargetUsage{Target: "t0", Report: model.UsageReport{
+			Service: "desk", FromMs: w.now - 1000, ToMs: w.now, Requests: 100, LatencyUs: latency, Used: model.Resources{Slots: 1},
+		}})
+		w.plan()
+		w.now += 1000
+	}
+	for range 20 {
+		report(1000)
+	}
+	for i := range 3 {
+		w.submit(fmt.Sprint("noisy", i), "a", 1, false)
+	}
+	w.plan()
+	for range 40 {
+		report(4000)
+	}
+	var levels map[model.GatewayID][]syncmsg.Throttle
+	w.log.View(func(st *state.State) { levels = w.s.picture.response.levelsByOwner(st) })
+	if len(levels["gw"]) == 0 {
+		t.Fatal("a fourfold latency beside batch work led to no throttle")
+	}
+}
