--- /dev/null
+++ b/daemon/controller/sessions_test.go
@@ -0,0 +1,252 @@
+package controller
+
+import (
+	"context"
+	"fmt"
+	"reflect"
+	"testing"
+	"time"
+
+	"github.com/rs/zerolog"
+
+	"samphirepaddle.example/core/model"
+	"samphirepaddle.example/core/state"
+	"samphirepaddle.example/core/syncmsg"
+	"samphirepaddle.example/daemon/replica"
+	"samphirepaddle.example/daemon/rpc"
+)
+
+// termLog lets a test change the leadership between the steps of a renewal.
+type termLog struct {
+	*replica.Single
+	term   uint64
+	self   bool
+	onRead func()
+}
+
+func (l *termLog) Leader() replica.Leader { return replica.Leader{ID: "c", Self: l.self, Term: l.term} }
+
+func (l *termLog) Read(ctx context.Context, query func(*state.State)) error {
+	if l.onRead != nil {
+		l.onRead()
+	}
+	if !l.self {
+		return replica.ErrNotLeader
+	}
+	return l.Single.Read(ctx, query)
+}
+
+type rig struct {
+	t   testing.TB
+	log *termLog
+	s   *Service
+}
+
+func newRig(t testing.TB, ttl time.Duration) *rig {
+	log := &termLog{Single: replica.NewSingle("c", ""), term: 1, self: true}
+	return &rig{t, log, NewService(log, ttl, zerolog.Nop())}
+}
+
+func (r *rig) propose(c state.Command) state.Result {
+	r.t.Helper()
+	data, err := model.Encode(c)
+	if err != nil {
+		r.t.Fatal(err)
+	}
+	ctx, cancel := context.WithTimeout(context.Background(), 30*time.Second)
+	defer cancel()
+	answer, err := r.s.Propose(ctx, &rpc.ProposeRequest{Command: data})
+	if err != nil {
+		r.t.Fatal(err)
+	}
+	var result state.Result
+	if err := model.Decode(answer.Result, &result); err != nil {
+		r.t.Fatal(err)
+	}
+	return result
+}
+
+func (r *rig) register(id model.GatewayID, incarnation string) model.Epoch {
+	r.t.Helper()
+	result := r.propose(state.Command{RegisterGateway: &state.RegisterGateway{Gateway: id, Incarnation: incarnation}})
+	if !result.OK() {
+		r.t.Fatalf("register: %+v", result)
+	}
+	return result.Epoch
+}
+
+// sync renews and returns the answer with the bytes of request and answer.
+func (r *rig) sync(request syncmsg.Request) (syncmsg.Response, int, int, error) {
+	data, err := model.Encode(request)
+	if err != nil {
+		r.t.Fatal(err)
+	}
+	answer, err := r.s.Sync(context.Background(), &rpc.SyncRequest{Body: data})
+	if err != nil {
+		return syncmsg.Response{}, len(data), 0, err
+	}
+	var response syncmsg.Response
+	if err := model.Decode(answer.Body, &response); err != nil {
+		r.t.Fatal(err)
+	}
+	return response, len(data), len(answer.Body), nil
+}
+
+// Guards against a lease that a deposed leader grants: its successor lets the session expire.
+func TestNoGrantAfterChangeOfLeader(t *testing.T) {
+	r := newRig(t, time.Minute)
+	epoch := r.register("gw", "a")
+	request := syncmsg.Request{Gateway: "gw", Epoch: epoch}
+	if response, _, _, err := r.sync(request); err != nil || response.LeaseMs != 60_000 {
+		t.Fatalf("grant: %+v %v", response, err)
+	}
+	r.log.onRead = func() { r.log.term = 2 }
+	if _, _, _, err := r.sync(request); err == nil {
+		t.Fatal("a lease was granted under a term that had ended")
+	}
+	r.log.onRead, r.log.self = nil, false
+	if _, _, _, err := r.sync(request); err == nil {
+		t.Fatal("a lease was granted by a controller that is not the leader")
+	}
+}
+
+// Guards against a session table that an old call resets, and against a new leader that lets
+// sessions expire which its predecessor extended just before the election.
+func TestTermsOfTheSessionTable(t *testing.T) {
+	table := newSessions(time.Minute)
+	open := []state.Gateway{{ID: "gw", Epoch: 1}}
+	if over := table.overdue(2, open); len(over) != 0 {
+		t.Fatalf("a new leader let %v expire at once", over)
+	}
+	var response syncmsg.Response
+	if !table.grant(2, syncmsg.Request{Gateway: "gw", Epoch: 1}, &response) {
+		t.Fatal("no grant")
+	}
+	if table.grant(1, syncmsg.Request{Gateway: "gw", Epoch: 1}, &response) {
+		t.Fatal("a grant under a term that has passed")
+	}
+	table.since = time.Now().Add(-time.Hour)
+	if over := table.overdue(2, open); len(over) != 0 {
+		t.Fatalf("%v expired although it was answered now", over)
+	}
+	table.byID["gw"].answered = time.Now().Add(-time.Hour)
+	if over := table.overdue(2, open); len(over) != 1 {
+		t.Fatal("a session whose lease is over did not expire")
+	}
+	if table.grant(2, syncmsg.Request{Gateway: "gw", Epoch: 1}, &response) {
+		t.Fatal("a grant followed the decision to expire the session")
+	}
+}
+
+// Guards against a restarted gateway that gets a session while its old process may still
+// dispatch, and against a wait when the old process has ended its session itself.
+func TestNewIncarnationWaitsForTheOldLease(t *testing.T) {
+	const ttl = 200 * time.Millisecond
+	r := newRig(t, ttl)
+	epoch := r.register("gw", "a")
+	if _, _, _, err := r.sync(syncmsg.Request{Gateway: "gw", Epoch: epoch}); err != nil {
+		t.Fatal(err)
+	}
+	granted := time.Now()
+	r.register("gw", "b")
+	if time.Since(granted) < ttl {
+		t.Fatal("the new incarnation did not wait for the old lease")
+	}
+	r.s.sessions.ttl = time.Hour
+	r.propose(state.Command{ExpireGateway: &state.ExpireGateway{Gateway: "gw", Epoch: r.epoch("gw")}})
+	r.register("gw", "c")
+}
+
+func (r *rig) epoch(id model.GatewayID) (epoch model.Epoch) {
+	r.log.View(func(st *state.State) { epoch = st.Gateways[id].Epoch })
+	return epoch
+}
+
+// Guards against a ticket that counts as in force while a live gateway has not applied it.
+func TestInForceNeedsEverySession(t *testing.T) {
+	r := newRig(t, time.Minute)
+	a, b := r.register("gwa", "x"), r.register("gwb", "x")
+	r.propose(state.Command{SubmitTicket: &state.SubmitTicket{Ticket: model.Ticket{Number: 3, Pools: []model.Pool{{ID: "p"}}}}})
+	behind := func() []model.GatewayID {
+		var status TicketStatus
+		r.log.View(func(st *state.State) { status, _ = r.s.ticketStatus(st, 3) })
+		return status.Behind
+	}
+	for _, request := range []syncmsg.Request{{Gateway: "gwa", Epoch: a}, {Gateway: "gwb", Epoch: b}} {
+		response, _, _, _ := r.sync(request)
+		if len(behind()) == 0 {
+			t.Fatal("in force before the last gateway has acknowledged")
+		}
+		request.Revision = response.Revision
+		r.sync(request)
+	}
+	if got := behind(); len(got) != 0 {
+		t.Fatalf("behind: %v", got)
+	}
+}
+
+// Guards against differences that a client merges into another view than the full answer
+// shows, for the configuration, peers, targets and attempts.
+func TestPartialAnswersEqualFullOnes(t *testing.T) {
+	r := newRig(t, time.Minute)
+	f := newFleet(r, 3, 9)
+	var view syncmsg.View
+	request := syncmsg.Request{Gateway: "gw0", Epoch: f.epochs[0]}
+	var open []model.AttemptID
+	var config state.Config
+	var peers []syncmsg.Peer
+	for step := range 60 {
+		f.start(3)
+		r.s.sessions.report(1, syncmsg.Request{Gateway: "gw2", Epoch: f.epochs[2], Targets: f.summaries(2, step%3)})
+		if step%4 == 3 {
+			f.finish(3)
+		}
+		switch step {
+		case 20:
+			r.propose(state.Command{ExpireGateway: &state.ExpireGateway{Gateway: "gw1", Epoch: f.epochs[1]}})
+		case 30:
+			r.propose(state.Command{SubmitTicket: &state.SubmitTicket{Ticket: model.Ticket{Number: 50, Services: []model.Service{
+				{ID: "desk", Pool: "shops", Quick: model.Resources{Slots: 1, Connections: 1}, DeadlineMs: 100}}}}})
+		case 40:
+			r.propose(state.Command{SubmitTicket: &state.SubmitTicket{Ticket: model.Ticket{Number: 51, Delete: []model.ObjectRef{{Kind: model.KindService, ID: "desk"}}}}})
+		}
+		view.Prepare(&request)
+		response, _, _, err := r.sync(request)
+		if err != nil {
+			t.Fatal(err)
+		}
+		view.Merge(request, &response)
+		request.Revision = response.Revision
+		if response.Config != nil {
+			config = *response.Config
+		}
+		if response.Changes != nil {
+			open = response.Changes.Open
+		}
+		peers = response.Peers
+		var full syncmsg.Response
+		r.log.View(func(st *state.State) { full = syncView(st, syncmsg.Request{Gateway: "gw0", Epoch: f.epochs[0]}) })
+		for i := range full.Peers {
+			if other, ok := r.s.sessions.byID[full.Peers[i].ID]; ok {
+				full.Peers[i].FreeQuick = other.freeQuick
+			}
+		}
+		if !reflect.DeepEqual(config, *full.Config) {
+			t.Fatalf("step %d: configuration %+v, full %+v", step, config, *full.Config)
+		}
+		if fmt.Sprint(peers) != fmt.Sprint(full.Peers) {
+			t.Fatalf("step %d: peers %+v, full %+v", step, peers, full.Peers)
+		}
+		if got, want := setOf(open), setOf(full.Changes.Open); !reflect.DeepEqual(got, want) {
+			t.Fatalf("step %d: open %v, full %v", step, got, want)
+		}
+	}
+}
+
+func setOf(ids []model.AttemptID) map[string]bool {
+	set := map[string]bool{}
+	for _, id := range ids {
+		set[fmt.Sprint(id)] = true
+	}
+	return set
+}
--- a/daemon/operator/operator.go
+++ b/daemon/operator/operator.go
@@ -6,7 +6,6 @@
 	"encoding/json"
 	"errors"
 	"fmt"
-	"io"
 	"net/http"
 	"strconv"
 	"time"
@@ -21,8 +20,7 @@
 
 // Bounds on the operators' calls.
 const (
-	maxTicketBytes = 8 << 20
-	maxBodyBytes   = 1 << 20
+	maxBodyBytes = 1 << 20
 	// callTimeout bounds the part of a call that reaches the controllers.
 	callTimeout = 10 * time.Second
 	// maxWaitMs bounds how long a caller may wait for a ticket to be in force.
@@ -73,9 +71,9 @@
 }
 
 func (i *Interface) submitTicket(w http.ResponseWriter, r *http.Request) {
-	var ticket model.Ticket
-	if err := decode(http.MaxBytesReader(nil, r.Body, maxTicketBytes), &ticket); err != nil {
-		write(w, http.StatusBadRequest, TicketAnswer{Code: state.CodeInvalid, Message: "ticket: " + err.Error()})
+	ticket, err := model.DecodeTicket(r.Body)
+	if err != nil {
+		write(w, http.StatusBadRequest, TicketAnswer{Number: ticket.Number, Code: state.CodeInvalid, Message: "ticket: " + err.Error()})
 		return
 	}
 	ctx, cancel := context.WithTimeout(r.Context(), callTimeout)
@@ -183,7 +181,7 @@
 
 func (i *Interface) cancelJobs(w http.ResponseWriter, r *http.Request) {
 	var body state.CancelJobs
-	if err := decode(http.MaxBytesReader(nil, r.Body, maxBodyBytes), &body); err != nil {
+	if err := model.DecodeJSON(r.Body, maxBodyBytes, &body); err != nil {
 		problem(w, http.StatusBadRequest, state.CodeInvalid, "cancellation: "+err.Error())
 		return
 	}
@@ -203,7 +201,7 @@
 	return func(w http.ResponseWriter, r *http.Request) {
 		var body Reason
 		if on {
-			if err := decode(http.MaxBytesReader(nil, r.Body, maxBodyBytes), &body); err != nil {
+			if err := model.DecodeJSON(r.Body, maxBodyBytes, &body); err != nil {
 				problem(w, http.StatusBadRequest, state.CodeInvalid, "quarantine: "+err.Error())
 				return
 			}
@@ -253,18 +251,6 @@
 	problem(w, http.StatusServiceUnavailable, codeUnavailable, err.Error())
 }
 
-func decode(body io.Reader, v any) error {
-	decoder := json.NewDecoder(body)
-	decoder.DisallowUnknownFields()
-	if err := decoder.Decode(v); err != nil {
-		return err
-	}
-	if _, err := decoder.Token(); !errors.Is(err, io.EOF) {
-		return errors.New("unexpected content after the JSON object")
-	}
-	return nil
-}
-
 func raw(w http.ResponseWriter, body []byte) {
 	w.Header().Set("Content-Type", "application/json")
 	_, _ = w.Write(append(body, '\n'))
