--- a/core/model/ids.go
+++ b/core/model/ids.go
@@ -45,8 +45,8 @@
 
 // AttemptID identifies one execution of a job.
 type AttemptID struct {
-	Job    JobID  `json:"job"`
-	Number uint32 `json:"number"`
+	Job    JobID  `json:"job" cbor:"1,keyasint,omitempty"`
+	Number uint32 `json:"number" cbor:"2,keyasint,omitempty"`
 }
 
 // String formats the attempt as job/number.
--- a/core/model/objects.go
+++ b/core/model/objects.go
@@ -36,16 +36,16 @@
 
 // JobSpec is what a caller or a ticket declares about a job.
 type JobSpec struct {
-	ID          JobID     `json:"id"`
-	Tenant      TenantID  `json:"tenant"`
-	Pool        PoolID    `json:"pool"`
-	Class       Class     `json:"class"`        // ClassBatch or ClassStream
-	Kind        string    `json:"kind"`         // class of work for learning, such as "restock-plan"
-	Declared    Resources `json:"declared"`     // declared size; learned sizes may exceed it
-	RunTimeMs   Millis    `json:"run_time_ms"`  // declared run time
-	Urgent      bool      `json:"urgent"`       // may preempt; starts within 2.1 s
-	MaxAttempts uint32    `json:"max_attempts"` // failures after which the job is given up; zero counts as 5
-	Payload     []byte    `json:"payload"`      // passed to the target unchanged
+	ID          JobID     `json:"id" cbor:"1,keyasint,omitempty"`
+	Tenant      TenantID  `json:"tenant" cbor:"2,keyasint,omitempty"`
+	Pool        PoolID    `json:"pool" cbor:"3,keyasint,omitempty"`
+	Class       Class     `json:"class" cbor:"4,keyasint,omitempty"`        // ClassBatch or ClassStream
+	Kind        string    `json:"kind" cbor:"5,keyasint,omitempty"`         // class of work for learning, such as "restock-plan"
+	Declared    Resources `json:"declared" cbor:"6,keyasint"`               // declared size; learned sizes may exceed it
+	RunTimeMs   Millis    `json:"run_time_ms" cbor:"7,keyasint,omitempty"`  // declared run time
+	Urgent      bool      `json:"urgent" cbor:"8,keyasint,omitempty"`       // may preempt; starts within 2.1 s
+	MaxAttempts uint32    `json:"max_attempts" cbor:"9,keyasint,omitempty"` // failures after which the job is given up; zero counts as 5
+	Payload     []byte    `json:"payload" cbor:"10,keyasint,omitempty"`     // passed to the target unchanged
 }
 
 // Ticket is a numbered change that carries the whole new state of every object it touches.
--- a/core/state/requests.go
+++ b/core/state/requests.go
@@ -66,6 +66,9 @@
 	if !ok || record.Request != c.Request {
 		return resultf(CodeStale, "no request %q is recorded under this key", c.Request)
 	}
+	if record.Ended && record.Verdict == c.Verdict {
+		return Result{Code: CodeRepeated} // a resend after a lost answer
+	}
 	if record.Ended {
 		return resultf(CodeStale, "request %q has ended before", c.Request)
 	}
--- a/core/state/snapshot.go
+++ b/core/state/snapshot.go
@@ -11,7 +11,8 @@
 // snapshotVersion is raised with each change of the snapshot's form.
 const snapshotVersion = 2
 
-// snapshot is the stored form of State. Maps with struct keys are stored as lists,
+// snapshot is the stored form of State. The records in it have numbers as CBOR keys, because
+// names would take most of the bytes. Maps with struct keys are stored as lists,
 // because CBOR map keys are plain values.
 type snapshot struct {
 	Version      int
@@ -31,18 +32,18 @@
 }
 
 type lastTicketEntry struct {
-	Ref    model.ObjectRef
-	Number uint64
+	Ref    model.ObjectRef `cbor:"1,keyasint"`
+	Number uint64          `cbor:"2,keyasint"`
 }
 
 type jobKeyEntry struct {
-	Key RequestKey
-	Job *JobKey
+	Key RequestKey `cbor:"1,keyasint"`
+	Job *JobKey    `cbor:"2,keyasint"`
 }
 
 type requestEntry struct {
-	Key    RequestKey
-	Record *RequestRecord
+	Key    RequestKey     `cbor:"1,keyasint"`
+	Record *RequestRecord `cbor:"2,keyasint"`
 }
 
 // Snapshot returns the stored form of the state; equal states have equal snapshots.
--- a/core/state/state.go
+++ b/core/state/state.go
@@ -21,27 +21,27 @@
 
 // Job is a job and its open attempt.
 type Job struct {
-	Spec        model.JobSpec    `json:"spec"`
-	Phase       JobPhase         `json:"phase"`
-	Key         string           `json:"key,omitempty"`
-	Ticket      uint64           `json:"ticket,omitempty"` // ticket that declared it, zero if submitted by a caller
-	SubmittedAt model.Millis     `json:"submitted_at"`
-	QueuedAt    model.Millis     `json:"queued_at"` // of the present wait; requeueing sets it anew
-	Sequence    uint64           `json:"sequence"`  // order of queueing, and after the end the order of ends
-	SpecHash    [32]byte         `json:"spec_hash"` // of the whole spec; the payload is dropped at the end
-	Attempts    uint32           `json:"attempts"`  // attempts assigned so far
-	Failures    uint32           `json:"failures"`
-	Evictions   uint32           `json:"evictions"`
-	Losses      uint32           `json:"losses,omitempty"` // attempts whose target was lost
-	Open        *Attempt         `json:"open,omitempty"`
-	FailedOn    []model.TargetID `json:"failed_on,omitempty"`
-	NeverReason string           `json:"never_reason,omitempty"`
-	Message     string           `json:"message,omitempty"` // of the last failure
-	Cancelling  bool             `json:"cancelling,omitempty"`
-	Checkpoint  []byte           `json:"checkpoint,omitempty"`
-	Result      []byte           `json:"result,omitempty"`
-	EndedAt     model.Millis     `json:"ended_at,omitempty"`
-	Changed     model.Revision   `json:"changed"`
+	Spec        model.JobSpec    `json:"spec" cbor:"1,keyasint"`
+	Phase       JobPhase         `json:"phase" cbor:"2,keyasint,omitempty"`
+	Key         string           `json:"key,omitempty" cbor:"3,keyasint,omitempty"`
+	Ticket      uint64           `json:"ticket,omitempty" cbor:"4,keyasint,omitempty"` // ticket that declared it, zero if submitted by a caller
+	SubmittedAt model.Millis     `json:"submitted_at" cbor:"5,keyasint,omitempty"`
+	QueuedAt    model.Millis     `json:"queued_at" cbor:"6,keyasint,omitempty"` // of the present wait; requeueing sets it anew
+	Sequence    uint64           `json:"sequence" cbor:"7,keyasint,omitempty"`  // order of queueing, and after the end the order of ends
+	SpecHash    [32]byte         `json:"spec_hash" cbor:"8,keyasint"`           // of the whole spec; the payload is dropped at the end
+	Attempts    uint32           `json:"attempts" cbor:"9,keyasint,omitempty"`  // attempts assigned so far
+	Failures    uint32           `json:"failures" cbor:"10,keyasint,omitempty"`
+	Evictions   uint32           `json:"evictions" cbor:"11,keyasint,omitempty"`
+	Losses      uint32           `json:"losses,omitempty" cbor:"12,keyasint,omitempty"` // attempts whose target was lost
+	Open        *Attempt         `json:"open,omitempty" cbor:"13,keyasint,omitempty"`
+	FailedOn    []model.TargetID `json:"failed_on,omitempty" cbor:"14,keyasint,omitempty"`
+	NeverReason string           `json:"never_reason,omitempty" cbor:"15,keyasint,omitempty"`
+	Message     string           `json:"message,omitempty" cbor:"16,keyasint,omitempty"` // of the last failure
+	Cancelling  bool             `json:"cancelling,omitempty" cbor:"17,keyasint,omitempty"`
+	Checkpoint  []byte           `json:"checkpoint,omitempty" cbor:"18,keyasint,omitempty"`
+	Result      []byte           `json:"result,omitempty" cbor:"19,keyasint,omitempty"`
+	EndedAt     model.Millis     `json:"ended_at,omitempty" cbor:"20,keyasint,omitempty"`
+	Changed     model.Revision   `json:"changed" cbor:"21,keyasint,omitempty"`
 }
 
 // Ended reports whether the job will not run again.
@@ -64,22 +64,22 @@
 
 // JobKey is the record of the key of a submitted job.
 type JobKey struct {
-	Job      model.JobID  `json:"job"`
-	SpecHash [32]byte     `json:"spec_hash"` // of the spec as the caller sent it
-	Ended    bool         `json:"ended,omitempty"`
-	EndedAt  model.Millis `json:"ended_at,omitempty"`
-	Sequence uint64       `json:"sequence,omitempty"` // order of ends
+	Job      model.JobID  `json:"job" cbor:"1,keyasint,omitempty"`
+	SpecHash [32]byte     `json:"spec_hash" cbor:"2,keyasint"` // of the spec as the caller sent it
+	Ended    bool         `json:"ended,omitempty" cbor:"3,keyasint,omitempty"`
+	EndedAt  model.Millis `json:"ended_at,omitempty" cbor:"4,keyasint,omitempty"`
+	Sequence uint64       `json:"sequence,omitempty" cbor:"5,keyasint,omitempty"` // order of ends
 }
 
 // Attempt is an open execution of a job.
 type Attempt struct {
-	ID       model.AttemptID `json:"id"`
-	Target   model.TargetID  `json:"target"`
-	StartID  string          `json:"start_id"` // process of the target when it was assigned
-	Epoch    model.Epoch     `json:"epoch"`
-	Reserved model.Resources `json:"reserved"`
-	Evicting string          `json:"evicting,omitempty"` // reason, if an eviction was asked for
-	At       model.Millis    `json:"at"`
+	ID       model.AttemptID `json:"id" cbor:"1,keyasint"`
+	Target   model.TargetID  `json:"target" cbor:"2,keyasint,omitempty"`
+	StartID  string          `json:"start_id" cbor:"3,keyasint,omitempty"` // process of the target when it was assigned
+	Epoch    model.Epoch     `json:"epoch" cbor:"4,keyasint,omitempty"`
+	Reserved model.Resources `json:"reserved" cbor:"5,keyasint"`
+	Evicting string          `json:"evicting,omitempty" cbor:"6,keyasint,omitempty"` // reason, if an eviction was asked for
+	At       model.Millis    `json:"at" cbor:"7,keyasint,omitempty"`
 }
 
 // Gateway is a gateway's session.
@@ -101,55 +101,55 @@
 
 // Target is a known target and its owner.
 type Target struct {
-	ID          model.TargetID  `json:"id"`
-	StartID     string          `json:"start_id"`
-	Address     string          `json:"address"`
-	Zone        model.Zone      `json:"zone"`
-	Rack        model.Rack      `json:"rack"`
-	Pool        model.PoolID    `json:"pool"`
-	Capacity    model.Resources `json:"capacity"`
-	Owner       model.GatewayID `json:"owner"`
-	Epoch       model.Epoch     `json:"epoch"`
-	Leaving     bool            `json:"leaving,omitempty"`
-	Lost        bool            `json:"lost,omitempty"`
-	Quarantined string          `json:"quarantined,omitempty"` // reason
+	ID          model.TargetID  `json:"id" cbor:"1,keyasint,omitempty"`
+	StartID     string          `json:"start_id" cbor:"2,keyasint,omitempty"`
+	Address     string          `json:"address" cbor:"3,keyasint,omitempty"`
+	Zone        model.Zone      `json:"zone" cbor:"4,keyasint,omitempty"`
+	Rack        model.Rack      `json:"rack" cbor:"5,keyasint,omitempty"`
+	Pool        model.PoolID    `json:"pool" cbor:"6,keyasint,omitempty"`
+	Capacity    model.Resources `json:"capacity" cbor:"7,keyasint"`
+	Owner       model.GatewayID `json:"owner" cbor:"8,keyasint,omitempty"`
+	Epoch       model.Epoch     `json:"epoch" cbor:"9,keyasint,omitempty"`
+	Leaving     bool            `json:"leaving,omitempty" cbor:"10,keyasint,omitempty"`
+	Lost        bool            `json:"lost,omitempty" cbor:"11,keyasint,omitempty"`
+	Quarantined string          `json:"quarantined,omitempty" cbor:"12,keyasint,omitempty"` // reason
 	// QuarantinedByOperator keeps the quarantine until an operator lifts it.
-	QuarantinedByOperator bool `json:"quarantined_by_operator,omitempty"`
+	QuarantinedByOperator bool `json:"quarantined_by_operator,omitempty" cbor:"13,keyasint,omitempty"`
 
-	PastStartIDs []string       `json:"past_start_ids,omitempty"` // earlier processes, whose late announcements are refused
-	LostAt       model.Millis   `json:"lost_at,omitempty"`
-	LostSequence uint64         `json:"lost_sequence,omitempty"` // order of losses
-	Changed      model.Revision `json:"changed"`
+	PastStartIDs []string       `json:"past_start_ids,omitempty" cbor:"14,keyasint,omitempty"` // earlier processes, whose late announcements are refused
+	LostAt       model.Millis   `json:"lost_at,omitempty" cbor:"15,keyasint,omitempty"`
+	LostSequence uint64         `json:"lost_sequence,omitempty" cbor:"16,keyasint,omitempty"` // order of losses
+	Changed      model.Revision `json:"changed" cbor:"17,keyasint,omitempty"`
 }
 
 // TicketRecord is the outcome of an accepted ticket. Its content is kept as a hash, because
 // 4,096 tickets with job payloads would not fit into the memory of an entry VM.
 type TicketRecord struct {
-	Number   uint64            `json:"number"`
-	Author   string            `json:"author"`
-	Hash     [32]byte          `json:"hash"`
-	Objects  []model.ObjectRef `json:"objects"`
-	Revision model.Revision    `json:"revision"`
-	At       model.Millis      `json:"at"`
+	Number   uint64            `json:"number" cbor:"1,keyasint,omitempty"`
+	Author   string            `json:"author" cbor:"2,keyasint,omitempty"`
+	Hash     [32]byte          `json:"hash" cbor:"3,keyasint"`
+	Objects  []model.ObjectRef `json:"objects" cbor:"4,keyasint,omitempty"`
+	Revision model.Revision    `json:"revision" cbor:"5,keyasint,omitempty"`
+	At       model.Millis      `json:"at" cbor:"6,keyasint,omitempty"`
 }
 
 // RequestKey identifies a non-idempotent request.
 type RequestKey struct {
-	Tenant model.TenantID `json:"tenant"`
-	Key    string         `json:"key"`
+	Tenant model.TenantID `json:"tenant" cbor:"1,keyasint,omitempty"`
+	Key    string         `json:"key" cbor:"2,keyasint,omitempty"`
 }
 
 // RequestRecord is the record of a non-idempotent request.
 type RequestRecord struct {
-	BodyHash [32]byte        `json:"body_hash"`
-	Request  model.RequestID `json:"request"`
-	Gateway  model.GatewayID `json:"gateway"`
-	Epoch    model.Epoch     `json:"epoch"`
-	Ended    bool            `json:"ended"`
-	Verdict  model.Verdict   `json:"verdict"`
-	Answer   *StoredAnswer   `json:"answer,omitempty"`
-	At       model.Millis    `json:"at"`
-	Sequence uint64          `json:"sequence,omitempty"` // order of ends
+	BodyHash [32]byte        `json:"body_hash" cbor:"1,keyasint"`
+	Request  model.RequestID `json:"request" cbor:"2,keyasint,omitempty"`
+	Gateway  model.GatewayID `json:"gateway" cbor:"3,keyasint,omitempty"`
+	Epoch    model.Epoch     `json:"epoch" cbor:"4,keyasint,omitempty"`
+	Ended    bool            `json:"ended" cbor:"5,keyasint,omitempty"`
+	Verdict  model.Verdict   `json:"verdict" cbor:"6,keyasint,omitempty"`
+	Answer   *StoredAnswer   `json:"answer,omitempty" cbor:"7,keyasint,omitempty"`
+	At       model.Millis    `json:"at" cbor:"8,keyasint,omitempty"`
+	Sequence uint64          `json:"sequence,omitempty" cbor:"9,keyasint,omitempty"` // order of ends
 }
 
 // Config is the part of the state that tickets declare and every gateway keeps a copy of.
--- a/core/state/state_test.go
+++ b/core/state/state_test.go
@@ -249,3 +249,51 @@
 	w.ok(end("j0", 1, 0, OutcomeFinished))
 	w.ok(w.assign("j4", 1))
 }
+
+// Guards against an attempt number that is used twice: a late report of the first attempt
+// would close the second one.
+func TestAttemptNumbersAreUsedOnce(t *testing.T) {
+	w := newWorld(t)
+	w.submit("a")
+	w.ok(w.assign("a", 1))
+	w.expect(CodeRepeated, w.assign("a", 1))
+	w.expect(CodeStale, w.assign("a", 2))
+	w.ok(end("a", 1, w.s.Targets["t1"].Epoch, OutcomeEvicted))
+	w.expect(CodeStale, w.assign("a", 1))
+	w.ok(w.assign("a", 2))
+	w.expect(CodeStale, end("a", 1, w.s.Targets["t1"].Epoch, OutcomeFinished))
+}
+
+// Guards against oversized results and checkpoints in the state, and against a finished job
+// that stays open because its result is too large.
+func TestStoredSizesAreBounded(t *testing.T) {
+	w := newWorld(t)
+	w.submit("a")
+	w.ok(w.assign("a", 1))
+	evict := end("a", 1, w.s.Targets["t1"].Epoch, OutcomeEvicted)
+	evict.EndAttempt.Checkpoint = []byte("first")
+	w.ok(evict)
+	w.ok(w.assign("a", 2))
+	evict = end("a", 2, w.s.Targets["t1"].Epoch, OutcomeEvicted)
+	evict.EndAttempt.Checkpoint = make([]byte, MaxCheckpointBytes+1)
+	w.ok(evict)
+	if string(w.s.Jobs["a"].Checkpoint) != "first" {
+		t.Fatal("an oversized checkpoint replaced the one before")
+	}
+	w.ok(w.assign("a", 3))
+	finish := end("a", 3, 0, OutcomeFinished)
+	finish.EndAttempt.Result = make([]byte, maxStoredResult+1)
+	w.ok(finish)
+	if job := w.s.Jobs["a"]; job.Phase != JobFinished || job.Result != nil || job.Message == "" {
+		t.Fatalf("job with an oversized result: %s, %q", job.Phase, job.Message)
+	}
+	for i := range 20 {
+		c := Command{SubmitJob: &SubmitJob{spec(model.JobID(fmt.Sprint("big", i))), fmt.Sprint(i)}}
+		c.SubmitJob.Spec.Payload = make([]byte, model.MaxPayloadBytes)
+		want := CodeOK
+		if (i+1)*model.MaxPayloadBytes > maxLiveBytes {
+			want = CodeLimit
+		}
+		w.expect(want, c)
+	}
+}
