scheduler: refusals back off; tests for survivors of the removal of protections

A target whose owner refused everything got an assignment, two commits, every 500 ms for each queued job (seen in a local run with a dead target). The pause doubles up to 32 s.

Removing the pace of trimming after a restore, the count of a grant before its answer and the acknowledged number of a partial answer were not noticed by any test; each has one now.

Tested: go test -race ./scheduler ./controller, go test ./state.

--- a/core/state/state_test.go
+++ b/core/state/state_test.go
@@ -227,11 +227,12 @@
 	if len(w.s.Requests) != requestsPerTenant {
 		t.Fatalf("%d records", len(w.s.Requests))
 	}
-	w.expect(CodeUnknown, begin("k1", requestRetention-1))
-	for range requestsPerTenant/trimsPerCommand + 2 {
-		w.do(Command{At: requestRetention})
+	for i := range 40 {
+		w.ok(begin(fmt.Sprint("new", i), requestGuard))
 	}
-	if len(w.s.Requests) != 1 {
+	w.expect(CodeUnknown, begin("k41", requestRetention-1))
+	w.trimBoth(requestRetention, requestsPerTenant/trimsPerCommand+2)
+	if len(w.s.Requests) != 41 {
 		t.Fatalf("%d records are left", len(w.s.Requests))
 	}
 }
@@ -297,3 +298,51 @@
 		w.expect(want, c)
 	}
 }
+
+// trimBoth advances the time on the state and on a restored copy of it, and checks after
+// every command that both dropped the same records.
+func (w *world) trimBoth(at model.Millis, commands int) {
+	w.t.Helper()
+	data, err := w.s.Snapshot()
+	if err != nil {
+		w.t.Fatal(err)
+	}
+	restored, err := Restore(data)
+	if err != nil {
+		w.t.Fatal(err)
+	}
+	for i := range commands {
+		w.do(Command{At: at})
+		restored.Apply(restored.Revision+1, Command{At: at})
+		if len(w.s.Requests) != len(restored.Requests) || len(w.s.Jobs) != len(restored.Jobs) || len(w.s.JobKeys) != len(restored.JobKeys) {
+			w.t.Fatalf("command %d: %d and %d requests, %d and %d jobs", i, len(w.s.Requests), len(restored.Requests), len(w.s.Jobs), len(restored.Jobs))
+		}
+	}
+}
+
+// Guards against a restored replica that trims at another pace, because its index lacks the
+// places of jobs that were dropped before to bound the memory.
+func TestTrimAgreesAfterRestore(t *testing.T) {
+	w := newWorld(t)
+	const jobs = maxEndedBytes/maxStoredResult + 200
+	for n := uint64(2); n < 2+jobs/100; n++ {
+		ticket := model.Ticket{Number: n}
+		for i := range 100 {
+			ticket.Jobs = append(ticket.Jobs, spec(model.JobID(fmt.Sprintf("j%d-%d", n, i))))
+		}
+		w.ok(Command{SubmitTicket: &SubmitTicket{ticket}})
+		for _, job := range ticket.Jobs {
+			w.ok(w.assign(job.ID, 1))
+			finish := end(job.ID, 1, 0, OutcomeFinished)
+			finish.EndAttempt.Result = make([]byte, maxStoredResult)
+			w.ok(finish)
+		}
+	}
+	if w.s.index.keptBytes > maxEndedBytes || len(w.s.Jobs) == jobs {
+		t.Fatalf("%d jobs with %d bytes are kept", len(w.s.Jobs), w.s.index.keptBytes)
+	}
+	w.trimBoth(jobRetention, jobs/trimsPerCommand+2)
+	if len(w.s.Jobs) != 0 {
+		t.Fatalf("%d jobs are left", len(w.s.Jobs))
+	}
+}
--- a/daemon/controller/sessions_test.go
+++ b/daemon/controller/sessions_test.go
@@ -130,6 +130,10 @@
 		t.Fatalf("%v expired although it was answered now", over)
 	}
 	table.byID["gw"].answered = time.Now().Add(-time.Hour)
+	if !table.grant(2, syncmsg.Request{Gateway: "gw", Epoch: 1}, &response) || len(table.overdue(2, open)) != 0 {
+		t.Fatal("a grant is not counted")
+	}
+	table.byID["gw"].answered = time.Now().Add(-time.Hour)
 	if over := table.overdue(2, open); len(over) != 1 {
 		t.Fatal("a session whose lease is over did not expire")
 	}
@@ -250,3 +254,32 @@
 	}
 	return set
 }
+
+// Guards against a change of the peers that is lost together with an answer, because the next
+// answer names only the differences to the lost one.
+func TestPeersAfterALostAnswer(t *testing.T) {
+	r := newRig(t, time.Minute)
+	f := newFleet(r, 3, 3)
+	var view syncmsg.View
+	request := syncmsg.Request{Gateway: "gw0", Epoch: f.epochs[0]}
+	renew := func(lost bool) (peers []syncmsg.Peer) {
+		view.Prepare(&request)
+		response, _, _, err := r.sync(request)
+		if err != nil {
+			t.Fatal(err)
+		}
+		if !lost {
+			view.Merge(request, &response)
+			request.Revision = response.Revision
+		}
+		return response.Peers
+	}
+	renew(false)
+	r.propose(state.Command{DrainGateway: &state.DrainGateway{Gateway: "gw1", Epoch: f.epochs[1]}})
+	renew(true)
+	for _, peer := range renew(false) {
+		if peer.Draining != (peer.ID == "gw1") {
+			t.Fatalf("peer after a lost answer: %+v", peer)
+		}
+	}
+}
--- a/daemon/scheduler/picture.go
+++ b/daemon/scheduler/picture.go
@@ -101,6 +101,8 @@
 	return taken.Max(model.Resources{})
 }
 
+const refusedReason = "its owner refused a task just now"
+
 func (p *picture) blocked(target *state.Target, summary syncmsg.TargetSummary, now model.Millis) string {
 	switch {
 	case target.Lost:
@@ -117,8 +119,8 @@
 		return "its owner has not reported its free capacity"
 	case !summary.Open:
 		return "its owner takes no new work for it"
-	case now-p.refused[target.ID] < refusalPause:
-		return "its owner refused a task just now"
+	case now < p.refused[target.ID].until:
+		return refusedReason
 	default:
 		return ""
 	}
@@ -191,12 +193,26 @@
 		if held.at > 0 {
 			p.sizes.ObserveRunTime(held.kind, now-held.at)
 		}
+		delete(p.refused, held.target)
 		return p.carryOut(p.health.Succeeded(id.Job, held.target, now))
 	case job != nil && job.Failures > held.failures:
+		delete(p.refused, held.target)
 		return p.carryOut(p.health.Failed(id.Job, held.target, now))
 	case job != nil && !ended && job.Evictions == held.evictions && job.Losses == held.losses:
-		p.refused[held.target] = now
+		p.pauseTarget(held.target, now)
 	}
 	p.health.EndProbe(held.target, id.Job, now)
 	return nil
 }
+
+// pauseTarget keeps new work off a target after a refusal. Refusals of tasks that were placed
+// together count once.
+func (p *picture) pauseTarget(id model.TargetID, now model.Millis) {
+	last := p.refused[id]
+	if now < last.until {
+		return
+	}
+	pause := min(max(2*last.pause, refusalPause), maxRefusalPause)
+	p.refused[id] = refusal{now + pause, pause}
+	p.placer.SetBlocked(id, refusedReason)
+}
--- a/daemon/scheduler/scheduler.go
+++ b/daemon/scheduler/scheduler.go
@@ -35,8 +35,10 @@
 	// perTenant bounds the queued jobs of one tenant that one plan looks at.
 	perTenant = 64
 	// refusalPause keeps new work off a target whose owner refused a task, until its next
-	// reports of free capacity have arrived.
-	refusalPause = model.Millis(500)
+	// reports of free capacity have arrived. It doubles with each refusal in a row, so that a
+	// target that refuses everything causes few commits.
+	refusalPause    = model.Millis(500)
+	maxRefusalPause = model.Millis(32_000)
 	// preemptPause is how long a preemption may take before another one is tried.
 	preemptPause = model.Millis(1500)
 )
@@ -78,11 +80,11 @@
 
 	known    map[model.TargetID]*knownTarget
 	tracked  map[model.AttemptID]tracked
-	pending  map[model.AttemptID]bool        // proposed and not yet answered
-	proposed map[model.JobID]bool            // commands about a job without a known outcome yet
-	changing map[model.TargetID]bool         // targets with a proposed change of quarantine
-	refused  map[model.TargetID]model.Millis // time of the last refusal
-	preempts map[model.JobID]model.Millis    // time of the last preemption for a job
+	pending  map[model.AttemptID]bool // proposed and not yet answered
+	proposed map[model.JobID]bool     // commands about a job without a known outcome yet
+	changing map[model.TargetID]bool  // targets with a proposed change of quarantine
+	refused  map[model.TargetID]refusal
+	preempts map[model.JobID]model.Millis // time of the last preemption for a job
 	capacity model.Resources
 	checked  model.Revision // configuration that the never-runnable jobs were checked with
 	version  int            // number of targets that they were checked with
@@ -94,6 +96,12 @@
 	capacity model.Resources
 }
 
+// refusal is the pause after refusals of a target's owner.
+type refusal struct {
+	until model.Millis
+	pause model.Millis
+}
+
 // tracked is an open attempt that holds resources.
 type tracked struct {
 	target    model.TargetID
@@ -129,7 +137,7 @@
 		pending:  map[model.AttemptID]bool{},
 		proposed: map[model.JobID]bool{},
 		changing: map[model.TargetID]bool{},
-		refused:  map[model.TargetID]model.Millis{},
+		refused:  map[model.TargetID]refusal{},
 		preempts: map[model.JobID]model.Millis{},
 	}
 	p.placer = placement.New(placement.Config{Seed: 1, Predictor: p.response.model})
--- a/daemon/scheduler/scheduler_test.go
+++ b/daemon/scheduler/scheduler_test.go
@@ -369,3 +369,17 @@
 		t.Fatal("a fourfold latency beside batch work led to no throttle")
 	}
 }
+
+// Guards against a target whose owner refuses everything and that gets an assignment, two
+// commits each, at every plan.
+func TestRefusalsBackOff(t *testing.T) {
+	w := newSite(t, single(), 1)
+	w.submit("j", "a", 1, false)
+	for range 600 { // one minute
+		w.plan()
+		w.end(state.OutcomeRefused, func(*state.Job) bool { return true })
+	}
+	if n := w.job("j").Attempts; n < 3 || n > 10 {
+		t.Fatalf("%d attempts in one minute of refusals", n)
+	}
+}
