scheduler: look at what changed only

A plan looked at every target and open attempt with the state locked: 12 ms at 600 targets and 36 ms at 1,400 with 16 attempts each.

Tested: random changes against a picture built anew; go test -race ./scheduler ./controller.

--- a/core/state/state.go
+++ b/core/state/state.go
@@ -192,6 +192,8 @@
 	configChanged map[model.ObjectRef]model.Revision
 	configSince   model.Revision
 
+	journal journal
+
 	// closed remembers the attempts that closed after closedSince, by owner; not part of snapshots.
 	closed      map[model.GatewayID]*closedLog
 	closedSince model.Revision
@@ -237,6 +239,7 @@
 // touchTarget records a change of a target for its owner.
 func (s *State) touchTarget(t *Target) {
 	t.Changed = s.Revision
+	s.journal.add(change{revision: s.Revision, target: t.ID})
 	s.touchOwner(t.Owner)
 }
 
@@ -249,6 +252,7 @@
 // touchJob records a change of a job for the owner of the target that its attempt is on.
 func (s *State) touchJob(j *Job) {
 	j.Changed = s.Revision
+	s.journal.add(change{revision: s.Revision, job: j.Spec.ID})
 	if j.Open == nil {
 		return
 	}
--- a/core/state/trim.go
+++ b/core/state/trim.go
@@ -64,6 +64,7 @@
 				return
 			}
 			delete(s.Targets, oldest.target)
+			s.journal.add(change{revision: s.Revision, target: oldest.target})
 			dropped++
 		}
 		x.lost.pop()
--- a/daemon/controller/service.go
+++ b/daemon/controller/service.go
@@ -218,10 +218,9 @@
 	return old
 }
 
-// Summaries returns the free capacity that the owners reported, and a number that grows with
-// each report.
-func (s *Service) Summaries() (map[model.TargetID]syncmsg.TargetSummary, uint64) {
-	return s.sessions.summaries()
+// TakeSummaries returns the free capacity that the owners reported in a term since the last call.
+func (s *Service) TakeSummaries(term uint64) map[model.TargetID]syncmsg.TargetSummary {
+	return s.sessions.takeSummaries(term)
 }
 
 // Reported returns a channel that is closed at the next report of free capacity.
--- a/daemon/controller/sessions.go
+++ b/daemon/controller/sessions.go
@@ -37,14 +37,20 @@
 	term    uint64
 	since   time.Time // begin of this leadership, as far as this table knows
 	byID    map[model.GatewayID]*session
-	number  uint64        // of the last answer of any session
-	changed chan struct{} // closed when a session has applied a newer revision
-	version uint64        // grows with each report of free capacity
-	news    chan struct{} // closed at the next report of free capacity
+	number  uint64                                   // of the last answer of any session
+	changed chan struct{}                            // closed when a session has applied a newer revision
+	fresh   map[model.TargetID]syncmsg.TargetSummary // reports that were not taken yet
+	news    chan struct{}                            // closed at the next report of free capacity
 }
 
 func newSessions(ttl time.Duration) *sessions {
-	return &sessions{ttl: ttl, byID: map[model.GatewayID]*session{}, changed: make(chan struct{}), news: make(chan struct{})}
+	return &sessions{
+		ttl:     ttl,
+		byID:    map[model.GatewayID]*session{},
+		changed: make(chan struct{}),
+		news:    make(chan struct{}),
+		fresh:   map[model.TargetID]syncmsg.TargetSummary{},
+	}
 }
 
 // enterTerm forgets the grants of an earlier leadership. A predecessor may have granted a
@@ -57,6 +63,7 @@
 	t.term = term
 	t.since = time.Now()
 	t.byID = map[model.GatewayID]*session{}
+	t.fresh = map[model.TargetID]syncmsg.TargetSummary{}
 	return true
 }
 
@@ -86,10 +93,12 @@
 	}
 	for _, summary := range body.Targets {
 		s.targets[summary.Target] = summary
+		if known, ok := t.fresh[summary.Target]; !ok || known.Epoch <= summary.Epoch {
+			t.fresh[summary.Target] = summary
+		}
 	}
 	if body.All || len(body.Targets) > 0 {
 		s.freeQuick = freeQuick(s.targets)
-		t.version++
 		close(t.news)
 		t.news = make(chan struct{})
 	}
@@ -174,20 +183,16 @@
 	return behind, t.changed
 }
 
-// summaries returns the summaries of all live sessions and a number that grows with each
-// report.
-func (t *sessions) summaries() (map[model.TargetID]syncmsg.TargetSummary, uint64) {
+// takeSummaries returns the reports of a term that were not taken before.
+func (t *sessions) takeSummaries(term uint64) map[model.TargetID]syncmsg.TargetSummary {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	all := map[model.TargetID]syncmsg.TargetSummary{}
-	for _, s := range t.byID {
-		for id, summary := range s.targets {
-			if known, ok := all[id]; !ok || known.Epoch < summary.Epoch {
-				all[id] = summary
-			}
-		}
+	if t.term != term || len(t.fresh) == 0 {
+		return nil
 	}
-	return all, t.version
+	taken := t.fresh
+	t.fresh = map[model.TargetID]syncmsg.TargetSummary{}
+	return taken
 }
 
 // lease describes one session for the leases query.
--- a/daemon/scheduler/picture.go
+++ b/daemon/scheduler/picture.go
@@ -7,26 +7,105 @@
 	"samphirepaddle.example/core/syncmsg"
 )
 
-// update brings the picture up to date with the state and the owners' reports.
+// update brings the picture up to date with the state and the owners' reports. It looks at
+// what changed since the last plan only: at 1,400 targets a look at everything took 36 ms,
+// during which the state was locked.
 func (p *picture) update(st *state.State, summaries map[model.TargetID]syncmsg.TargetSummary, now model.Millis) []state.Command {
-	for id := range p.known {
-		if _, ok := st.Targets[id]; !ok {
-			p.forgetTarget(id)
+	changes, known := st.ChangesSince(p.revision)
+	if !known || p.revision == 0 {
+		changes = everything(st, p)
+	}
+	if p.config != st.Config.Revision {
+		p.config = st.Config.Revision
+		for _, tenant := range st.Config.Tenants {
+			p.tenants.SetTenant(tenant)
 		}
+		for id := range p.known {
+			p.dirty[id] = true
+		}
+	}
+	p.revision = st.Revision
+	var commands []state.Command
+	for _, id := range changes.Jobs {
+		p.recheck[id] = true
+	}
+	for _, id := range changes.Targets {
+		p.dirty[id] = true
+	}
+	p.takeReports(summaries, now)
+	// Targets come before jobs, because an attempt is tracked on a known target.
+	p.updateTargets(st, now)
+	for id := range p.recheck {
+		commands = append(commands, p.updateJob(st, id, now)...)
 	}
-	present := make(map[model.AttemptID]bool, len(p.tracked))
-	for id, target := range st.Targets {
-		p.updateTarget(st, target, summaries[id], now)
+	clear(p.recheck)
+	p.updateTargets(st, now)
+	p.tenants.SetTotal(p.capacity)
+	return commands
+}
+
+// everything names all targets and all jobs with an open attempt, here or in the state.
+func everything(st *state.State, p *picture) state.Changes {
+	var all state.Changes
+	for id := range p.known {
+		all.Targets = append(all.Targets, id)
+	}
+	for id := range p.byJob {
+		all.Jobs = append(all.Jobs, id)
+	}
+	for id := range st.Targets {
+		all.Targets = append(all.Targets, id)
 		for _, job := range st.OpenOn(id) {
-			present[job.Open.ID] = true
-			p.track(job)
+			all.Jobs = append(all.Jobs, job.Spec.ID)
 		}
 	}
-	for _, tenant := range st.Config.Tenants {
-		p.tenants.SetTenant(tenant)
+	return all
+}
+
+// takeReports notes the targets with a new report and those whose pause after a refusal is over.
+func (p *picture) takeReports(summaries map[model.TargetID]syncmsg.TargetSummary, now model.Millis) {
+	for id, summary := range summaries {
+		if p.reports[id].Epoch <= summary.Epoch {
+			p.reports[id] = summary
+			p.dirty[id] = true
+		}
 	}
-	p.tenants.SetTotal(p.capacity)
-	return p.closeGone(st, present, now)
+	for id, refused := range p.refused {
+		if refused.until <= now && !refused.over {
+			refused.over = true
+			p.refused[id] = refused
+			p.dirty[id] = true
+		}
+	}
+}
+
+func (p *picture) updateTargets(st *state.State, now model.Millis) {
+	for id := range p.dirty {
+		if target, ok := st.Targets[id]; ok {
+			p.updateTarget(st, target, p.reports[id], now)
+		} else if p.known[id] != nil {
+			p.forgetTarget(id)
+		}
+	}
+	clear(p.dirty)
+}
+
+// updateJob tracks the open attempt of a job, and closes the one that was tracked before.
+func (p *picture) updateJob(st *state.State, id model.JobID, now model.Millis) []state.Command {
+	job := st.Jobs[id]
+	var commands []state.Command
+	before, ok := p.byJob[id]
+	open := job != nil && job.Open != nil && job.Open.ID == before
+	if ok && !open && !p.pending[before] {
+		held := p.tracked[before]
+		p.release(before)
+		p.response.stopped(held.target, before, now)
+		commands = p.judge(job, before, held, now)
+	}
+	if job != nil && job.Open != nil {
+		p.track(job)
+	}
+	return commands
 }
 
 func (p *picture) forgetTarget(id model.TargetID) {
@@ -36,6 +115,7 @@
 	p.health.ForgetTarget(id)
 	p.response.forget(id)
 	delete(p.refused, id)
+	delete(p.reports, id)
 }
 
 func (p *picture) updateTarget(st *state.State, target *state.Target, summary syncmsg.TargetSummary, now model.Millis) {
@@ -145,6 +225,8 @@
 
 func (p *picture) hold(job *state.Job, id model.AttemptID, target model.TargetID, size model.Resources, at model.Millis) {
 	p.tenants.Charge(job.Spec.Tenant, size)
+	p.byJob[id.Job] = id
+	p.dirty[target] = true
 	p.tracked[id] = tracked{
 		target:    target,
 		tenant:    job.Spec.Tenant,
@@ -165,20 +247,10 @@
 	p.placer.Release(id)
 	p.tenants.Refund(held.tenant, held.size)
 	delete(p.tracked, id)
-}
-
-// closeGone releases the attempts that have ended and judges their outcome.
-func (p *picture) closeGone(st *state.State, present map[model.AttemptID]bool, now model.Millis) []state.Command {
-	var commands []state.Command
-	for id, held := range p.tracked {
-		if present[id] || p.pending[id] {
-			continue
-		}
-		p.release(id)
-		p.response.stopped(held.target, id, now)
-		commands = append(commands, p.judge(st.Jobs[id.Job], id, held, now)...)
+	p.dirty[held.target] = true
+	if p.byJob[id.Job] == id {
+		delete(p.byJob, id.Job)
 	}
-	return commands
 }
 
 // judge reports the outcome of an attempt to the health tracker and returns its decisions.
@@ -213,6 +285,6 @@
 		return
 	}
 	pause := min(max(2*last.pause, refusalPause), maxRefusalPause)
-	p.refused[id] = refusal{now + pause, pause}
+	p.refused[id] = refusal{until: now + pause, pause: pause}
 	p.placer.SetBlocked(id, refusedReason)
 }
--- a/daemon/scheduler/plan.go
+++ b/daemon/scheduler/plan.go
@@ -149,6 +149,10 @@
 // setLosses records what each task would lose. The declared run time is not trusted, so the
 // loss is the time since the start, as if no checkpoint succeeded.
 func (p *picture) setLosses(st *state.State, now model.Millis) {
+	if p.losses == now {
+		return
+	}
+	p.losses = now
 	for id, held := range p.tracked {
 		job, ok := st.Jobs[id.Job]
 		evicting := ok && job.Open != nil && job.Open.ID == id && (job.Open.Evicting != "" || job.Cancelling)
--- a/daemon/scheduler/respond.go
+++ b/daemon/scheduler/respond.go
@@ -12,6 +12,9 @@
 	"samphirepaddle.example/core/syncmsg"
 )
 
+// refillEvery is the time between two refills of the eviction budgets.
+const refillEvery = model.Millis(1000)
+
 // responder turns the targets' reports into throttles and evictions. The levels are soft
 // state: after a change of leader every task runs at full speed until the reports say otherwise.
 type responder struct {
@@ -110,8 +113,11 @@
 		}
 		hit[u.Target] = p.response.observe(u, hit[u.Target], now)
 	}
-	for _, pool := range sortedPools(st.Config) {
-		p.response.pool(st.Config, pool).Refill(now, p.runningIn(pool))
+	if now-p.refilled >= refillEvery {
+		p.refilled = now
+		for _, pool := range sortedPools(st.Config) {
+			p.response.pool(st.Config, pool).Refill(now, p.runningIn(pool))
+		}
 	}
 	var commands []state.Command
 	for _, id := range order {
--- a/daemon/scheduler/scheduler.go
+++ b/daemon/scheduler/scheduler.go
@@ -45,8 +45,8 @@
 
 // Owners answers what the owners of the targets reported; the controller implements it.
 type Owners interface {
-	// Summaries returns the free capacity of the targets and a number that grows with each report.
-	Summaries() (map[model.TargetID]syncmsg.TargetSummary, uint64)
+	// TakeSummaries returns the free capacity that was reported in a term since the last call.
+	TakeSummaries(term uint64) map[model.TargetID]syncmsg.TargetSummary
 	// Reported returns a channel that is closed at the next report.
 	Reported() <-chan struct{}
 	// TakeUsage returns the usage reports that arrived since the last call.
@@ -78,6 +78,15 @@
 	sizes    *sizing.Model
 	response *responder
 
+	revision model.Revision          // of the state that the picture shows
+	config   model.Revision          // of the configuration
+	dirty    map[model.TargetID]bool // targets to look at in the next update
+	recheck  map[model.JobID]bool    // jobs to look at in the next update
+	reports  map[model.TargetID]syncmsg.TargetSummary
+	byJob    map[model.JobID]model.AttemptID // the tracked attempt of each job
+	refilled model.Millis                    // last refill of the eviction budgets
+	losses   model.Millis                    // time for which the losses are set
+
 	known    map[model.TargetID]*knownTarget
 	tracked  map[model.AttemptID]tracked
 	pending  map[model.AttemptID]bool // proposed and not yet answered
@@ -100,6 +109,7 @@
 type refusal struct {
 	until model.Millis
 	pause model.Millis
+	over  bool // the target was opened again
 }
 
 // tracked is an open attempt that holds resources.
@@ -132,6 +142,10 @@
 		health:   health.New(health.Config{}),
 		sizes:    sizing.New(),
 		response: newResponder(),
+		dirty:    map[model.TargetID]bool{},
+		recheck:  map[model.JobID]bool{},
+		reports:  map[model.TargetID]syncmsg.TargetSummary{},
+		byJob:    map[model.JobID]model.AttemptID{},
 		known:    map[model.TargetID]*knownTarget{},
 		tracked:  map[model.AttemptID]tracked{},
 		pending:  map[model.AttemptID]bool{},
@@ -176,7 +190,7 @@
 
 // plan decides on one snapshot and proposes what it decided.
 func (s *Scheduler) plan(ctx context.Context, term uint64) {
-	summaries, _ := s.owners.Summaries()
+	summaries := s.owners.TakeSummaries(term)
 	usage := s.owners.TakeUsage()
 	now := model.Millis(time.Now().UnixMilli())
 	var commands []state.Command
@@ -234,13 +248,15 @@
 	case command.AssignAttempt != nil:
 		id := command.AssignAttempt.Attempt
 		delete(p.pending, id)
+		p.recheck[id.Job] = true
 		if !committed {
 			p.release(id)
-		} else if p.placer.Bind(id) != nil {
-			return // the attempt has ended already
+		} else if err := p.placer.Bind(id); err != nil {
+			s.logger.Debug().Err(err).Msg("assignment without a reservation")
 		}
 	case command.QuarantineTarget != nil:
 		delete(p.changing, command.QuarantineTarget.Target)
+		p.dirty[command.QuarantineTarget.Target] = true
 	case command.MarkNeverRunnable != nil:
 		delete(p.proposed, command.MarkNeverRunnable.Job)
 	}
