core/state: a new process of a target joins at once

Refusing it while attempts of the earlier process were open kept quick requests off a restarted target for a whole lease. The attempts stay open under the old start id instead, and the owner ends them as lost when the old lease is over.

Tested: go test ./... in core, daemon and ctl.

--- a/core/state/members.go
+++ b/core/state/members.go
@@ -177,16 +177,12 @@
 )
 
 // replaceProcess records a new process of a target. A late announcement of an earlier
-// process changes nothing. While attempts of the earlier process are open, the new one has
-// to wait until its lease is over: the earlier process may still run them.
+// process changes nothing. Attempts of the earlier process stay open under its start id: it
+// may still run them, and the owner ends them as lost once its lease is over.
 func (s *State) replaceProcess(target *Target, start string) Result {
 	if slices.Contains(target.PastStartIDs, start) {
 		return resultf(CodeStale, "process %q of target %q was replaced by %q", start, target.ID, target.StartID)
 	}
-	if open := len(s.index.openOn[target.ID]); open > 0 {
-		return resultf(CodeInProgress, "process %q of target %q has %d open attempts; its lease must end first",
-			target.StartID, target.ID, open)
-	}
 	if target.StartID != "" {
 		target.PastStartIDs = append(target.PastStartIDs, target.StartID)
 		if extra := len(target.PastStartIDs) - keptStartIDs; extra > 0 {
