--- a/ctl/cmd/samphirectl/main.go
+++ b/ctl/cmd/samphirectl/main.go
@@ -2,41 +2,27 @@
 package main
 
 import (
-	"fmt"
 	"os"
 
 	"github.com/alecthomas/kingpin/v2"
 )
 
-// command is one sub-command: it declares itself on the application and runs if it was chosen.
-type command interface {
-	register(app *kingpin.Application) (name string)
-	run() error
-}
-
-// commands lists the sub-commands; each has a file of its own.
-func commands() []command {
-	return []command{
-		&targetCommand{},
-	}
+// subCommands lists the functions that add one sub-command each.
+var subCommands = []func(*kingpin.Application, *connection){
+	addApply,
+	addTicket,
+	addCheck,
+	addStatus,
+	addJobs,
+	addExplain,
+	addCancel,
+	addLeases,
+	addQuarantine,
+	addHistograms,
+	addMembers,
+	addTarget,
 }
 
 func main() {
-	if err := execute(os.Args[1:], commands()); err != nil {
-		fmt.Fprintln(os.Stderr, "samphirectl:", err)
-		os.Exit(1)
-	}
-}
-
-func execute(args []string, all []command) error {
-	app := kingpin.New("samphirectl", "Operates samphirepaddle.")
-	byName := map[string]command{}
-	for _, c := range all {
-		byName[c.register(app)] = c
-	}
-	name, err := app.Parse(args)
-	if err != nil {
-		return err
-	}
-	return byName[name].run()
+	os.Exit(run(os.Args[1:], os.Stdout, os.Stderr))
 }
--- a/ctl/cmd/samphirectl/target.go
+++ b/ctl/cmd/samphirectl/target.go
@@ -19,11 +19,15 @@
 	config               standin.Config
 }
 
-func (c *targetCommand) register(app *kingpin.Application) string {
+func addTarget(app *kingpin.Application, conn *connection) {
+	c := &targetCommand{}
 	cmd := app.Command("target", "Runs a stand-in target for local runs and tests.")
+	cmd.Action(func(*kingpin.ParseContext) error {
+		c.config.Gateways = conn.gateways
+		return c.run()
+	})
 	cmd.Flag("id", "Target id.").Required().StringVar(&c.id)
 	cmd.Flag("listen", "Address of the targets' interface, ip:port.").Default("127.0.0.1:0").StringVar(&c.config.Listen)
-	cmd.Flag("gateway", "Address of an entry VM, ip:port; may be given several times.").Required().StringsVar(&c.config.Gateways)
 	cmd.Flag("zone", "Availability zone.").StringVar(&c.zone)
 	cmd.Flag("rack", "Rack.").StringVar(&c.rack)
 	cmd.Flag("pool", "Pool of workers.").Required().StringVar(&c.pool)
@@ -35,7 +39,6 @@
 	cmd.Flag("accelerators", "Accelerators.").Default("0").Int32Var(&capacity.Accelerators)
 	cmd.Flag("service-time", "Time of one quick request.").Default("5ms").DurationVar(&c.config.ServiceTime)
 	cmd.Flag("usage-lag", "Age at which a usage report is sent.").Default("2s").DurationVar(&c.config.UsageLag)
-	return cmd.FullCommand()
 }
 
 func (c *targetCommand) run() error {
