--- a/core/reserve/table.go
+++ b/core/reserve/table.go
@@ -8,52 +8,85 @@
 	"samphirepaddle.example/core/model"
 )
 
+// Use is what a reservation is for.
+type Use uint8
+
+// The uses.
+const (
+	Quick Use = iota // a quick request
+	Batch            // a batch task or stream run
+)
+
 // Table is the reservation table of one target. It is not safe for concurrent use.
 type Table struct {
 	capacity model.Resources
 	used     model.Resources
-	held     map[string]model.Resources
+	batch    model.Resources // the part of used that batch work holds
+	held     map[string]entry
+}
+
+type entry struct {
+	use    Use
+	amount model.Resources
 }
 
 // NewTable returns an empty table of a target with the given capacity.
 func NewTable(capacity model.Resources) *Table {
-	return &Table{capacity: capacity, held: map[string]model.Resources{}}
+	return &Table{capacity: capacity, held: map[string]entry{}}
+}
+
+// SetCapacity replaces the capacity, which a new process of the target may change.
+func (t *Table) SetCapacity(capacity model.Resources) { t.capacity = capacity }
+
+// ReserveQuick holds amount for a quick request. Reserving an id again is an error.
+func (t *Table) ReserveQuick(id string, amount model.Resources) error {
+	return t.reserve(id, Quick, amount, t.Free())
+}
+
+// ReserveBatch holds amount for a batch task. Batch work never takes what is kept for
+// quick requests. Reserving an id again is an error.
+func (t *Table) ReserveBatch(id string, amount, kept model.Resources) error {
+	return t.reserve(id, Batch, amount, t.FreeBatch(kept))
 }
 
-// Reserve holds amount under id and leaves at least kept free. Reserving an id again is an error.
-func (t *Table) Reserve(id string, amount, kept model.Resources) error {
+func (t *Table) reserve(id string, use Use, amount, free model.Resources) error {
 	if _, ok := t.held[id]; ok {
 		return fmt.Errorf("%q holds a reservation already", id)
 	}
-	free := t.Free().Sub(kept)
 	if short := amount.Shortfall(free); short != "" {
 		return fmt.Errorf("target is full: %s", short)
 	}
-	t.hold(id, amount)
+	t.hold(id, use, amount)
 	return nil
 }
 
 // Adopt holds amount under id without a check of the free capacity. It records work that
 // already runs, which a new owner learns from the target.
-func (t *Table) Adopt(id string, amount model.Resources) {
+func (t *Table) Adopt(id string, use Use, amount model.Resources) {
 	if _, ok := t.held[id]; !ok {
-		t.hold(id, amount)
+		t.hold(id, use, amount)
 	}
 }
 
-func (t *Table) hold(id string, amount model.Resources) {
-	t.held[id] = amount
+func (t *Table) hold(id string, use Use, amount model.Resources) {
+	t.held[id] = entry{use, amount}
 	t.used = t.used.Add(amount)
+	if use == Batch {
+		t.batch = t.batch.Add(amount)
+	}
 }
 
 // Release gives back what id holds and reports whether it held anything.
 func (t *Table) Release(id string) bool {
-	amount, ok := t.held[id]
+	e, ok := t.held[id]
 	if !ok {
 		return false
 	}
 	delete(t.held, id)
-	t.used = t.used.Sub(amount)
+	t.used = t.used.Sub(e.amount)
+	if e.use == Batch {
+		t.batch = t.batch.Sub(e.amount)
+	}
 	return true
 }
 
@@ -68,6 +101,13 @@
 	return t.capacity.Sub(t.used)
 }
 
+// FreeBatch returns what batch work may take: the capacity less what is kept for quick
+// requests or used by them, whichever is greater, less what batch work holds.
+func (t *Table) FreeBatch(kept model.Resources) model.Resources {
+	quick := t.used.Sub(t.batch)
+	return t.capacity.Sub(t.batch).Sub(kept.Max(quick))
+}
+
 // Used returns the sum of all reservations.
 func (t *Table) Used() model.Resources {
 	return t.used
--- a/core/state/commands.go
+++ b/core/state/commands.go
@@ -134,6 +134,9 @@
 	Message    string          `json:"message,omitempty"`
 	Result     []byte          `json:"result,omitempty"`
 	Checkpoint []byte          `json:"checkpoint,omitempty"`
+	// Epoch is the ownership epoch under which the owner decided the end; another one makes
+	// the command stale. It is zero for ends that the target itself reported.
+	Epoch model.Epoch `json:"epoch,omitempty"`
 }
 
 // MarkNeverRunnable records why a queued job can never run, or clears it with an empty reason.
--- a/core/state/jobs.go
+++ b/core/state/jobs.go
@@ -210,6 +210,10 @@
 	if job == nil {
 		return resultf(CodeStale, "attempt %s is not open", c.Attempt)
 	}
+	// An owner that was frozen must not close an attempt that a later owner may have started.
+	if target := s.Targets[job.Open.Target]; c.Epoch != 0 && (target == nil || target.Epoch != c.Epoch) {
+		return resultf(CodeStale, "target %q is not owned under epoch %d", job.Open.Target, c.Epoch)
+	}
 	if len(c.Result) > maxStoredResult {
 		return resultf(CodeInvalid, "result has %d bytes, at most %d are kept", len(c.Result), maxStoredResult)
 	}
--- a/daemon/cmd/samphired/daemon.go
+++ b/daemon/cmd/samphired/daemon.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"errors"
 	"fmt"
 	"net"
 	"net/http"
@@ -48,6 +47,7 @@
 	session      *session.Session
 	owners       *owner.Table
 	gateway      *gateway.Gateway
+	control      *control.Client
 }
 
 func newDaemon(s settings.Settings) (*daemon, error) {
@@ -64,7 +64,7 @@
 		}
 	}
 	d.buildGateway(publicMux, peerMux)
-	d.public = server(s.PublicAddr, publicMux)
+	d.public = server(s.PublicAddr, d.gateway.Bound(publicMux))
 	d.peer = server(s.PeerAddr, peerMux)
 	return d, nil
 }
@@ -119,13 +119,15 @@
 	d.session = session.New(identity, client, d.owners, d.logger)
 	d.owners.SetLease(d.session)
 	d.gateway = gateway.New(gateway.Options{
-		Session:  d.session,
-		Owners:   d.owners,
-		Targets:  targets,
-		Control:  client,
-		Forwards: &http.Client{Transport: transport},
-		Logger:   d.logger,
+		Session:   d.session,
+		Owners:    d.owners,
+		Targets:   targets,
+		Control:   client,
+		MaxQueued: d.settings.MaxQueuedPerHost,
+		Logger:    d.logger,
 	})
+	d.session.OnRenewal(d.gateway.Refresh)
+	d.control = client
 	d.gateway.Register(publicMux)
 	d.gateway.RegisterPeer(peerMux)
 	operator.New(client).Register(publicMux)
@@ -133,7 +135,8 @@
 }
 
 // run serves until ctx is done, then shuts down without cutting off requests in progress.
-func (d *daemon) run(ctx context.Context) error {
+// When force is done too, it leaves at once.
+func (d *daemon) run(ctx, force context.Context) error {
 	publicListener, err := net.Listen("tcp", d.settings.PublicAddr)
 	if err != nil {
 		return fmt.Errorf("public_addr: %w", err)
@@ -144,7 +147,7 @@
 	}
 	failures := make(chan error, 2)
 	go func() { failures <- d.peer.Serve(peerListener) }()
-	go func() { failures <- d.public.Serve(publicListener) }()
+	go func() { failures <- d.public.Serve(limitConnections(publicListener, d.settings.MaxConnections)) }()
 	background, stop := context.WithCancel(context.Background())
 	defer stop()
 	d.startLoops(background)
@@ -155,7 +158,7 @@
 		return err
 	case <-ctx.Done():
 	}
-	return d.shutdown()
+	return d.shutdown(force)
 }
 
 func (d *daemon) startLoops(ctx context.Context) {
@@ -166,17 +169,3 @@
 	go d.session.Run(ctx)
 	go d.owners.Run(ctx)
 }
-
-func (d *daemon) shutdown() error {
-	d.logger.Info().Msg("shutting down")
-	d.gateway.Drain()
-	time.Sleep(time.Duration(d.settings.BalancerWaitMs) * time.Millisecond)
-	if err := d.public.Shutdown(context.Background()); err != nil && !errors.Is(err, http.ErrServerClosed) {
-		return err
-	}
-	time.Sleep(shutdownKeepGoing)
-	if d.log != nil {
-		return d.log.Close()
-	}
-	return nil
-}
--- a/daemon/cmd/samphired/main.go
+++ b/daemon/cmd/samphired/main.go
@@ -48,11 +48,25 @@
 	if err != nil {
 		return err
 	}
-	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
-	defer stop()
 	d, err := newDaemon(s)
 	if err != nil {
 		return err
 	}
-	return d.run(ctx)
+	ctx, force := watchSignals()
+	return d.run(ctx, force)
+}
+
+// watchSignals returns a context that the first signal ends and one that the second ends.
+func watchSignals() (first, second context.Context) {
+	signals := make(chan os.Signal, 2)
+	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT)
+	first, shutDown := context.WithCancel(context.Background())
+	second, leave := context.WithCancel(context.Background())
+	go func() {
+		<-signals
+		shutDown()
+		<-signals
+		leave()
+	}()
+	return first, second
 }
--- a/daemon/gateway/announce.go
+++ b/daemon/gateway/announce.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"net/http"
+	"time"
 
 	"github.com/twitchtv/twirp"
 
@@ -16,6 +17,9 @@
 // maxAnnouncement bounds the body of an announcement.
 const maxAnnouncement = 4 << 20 // bytes
 
+// announceTimeout bounds an announcement; the target announces again about once a second.
+const announceTimeout = 2 * time.Second
+
 // announce takes an announcement of any target and passes it to the target's owner.
 func (g *Gateway) announce(w http.ResponseWriter, r *http.Request) {
 	var a model.Announcement
@@ -27,7 +31,13 @@
 		writeProblem(w, http.StatusBadRequest, model.VerdictNotRun, "bad_announcement", err.Error())
 		return
 	}
-	answer, err := g.announceAnywhere(r.Context(), a)
+	ctx, cancel := context.WithTimeout(r.Context(), announceTimeout)
+	defer cancel()
+	answer, err := g.announceAnywhere(ctx, a)
+	if errors.Is(err, owner.ErrSuperseded) {
+		writeProblem(w, http.StatusConflict, model.VerdictNotRun, "superseded", err.Error())
+		return
+	}
 	if err != nil {
 		writeProblem(w, http.StatusServiceUnavailable, model.VerdictNotRun, "no_owner", err.Error())
 		return
@@ -80,7 +90,11 @@
 	if err != nil {
 		return model.AnnouncementAnswer{}, err
 	}
-	response, err := rpc.NewOwnerProtobufClient("http://"+address, g.forwards).Announce(ctx, &rpc.AnnounceRequest{Announcement: data})
+	response, err := rpc.NewOwnerProtobufClient("http://"+address, g.relays).Announce(ctx, &rpc.AnnounceRequest{Announcement: data})
+	var refused twirp.Error
+	if errors.As(err, &refused) && refused.Code() == twirp.AlreadyExists {
+		return model.AnnouncementAnswer{}, owner.ErrSuperseded
+	}
 	if err != nil {
 		return model.AnnouncementAnswer{}, err
 	}
@@ -100,6 +114,9 @@
 		return nil, twirp.InvalidArgumentError("announcement", err.Error())
 	}
 	answer, err := s.Owners.Announce(ctx, a)
+	if errors.Is(err, owner.ErrSuperseded) {
+		return nil, twirp.AlreadyExists.Error(err.Error())
+	}
 	if err != nil {
 		return nil, twirp.FailedPrecondition.Error(err.Error())
 	}
--- a/daemon/gateway/forward.go
+++ b/daemon/gateway/forward.go
@@ -1,110 +1,141 @@
 package gateway
 
 import (
-	"bytes"
 	"context"
 	"io"
-	"math/rand/v2"
 	"net/http"
 	"strconv"
 	"time"
 
 	"samphirepaddle.example/core/model"
 	"samphirepaddle.example/core/syncmsg"
+	"samphirepaddle.example/daemon/once"
 	"samphirepaddle.example/daemon/target"
 )
 
-// forwardPath is the path of forwarded calls on the peer listener.
-const forwardPath = "/forward/{service}/{path...}"
+// Headers between gateways.
+const (
+	headerProblem = "Samphire-Problem"    // code of a problem that the peer itself answered
+	headerFree    = "Samphire-Free-Quick" // the peer's free slots of the pool after the call
+)
 
-// headerForwarded marks problems that the peer itself answered.
-const headerProblem = "Samphire-Problem"
+// Bounds towards peers.
+const (
+	peerDialTimeout = 500 * time.Millisecond
+	peerIdleTimeout = 30 * time.Second
+	connsPerPeer    = 64
+	maxPeerAnswer   = 9 << 20 // bytes; a target's answer is at most 8 MiB
+	// forwardGrace is how long after the deadline the peer's own verdict is waited for.
+	forwardGrace = 50 * time.Millisecond
+)
+
+func newPeerClient() *http.Client {
+	return &http.Client{Transport: once.NewTransport(peerDialTimeout, peerIdleTimeout, connsPerPeer)}
+}
+
+// newRelayClient bounds the time to the status line, because a stream has no deadline.
+func newRelayClient() *http.Client {
+	transport := once.NewTransport(peerDialTimeout, peerIdleTimeout, connsPerPeer)
+	transport.ResponseHeaderTimeout = target.OutputHeaderTimeout + peerDialTimeout
+	return &http.Client{Transport: transport}
+}
 
 // forward passes the call to the peer with more free slots of two chosen at random. done is
-// false if the call did not run and may be tried elsewhere.
+// false if the peer refused it for its own state, so that the call may wait here.
 func (g *Gateway) forward(ctx context.Context, c *call) (out outcome, done bool) {
-	peer, ok := choosePeer(g.session.Peers(), c.service.Pool)
+	peer, ok := g.peers.choose(g.session.Peers(), c.service.Pool)
 	if !ok {
 		return outcome{}, false
 	}
+	g.metrics.forwarded.Inc(1)
 	out = g.forwardTo(ctx, peer, c)
-	return out, out.verdict != model.VerdictNotRun
-}
-
-func choosePeer(peers []syncmsg.Peer, pool model.PoolID) (syncmsg.Peer, bool) {
-	var free []syncmsg.Peer
-	for _, peer := range peers {
-		if peer.FreeQuick[pool] > 0 {
-			free = append(free, peer)
-		}
-	}
-	if len(free) == 0 {
-		return syncmsg.Peer{}, false
+	if out.verdict == model.VerdictNotRun && !out.elsewhere {
+		g.peers.refused(peer.ID, c.service.Pool)
+		return out, false
 	}
-	a := free[rand.IntN(len(free))]
-	b := free[rand.IntN(len(free))]
-	if b.FreeQuick[pool] > a.FreeQuick[pool] {
-		return b, true
-	}
-	return a, true
+	return out, true
 }
 
 func (g *Gateway) forwardTo(ctx context.Context, peer syncmsg.Peer, c *call) outcome {
-	ctx, cancel := context.WithDeadline(ctx, c.wire.Deadline)
+	ctx, cancel := context.WithDeadline(ctx, c.wire.Deadline.Add(forwardGrace))
 	defer cancel()
 	url := "http://" + peer.PeerAddr + "/forward/" + string(c.service.ID) + c.wire.Path
-	request, err := http.NewRequestWithContext(ctx, c.wire.Method, url, bytes.NewReader(c.wire.Body))
+	request, err := once.NewRequest(ctx, c.wire.Method, url, c.wire.Body, g.session.Valid)
 	if err != nil {
 		return failed(model.VerdictNotRun, http.StatusBadRequest, "bad_request", "%v", err)
 	}
-	request.GetBody = nil
-	request.Header = c.wire.Header.Clone()
-	request.Header.Del(headerIdempotency)
-	request.Header.Set(target.HeaderKey, c.wire.Key)
-	request.Header.Set(target.HeaderRequestID, string(c.wire.ID))
-	request.Header.Set(headerIdempotent, strconv.FormatBool(c.idempotent))
-	request.Header.Set(headerDeadline, strconv.FormatInt(max(1, time.Until(c.wire.Deadline).Milliseconds()), 10))
-	response, err := g.forwards.Do(request)
+	c.setForwardHeaders(request.Header())
+	response, sent, err := request.Do(g.forwards)
+	if err != nil && !sent {
+		g.peers.failed(peer.ID)
+		return failed(model.VerdictNotRun, http.StatusServiceUnavailable, "peer_failed", "forward to %s: %v", peer.ID, err)
+	}
 	if err != nil {
-		return failed(forwardVerdict(err), http.StatusBadGateway, "peer_failed", "forward to %s: %v", peer.ID, err)
+		g.peers.failed(peer.ID)
+		return peerFailure(peer, err)
 	}
 	defer response.Body.Close()
-	return readForwarded(response, peer)
+	out := g.readForwarded(response, peer, c)
+	if out.code == "peer_failed" {
+		request.Discard()
+	}
+	return out
+}
+
+func peerFailure(peer syncmsg.Peer, err error) outcome {
+	out := failed(model.VerdictUnknown, http.StatusBadGateway, "peer_failed", "forward to %s: %v", peer.ID, err)
+	out.elsewhere = true
+	return out
 }
 
-// forwardVerdict judges a forward that got no answer.
-func forwardVerdict(err error) model.Verdict {
-	if target.IsConnectError(err) {
-		return model.VerdictNotRun
+func (c *call) setForwardHeaders(header http.Header) {
+	target.CopyHeaders(header, c.wire.Header)
+	header.Set(headerTenant, string(c.tenant))
+	header.Set(target.HeaderRequestID, string(c.wire.ID))
+	header.Set(headerIdempotent, strconv.FormatBool(c.idempotent))
+	header.Set(headerDeadline, strconv.FormatInt(max(1, time.Until(c.wire.Deadline).Milliseconds()), 10))
+	if c.wire.Key != "" {
+		header.Set(target.HeaderKey, c.wire.Key)
 	}
-	return model.VerdictUnknown
 }
 
-func readForwarded(response *http.Response, peer syncmsg.Peer) outcome {
-	body, err := io.ReadAll(response.Body)
+func (g *Gateway) readForwarded(response *http.Response, peer syncmsg.Peer, c *call) outcome {
+	body, err := once.ReadAll(response, maxPeerAnswer)
 	if err != nil {
-		return failed(model.VerdictUnknown, http.StatusBadGateway, "peer_failed", "answer of %s is not complete: %v", peer.ID, err)
+		return peerFailure(peer, err)
+	}
+	if got := response.Header.Get(target.HeaderRequestID); got != string(c.wire.ID) {
+		return peerFailure(peer, errCrossed)
 	}
 	verdict, err := model.ParseVerdict(response.Header.Get(model.VerdictHeader))
 	if err != nil {
-		return failed(model.VerdictUnknown, http.StatusBadGateway, "peer_failed", "answer of %s: %v", peer.ID, err)
+		return peerFailure(peer, err)
 	}
+	g.peers.learn(peer.ID, c.service.Pool, response.Header.Get(headerFree))
 	if code := response.Header.Get(headerProblem); code != "" {
-		return failed(verdict, response.StatusCode, code, "%s", body)
+		out := failed(verdict, response.StatusCode, code, "%s", body)
+		out.elsewhere = response.Header.Get(headerElsewhere) == "true"
+		return out
 	}
 	return outcome{verdict: verdict, answer: target.Answer{Status: response.StatusCode, Header: response.Header, Body: body}}
 }
 
+// serveForward runs a call of another gateway at an own target; it is not forwarded again.
 func (g *Gateway) serveForward(w http.ResponseWriter, r *http.Request) {
+	g.active.Add(1)
+	defer g.active.Add(-1)
 	c, problem := g.readCall(r)
 	if problem != nil {
-		writeForwardProblem(w, failed(model.VerdictNotRun, problem.status, problem.code, "%s", problem.message))
+		w.Header().Set(target.HeaderRequestID, r.Header.Get(target.HeaderRequestID))
+		writeForwardProblem(w, *problem)
 		return
 	}
 	c.forwarded = true
 	c.wire.ID = model.RequestID(r.Header.Get(target.HeaderRequestID))
 	c.wire.Key = r.Header.Get(target.HeaderKey)
-	out := g.run(r.Context(), c)
+	out := g.route(r.Context(), c)
+	w.Header().Set(target.HeaderRequestID, string(c.wire.ID))
+	w.Header().Set(headerFree, strconv.Itoa(int(g.owners.FreeQuick(c.service.Pool))))
 	if out.status != 0 {
 		writeForwardProblem(w, out)
 		return
@@ -112,9 +143,16 @@
 	writeOutcome(w, out)
 }
 
+// headerElsewhere says that the call may be tried at another target.
+const headerElsewhere = "Samphire-Elsewhere"
+
 func writeForwardProblem(w http.ResponseWriter, out outcome) {
+	beginAnswer(w)
 	w.Header().Set(model.VerdictHeader, out.verdict.String())
 	w.Header().Set(headerProblem, out.code)
+	if out.elsewhere {
+		w.Header().Set(headerElsewhere, "true")
+	}
 	w.WriteHeader(out.status)
 	_, _ = io.WriteString(w, out.message)
 }
--- a/daemon/gateway/gateway.go
+++ b/daemon/gateway/gateway.go
@@ -5,16 +5,17 @@
 	"context"
 	"encoding/json"
 	"net/http"
+	"sync"
 	"sync/atomic"
 	"time"
 
 	"github.com/rs/zerolog"
 
+	"samphirepaddle.example/core/admission"
 	"samphirepaddle.example/core/model"
 	"samphirepaddle.example/core/state"
-	"samphirepaddle.example/daemon/control"
+	"samphirepaddle.example/core/syncmsg"
 	"samphirepaddle.example/daemon/owner"
-	"samphirepaddle.example/daemon/session"
 	"samphirepaddle.example/daemon/target"
 )
 
@@ -27,37 +28,81 @@
 // controlTimeout bounds a caller's command that goes through the log.
 const controlTimeout = 5 * time.Second
 
+// Session is the gateway's session at the controllers.
+type Session interface {
+	// Valid reports whether the session lease holds now.
+	Valid() bool
+	Epoch() model.Epoch
+	Gateway() model.GatewayID
+	Service(model.ServiceID) (model.Service, bool)
+	Tenant(model.TenantID) (model.Tenant, bool)
+	// Peers returns the other gateways that are live and not draining.
+	Peers() []syncmsg.Peer
+}
+
+// Control is the client of the controllers.
+type Control interface {
+	Propose(ctx context.Context, c state.Command) (state.Result, error)
+	Read(ctx context.Context, query string, arguments any) (json.RawMessage, error)
+}
+
 // Gateway serves callers.
 type Gateway struct {
-	session  *session.Session
+	session  Session
 	owners   *owner.Table
 	targets  *target.Client
-	control  *control.Client
-	forwards *http.Client
+	control  Control
 	logger   zerolog.Logger
 	draining atomic.Bool
+	active   atomic.Int64 // calls, streams and late answers in progress
+	forwards *http.Client // quick requests to peers, each sent at most once
+	relays   *http.Client // outputs from peers and announcements to them
+
+	room    *admission.Room
+	limits  *admission.Limiter
+	budget  *admission.RetryBudget
+	peers   *peerTable
+	metrics *measures
+
+	mu     sync.RWMutex
+	queues map[model.ServiceID]*serviceQueue
+}
+
+// serviceQueue is the queue of one service and the pool that serves it.
+type serviceQueue struct {
+	*admission.Queue
+	pool atomic.Value // model.PoolID
 }
 
 // Options configures a Gateway.
 type Options struct {
-	Session  *session.Session
-	Owners   *owner.Table
-	Targets  *target.Client
-	Control  *control.Client
-	Forwards *http.Client // client towards other gateways
-	Logger   zerolog.Logger
+	Session   Session
+	Owners    *owner.Table
+	Targets   *target.Client
+	Control   Control
+	MaxQueued int // requests that may wait, over all services
+	Logger    zerolog.Logger
 }
 
 // New returns a gateway.
 func New(o Options) *Gateway {
-	return &Gateway{
+	g := &Gateway{
 		session:  o.Session,
 		owners:   o.Owners,
 		targets:  o.Targets,
 		control:  o.Control,
-		forwards: o.Forwards,
 		logger:   o.Logger,
+		forwards: newPeerClient(),
+		relays:   newRelayClient(),
+		room:     admission.NewRoom(o.MaxQueued),
+		limits:   admission.NewLimiter(),
+		budget:   admission.NewRetryBudget(),
+		peers:    newPeerTable(),
+		metrics:  newMeasures(),
+		queues:   map[model.ServiceID]*serviceQueue{},
 	}
+	o.Owners.OnRoom(g.wakePool)
+	return g
 }
 
 // Register adds the callers' paths to the public mux.
@@ -65,58 +110,98 @@
 	mux.HandleFunc("/v1/call/{service}/{path...}", g.serveCall)
 	mux.HandleFunc("POST /v1/jobs", g.submitJob)
 	mux.HandleFunc("GET /v1/jobs/{id}", g.showJob)
+	mux.HandleFunc("GET /v1/jobs/{id}/output", g.serveOutput)
 	mux.HandleFunc("POST /v1/jobs/{id}/cancel", g.cancelJob)
 	mux.HandleFunc("POST /v1/targets/announce", g.announce)
+	mux.HandleFunc("GET /v1/histograms", g.serveHistograms)
+	mux.HandleFunc("GET /v1/metrics", g.serveMetrics)
 	mux.HandleFunc("GET /healthz/live", g.live)
 	mux.HandleFunc("GET /healthz/ready", g.ready)
 }
 
 // RegisterPeer adds the paths for other gateways to the peer mux.
 func (g *Gateway) RegisterPeer(mux *http.ServeMux) {
-	mux.HandleFunc(forwardPath, g.serveForward)
+	mux.HandleFunc("/forward/{service}/{path...}", g.serveForward)
+	mux.HandleFunc("GET "+relayPrefix+"{job}/{number}", g.serveRelay)
 }
 
-// Drain makes the gateway answer that it is not ready.
+// Drain makes the gateway answer that it is not ready, and asks callers to close their
+// connections after their present request.
 func (g *Gateway) Drain() { g.draining.Store(true) }
 
-func (g *Gateway) live(w http.ResponseWriter, _ *http.Request) {
-	writeJSON(w, http.StatusOK, map[string]bool{"live": true})
+// idlePoll is the interval at which Wait looks for requests in progress.
+const idlePoll = 10 * time.Millisecond
+
+// Wait returns when no request, stream or late answer is in progress, or ctx is done.
+func (g *Gateway) Wait(ctx context.Context) error {
+	ticker := time.NewTicker(idlePoll)
+	defer ticker.Stop()
+	for g.active.Load() > 0 {
+		select {
+		case <-ticker.C:
+		case <-ctx.Done():
+			return ctx.Err()
+		}
+	}
+	return nil
 }
 
-func (g *Gateway) ready(w http.ResponseWriter, _ *http.Request) {
-	ready := g.session.Valid() && !g.draining.Load()
-	status := http.StatusOK
-	if !ready {
-		status = http.StatusServiceUnavailable
+// Refresh lets waiting requests look for room at peers. It is called when the view of the
+// peers has changed, and must not block.
+func (g *Gateway) Refresh() {
+	g.mu.RLock()
+	defer g.mu.RUnlock()
+	for _, q := range g.queues {
+		q.Wake()
 	}
-	writeJSON(w, status, map[string]bool{"ready": ready})
 }
 
-func writeJSON(w http.ResponseWriter, status int, body any) {
-	data, err := json.Marshal(body)
-	if err != nil {
-		http.Error(w, err.Error(), http.StatusInternalServerError)
-		return
+// wakePool tells the queues of a pool that room may have appeared.
+func (g *Gateway) wakePool(pool model.PoolID) {
+	g.mu.RLock()
+	defer g.mu.RUnlock()
+	for _, q := range g.queues {
+		if q.pool.Load() == pool {
+			q.Wake()
+		}
 	}
-	w.Header().Set("Content-Type", "application/json")
-	w.WriteHeader(status)
-	_, _ = w.Write(append(data, '\n'))
 }
 
-// Problem is the body of every error answer.
-type Problem struct {
-	Error   string        `json:"error"`
-	Code    string        `json:"code"`
-	Verdict string        `json:"verdict"`
-	Ticket  *model.Ticket `json:"accepted_ticket,omitempty"`
+func (g *Gateway) queue(service model.Service) *serviceQueue {
+	g.mu.RLock()
+	q, ok := g.queues[service.ID]
+	g.mu.RUnlock()
+	if !ok {
+		q = g.addQueue(service.ID)
+	}
+	if q.pool.Load() != service.Pool {
+		q.pool.Store(service.Pool)
+	}
+	return q
 }
 
-func writeProblem(w http.ResponseWriter, status int, verdict model.Verdict, code, message string) {
-	w.Header().Set(model.VerdictHeader, verdict.String())
-	if verdict == model.VerdictNotRun && status >= http.StatusInternalServerError {
-		w.Header().Set("Retry-After", "1")
+func (g *Gateway) addQueue(id model.ServiceID) *serviceQueue {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	if q, ok := g.queues[id]; ok {
+		return q
 	}
-	writeJSON(w, status, Problem{Error: message, Code: code, Verdict: verdict.String()})
+	q := &serviceQueue{Queue: admission.NewQueue(g.room)}
+	g.queues[id] = q
+	return q
+}
+
+func (g *Gateway) live(w http.ResponseWriter, _ *http.Request) {
+	writeJSON(w, http.StatusOK, map[string]bool{"live": true})
+}
+
+func (g *Gateway) ready(w http.ResponseWriter, _ *http.Request) {
+	ready := g.session.Valid() && !g.draining.Load()
+	status := http.StatusOK
+	if !ready {
+		status = http.StatusServiceUnavailable
+	}
+	writeJSON(w, status, map[string]bool{"ready": ready})
 }
 
 func (g *Gateway) propose(ctx context.Context, c state.Command) (state.Result, error) {
--- /dev/null
+++ b/daemon/gateway/output.go
@@ -0,0 +1,321 @@
+package gateway
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"net/http"
+	"net/url"
+	"strconv"
+	"time"
+
+	"samphirepaddle.example/core/model"
+	"samphirepaddle.example/core/state"
+	"samphirepaddle.example/daemon/once"
+	"samphirepaddle.example/daemon/target"
+)
+
+// Times of output streams. A stream as a whole has no deadline.
+const (
+	streamWrite    = 30 * time.Second       // for the caller to take one block
+	streamWatch    = 5 * time.Second        // without output, after which the attempt is looked up
+	streamPatience = 60 * time.Second       // without any successful step, after which it is aborted
+	streamPoll     = 500 * time.Millisecond // between looks at a job without an attempt to follow
+	snapshotIdle   = 300 * time.Millisecond // without output, after which follow=false ends
+	streamBlock    = 32 << 10               // bytes
+)
+
+const (
+	relayPrefix      = "/relay/output/"
+	headerNextOffset = "Samphire-Next-Offset"
+)
+
+// stream is the output of one job on its way to one caller.
+type stream struct {
+	g       *Gateway
+	w       http.ResponseWriter
+	job     model.JobID
+	offset  int64
+	follow  bool
+	started bool            // the status line was sent
+	done    model.AttemptID // attempt whose output was sent to its end
+	good    time.Time       // last successful step
+}
+
+// errCaller ends a stream whose caller does not take it any more.
+var errCaller = errors.New("the caller does not take the output")
+
+// serveOutput sends the output of a job from an offset. It follows the job over evictions and
+// restarts, and ends cleanly only when the job has ended and all output was sent.
+func (g *Gateway) serveOutput(w http.ResponseWriter, r *http.Request) {
+	g.active.Add(1)
+	defer g.active.Add(-1)
+	offset, follow, err := readOutputQuery(r.URL.Query())
+	if err != nil {
+		writeProblem(w, http.StatusBadRequest, model.VerdictNotRun, "bad_query", err.Error())
+		return
+	}
+	s := &stream{g: g, w: w, job: model.JobID(r.PathValue("id")), offset: offset, follow: follow, good: time.Now()}
+	s.run(r.Context())
+}
+
+func readOutputQuery(query url.Values) (offset int64, follow bool, err error) {
+	if text := query.Get("offset"); text != "" {
+		offset, err = strconv.ParseInt(text, 10, 64)
+		if err != nil || offset < 0 {
+			return 0, false, fmt.Errorf("offset %q is not a number of bytes", text)
+		}
+	}
+	if text := query.Get("follow"); text != "" {
+		follow, err = strconv.ParseBool(text)
+		if err != nil {
+			return 0, false, fmt.Errorf("follow %q is none of true, false", text)
+		}
+	}
+	return offset, follow, nil
+}
+
+func (s *stream) run(ctx context.Context) {
+	for {
+		job, err := s.g.readJob(ctx, s.job)
+		if err == nil {
+			var ended bool
+			if ended, err = s.step(ctx, job); ended {
+				return
+			}
+		}
+		if err == nil {
+			s.good = time.Now()
+		}
+		var status *target.StatusError
+		permanent := errors.As(err, &status) && status.Status == http.StatusRequestedRangeNotSatisfiable
+		if errors.Is(err, errCaller) || permanent || ctx.Err() != nil || time.Since(s.good) > streamPatience {
+			s.fail(err)
+			return
+		}
+		pauseFor(ctx, streamPoll)
+	}
+}
+
+// step sends what the present attempt has. It reports whether the answer is complete.
+func (s *stream) step(ctx context.Context, job *state.Job) (ended bool, err error) {
+	switch {
+	case job == nil:
+		s.refuse(http.StatusNotFound, "not_found", "the job does not exist")
+		return true, nil
+	case job.Phase != state.JobQueued && job.Phase != state.JobAssigned:
+		return true, s.end(job)
+	case job.Open == nil || job.Open.ID == s.done:
+		if !s.follow {
+			s.finish()
+			return true, nil
+		}
+		s.begin()
+		return false, nil
+	}
+	before := s.offset
+	err = s.copyAttempt(ctx, *job.Open)
+	if s.offset > before {
+		s.good = time.Now()
+	}
+	if err == nil && !s.follow {
+		s.finish()
+		return true, nil
+	}
+	if err == nil {
+		s.done = job.Open.ID
+	}
+	return false, err
+}
+
+// end ends the stream of a job that has ended: cleanly if the output of its last attempt was
+// sent to its end.
+func (s *stream) end(job *state.Job) error {
+	switch {
+	case !s.started:
+		s.refuse(http.StatusGone, "ended", "the job is "+string(job.Phase)+"; its output is not kept")
+	case job.Attempts == s.done.Number:
+		s.finish()
+	default:
+		panic(http.ErrAbortHandler)
+	}
+	return nil
+}
+
+func (s *stream) refuse(status int, code, message string) {
+	if s.started {
+		panic(http.ErrAbortHandler)
+	}
+	writeProblem(s.w, status, model.VerdictNotRun, code, message)
+}
+
+// fail ends a stream that cannot go on. After the status line only an aborted connection
+// tells the caller that the output is not complete.
+func (s *stream) fail(err error) {
+	var status *target.StatusError
+	if errors.As(err, &status) && status.Status == http.StatusRequestedRangeNotSatisfiable {
+		s.refuse(http.StatusRequestedRangeNotSatisfiable, "offset_not_kept", "the output at this offset is not kept")
+		return
+	}
+	s.refuse(http.StatusServiceUnavailable, "output_failed", fmt.Sprintf("the output cannot be read: %v", err))
+}
+
+func (s *stream) begin() {
+	if s.started {
+		return
+	}
+	s.started = true
+	control := http.NewResponseController(s.w)
+	_ = control.SetWriteDeadline(time.Now().Add(streamWrite))
+	header := s.w.Header()
+	header.Set("Content-Type", "application/octet-stream")
+	header.Set(model.VerdictHeader, model.VerdictRan.String())
+	header.Set("Trailer", headerNextOffset)
+	s.w.WriteHeader(http.StatusOK)
+	_ = control.Flush()
+}
+
+func (s *stream) finish() {
+	s.begin()
+	s.w.Header().Set(headerNextOffset, strconv.FormatInt(s.offset, 10))
+	_ = http.NewResponseController(s.w).SetWriteDeadline(time.Now().Add(streamWrite))
+}
+
+// copyAttempt sends the output of one attempt from the offset until the attempt ends.
+func (s *stream) copyAttempt(ctx context.Context, attempt state.Attempt) error {
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	response, err := s.g.openOutput(ctx, attempt, s.offset)
+	if err != nil {
+		return err
+	}
+	defer response.Body.Close()
+	s.begin()
+	idle := newIdleTimer(s, attempt, cancel)
+	defer idle.stop()
+	err = copyBlocks(s.w, response.Body, func(n int) {
+		s.offset += int64(n)
+		idle.reset()
+	})
+	if err != nil && idle.snapshotOver() {
+		return nil
+	}
+	if err == nil && !once.Delimited(response) {
+		return io.ErrUnexpectedEOF
+	}
+	return err
+}
+
+// copyBlocks sends each block as it comes. Only the time for one block is bounded.
+func copyBlocks(w http.ResponseWriter, from io.Reader, sent func(n int)) error {
+	control := http.NewResponseController(w)
+	block := make([]byte, streamBlock)
+	for {
+		n, err := from.Read(block)
+		if n > 0 {
+			_ = control.SetWriteDeadline(time.Now().Add(streamWrite))
+			if _, err := w.Write(block[:n]); err != nil {
+				return errors.Join(errCaller, err)
+			}
+			if err := control.Flush(); err != nil {
+				return errors.Join(errCaller, err)
+			}
+			sent(n)
+		}
+		if errors.Is(err, io.EOF) {
+			return nil
+		}
+		if err != nil {
+			return err
+		}
+	}
+}
+
+// openOutput opens the output of an attempt here or at the gateway that owns the target.
+func (g *Gateway) openOutput(ctx context.Context, attempt state.Attempt, offset int64) (*http.Response, error) {
+	if address, epoch, ok := g.owners.Address(attempt.Target); ok {
+		return g.targets.Output(ctx, address, epoch, attempt.ID, offset)
+	}
+	peer, err := g.control.Read(ctx, "owner", attempt.Target)
+	if err != nil {
+		return nil, err
+	}
+	if len(peer) == 0 {
+		return nil, errors.New("the target has no owner at present")
+	}
+	return g.openRelay(ctx, string(peer), attempt, offset)
+}
+
+func (g *Gateway) openRelay(ctx context.Context, peer string, attempt state.Attempt, offset int64) (*http.Response, error) {
+	address := fmt.Sprintf("http://%s%s%s/%d?offset=%d&target=%s", peer, relayPrefix,
+		attempt.ID.Job, attempt.ID.Number, offset, url.QueryEscape(string(attempt.Target)))
+	request, err := http.NewRequestWithContext(ctx, http.MethodGet, address, nil)
+	if err != nil {
+		return nil, err
+	}
+	response, err := g.relays.Do(request)
+	if err != nil {
+		return nil, err
+	}
+	if response.StatusCode != http.StatusOK {
+		response.Body.Close()
+		return nil, &target.StatusError{Path: relayPrefix, Status: response.StatusCode}
+	}
+	return response, nil
+}
+
+// serveRelay sends the output of an attempt on an own target to another gateway.
+func (g *Gateway) serveRelay(w http.ResponseWriter, r *http.Request) {
+	g.active.Add(1)
+	defer g.active.Add(-1)
+	number, err := strconv.ParseUint(r.PathValue("number"), 10, 32)
+	offset, _, queryErr := readOutputQuery(r.URL.Query())
+	if err = errors.Join(err, queryErr); err != nil {
+		http.Error(w, err.Error(), http.StatusBadRequest)
+		return
+	}
+	address, epoch, ok := g.owners.Address(model.TargetID(r.URL.Query().Get("target")))
+	if !ok {
+		http.Error(w, "this gateway does not own the target", http.StatusMisdirectedRequest)
+		return
+	}
+	id := model.AttemptID{Job: model.JobID(r.PathValue("job")), Number: uint32(number)}
+	response, err := g.targets.Output(r.Context(), address, epoch, id, offset)
+	var status *target.StatusError
+	if errors.As(err, &status) {
+		http.Error(w, err.Error(), status.Status)
+		return
+	}
+	if err != nil {
+		http.Error(w, err.Error(), http.StatusBadGateway)
+		return
+	}
+	defer response.Body.Close()
+	w.WriteHeader(http.StatusOK)
+	_ = http.NewResponseController(w).Flush()
+	if copyBlocks(w, response.Body, func(int) {}) != nil || !once.Delimited(response) {
+		panic(http.ErrAbortHandler)
+	}
+}
+
+func (g *Gateway) readJob(ctx context.Context, id model.JobID) (*state.Job, error) {
+	ctx, cancel := context.WithTimeout(ctx, controlTimeout)
+	defer cancel()
+	body, err := g.control.Read(ctx, "job", id)
+	if err != nil {
+		return nil, err
+	}
+	var job *state.Job
+	return job, json.Unmarshal(body, &job)
+}
+
+func pauseFor(ctx context.Context, d time.Duration) {
+	timer := time.NewTimer(d)
+	defer timer.Stop()
+	select {
+	case <-ctx.Done():
+	case <-timer.C:
+	}
+}
--- a/daemon/owner/announce.go
+++ b/daemon/owner/announce.go
@@ -7,48 +7,121 @@
 
 	"samphirepaddle.example/core/lease"
 	"samphirepaddle.example/core/model"
+	"samphirepaddle.example/core/reserve"
 	"samphirepaddle.example/core/state"
 )
 
 // targetMargin is added to the granter's bound of a target lease.
 const targetMargin = 200 * time.Millisecond
 
-// ErrNotOwner is returned for targets that this gateway does not own.
-var ErrNotOwner = errors.New("this gateway does not own the target")
+// Errors of Announce.
+var (
+	ErrNotOwner = errors.New("this gateway does not own the target")
+	// ErrSuperseded answers a process that another process with the same target id replaced.
+	ErrSuperseded = errors.New("a newer process announces itself under this target id")
+)
 
 // Announce takes an announcement of an owned target and renews its lease.
 func (t *Table) Announce(ctx context.Context, a model.Announcement) (model.AnnouncementAnswer, error) {
 	o := t.get(a.Target)
-	if o == nil || !t.lease.Valid() {
+	if o == nil || t.draining.Load() || !t.lease.Valid() {
 		return model.AnnouncementAnswer{}, ErrNotOwner
 	}
-	if err := t.recordChanges(ctx, o, a); err != nil {
+	if err := t.recordProcess(ctx, o, a); err != nil {
 		return model.AnnouncementAnswer{}, err
 	}
+	t.recordLeaving(ctx, o, a)
 	t.proposeEnds(ctx, o, a)
-	if !t.lease.Valid() {
-		return model.AnnouncementAnswer{}, ErrNotOwner
+	answer, freed, err := t.answer(o, a)
+	if freed {
+		t.onRoom(a.Pool)
 	}
-	return t.answer(o, a), nil
+	t.wake()
+	return answer, err
 }
 
-// recordChanges commits a new process or the leaving of the target before the answer.
-func (t *Table) recordChanges(ctx context.Context, o *owned, a model.Announcement) error {
+// recordProcess commits a new process of the target before it is answered.
+func (t *Table) recordProcess(ctx context.Context, o *owned, a model.Announcement) error {
 	o.mu.Lock()
-	record := o.record
+	same := o.record.StartID == a.StartID
+	until, retired := o.retired[a.StartID]
 	o.mu.Unlock()
-	if record.StartID != a.StartID {
-		return t.propose(ctx, state.Command{JoinTarget: JoinCommand(a)})
+	if same {
+		return nil
 	}
-	if a.State == model.TargetLeaving && !record.Leaving {
-		o.mu.Lock()
-		o.leaving = true
-		o.mu.Unlock()
-		return t.propose(ctx, state.Command{LeaveTarget: &state.LeaveTarget{Target: a.Target, StartID: a.StartID}})
+	// A late announcement of an earlier process must not replace the present one. After its
+	// lease it has stopped its tasks, so it may then come back.
+	if retired && time.Now().Before(until) {
+		return ErrSuperseded
+	}
+	result, err := t.options.Proposer.Propose(ctx, state.Command{JoinTarget: JoinCommand(a)})
+	if err != nil {
+		return err
+	}
+	if !result.OK() {
+		return errors.New(result.Message)
 	}
+	o.replaceProcess(a, result.Revision, t.options.TargetTTL)
 	return nil
 }
 
+// replaceProcess notes that a new process announces itself. The attempts of the old one may
+// still run until its lease is over.
+func (o *owned) replaceProcess(a model.Announcement, revision model.Revision, ttl time.Duration) {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	if o.start != a.StartID {
+		over := lease.GranterEnd(o.answered, ttl, targetMargin)
+		o.retired[o.start] = over
+		if over.After(o.oldOver) {
+			o.oldOver = over
+		}
+		delete(o.retired, a.StartID)
+		o.start = a.StartID
+		o.sequence = 0
+		o.leaving = false
+		for _, known := range o.attempts {
+			known.started = false
+			known.missing = false
+		}
+	}
+	o.record.StartID = a.StartID
+	o.record.Address = a.Address
+	o.record.Zone = a.Zone
+	o.record.Rack = a.Rack
+	o.record.Capacity = a.Capacity
+	o.record.Leaving = false
+	o.record.Changed = max(o.record.Changed, revision)
+	o.table.SetCapacity(a.Capacity)
+}
+
+// recordLeaving stops new work at once, and commits that the target is leaving so that later
+// owners know it. A failed commit is repeated with the next announcement.
+func (t *Table) recordLeaving(ctx context.Context, o *owned, a model.Announcement) {
+	if a.State != model.TargetLeaving {
+		return
+	}
+	o.mu.Lock()
+	if o.start != a.StartID {
+		o.mu.Unlock()
+		return
+	}
+	o.leaving = true
+	recorded := o.record.Leaving
+	o.mu.Unlock()
+	if recorded {
+		return
+	}
+	command := state.Command{LeaveTarget: &state.LeaveTarget{Target: a.Target, StartID: a.StartID}}
+	if err := t.propose(ctx, command); err != nil {
+		t.options.Logger.Warn().Err(err).Str("target", string(a.Target)).Msg("leaving of target not committed")
+		return
+	}
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	o.record.Leaving = o.record.Leaving || o.start == a.StartID
+}
+
 // JoinCommand returns the command that records an announced target.
 func JoinCommand(a model.Announcement) *state.JoinTarget {
 	return &state.JoinTarget{
@@ -62,11 +135,17 @@
 	}
 }
 
+// errInvalid is returned if the state rejects the content of a command.
+var errInvalid = errors.New("the command is invalid")
+
 func (t *Table) propose(ctx context.Context, c state.Command) error {
 	result, err := t.options.Proposer.Propose(ctx, c)
 	if err != nil {
 		return err
 	}
+	if result.Code == state.CodeInvalid {
+		return errors.Join(errInvalid, errors.New(result.Message))
+	}
 	if !result.OK() && result.Code != state.CodeStale {
 		return errors.New(result.Message)
 	}
@@ -79,17 +158,7 @@
 		if !o.isOpen(ended.Attempt) {
 			continue
 		}
-		outcome := state.OutcomeFinished
-		if ended.Failed {
-			outcome = state.OutcomeFailed
-		}
-		err := t.propose(ctx, state.Command{EndAttempt: &state.EndAttempt{
-			Attempt: ended.Attempt,
-			Outcome: outcome,
-			Message: ended.Message,
-			Result:  ended.Result,
-		}})
-		if err != nil {
+		if err := t.proposeEnd(ctx, ended); err != nil {
 			t.options.Logger.Warn().Err(err).Stringer("attempt", ended.Attempt).Msg("end of attempt not committed")
 			continue
 		}
@@ -97,6 +166,31 @@
 	}
 }
 
+// proposeEnd commits a reported end. A result that the state does not accept must not keep
+// the job open for ever, so it is left out then.
+func (t *Table) proposeEnd(ctx context.Context, ended model.EndedAttempt) error {
+	end := endOf(ended)
+	err := t.propose(ctx, state.Command{EndAttempt: &end})
+	if errors.Is(err, errInvalid) {
+		end.Result = nil
+		err = t.propose(ctx, state.Command{EndAttempt: &end})
+	}
+	return err
+}
+
+func endOf(ended model.EndedAttempt) state.EndAttempt {
+	outcome := state.OutcomeFinished
+	if ended.Failed {
+		outcome = state.OutcomeFailed
+	}
+	return state.EndAttempt{
+		Attempt: ended.Attempt,
+		Outcome: outcome,
+		Message: ended.Message,
+		Result:  ended.Result,
+	}
+}
+
 func (o *owned) isOpen(id model.AttemptID) bool {
 	o.mu.Lock()
 	defer o.mu.Unlock()
@@ -112,10 +206,18 @@
 	}
 }
 
-func (t *Table) answer(o *owned, a model.Announcement) model.AnnouncementAnswer {
+// answer renews the lease and takes the report. A report that is out of order changes
+// nothing; its answer is harmless, because the target counts the lease from the time it
+// sent that report, which is before a report that was answered already.
+func (t *Table) answer(o *owned, a model.Announcement) (answer model.AnnouncementAnswer, freed bool, err error) {
 	o.mu.Lock()
 	defer o.mu.Unlock()
-	answer := model.AnnouncementAnswer{
+	// losing is checked under the lock that beginLoss holds: once the loss is proposed, a
+	// renewal would let the target run work that is requeued elsewhere.
+	if o.gone || o.losing || o.start != a.StartID || !t.lease.Valid() {
+		return model.AnnouncementAnswer{}, false, ErrNotOwner
+	}
+	answer = model.AnnouncementAnswer{
 		Epoch:        o.record.Epoch,
 		LeaseMs:      model.Millis(t.options.TargetTTL.Milliseconds()),
 		Owner:        t.options.Gateway,
@@ -123,19 +225,26 @@
 		NextMs:       model.Millis(t.options.AnnounceEvery.Milliseconds()),
 		Acknowledged: o.acknowledged(a),
 	}
-	if o.start == a.StartID && a.Sequence <= o.sequence {
-		return answer
+	if a.Sequence <= o.sequence {
+		return answer, false, nil
 	}
-	o.start = a.StartID
 	o.sequence = a.Sequence
 	o.answered = time.Now()
-	o.releaseGone(a)
 	if a.Epoch < o.record.Epoch {
 		answer.NextMs = 0 // the target reports again at once under the new epoch
-		return answer
+		return answer, false, nil
 	}
+	wasOpen := o.takesWork()
+	freed = o.releaseGone(a)
 	answer.Stop = o.reconcile(a)
-	return answer
+	if !o.open {
+		o.adoptRequests(a, t.largestQuick(o.record.Pool))
+		o.open = true
+	}
+	if o.strangers > 0 {
+		answer.NextMs = 0
+	}
+	return answer, freed || !wasOpen && o.takesWork(), nil
 }
 
 // acknowledged returns the reported ends that need no further report. The caller holds o.mu.
@@ -149,41 +258,76 @@
 	return done
 }
 
+// reportsUntilMissing is the number of reports after a confirmed start that must leave an
+// attempt out before it counts as missing.
+const reportsUntilMissing = 3
+
 // reconcile compares what the target runs with what it should run. The caller holds o.mu.
 func (o *owned) reconcile(a model.Announcement) (stop []model.AttemptID) {
+	running := make(map[model.AttemptID]bool, len(a.Running))
+	o.strangers = 0
 	for _, id := range a.Running {
+		running[id] = true
 		known, ok := o.attempts[id]
 		if !ok {
 			stop = append(stop, id)
+			if !o.table.Holds(id.String()) {
+				o.strangers++
+			}
 			continue
 		}
+		known.sent = true
 		known.started = true
-		o.table.Adopt(id.String(), known.order.Attempt.Reserved)
+		known.startedAt = a.Sequence
+		o.table.Adopt(id.String(), reserve.Batch, known.order.Attempt.Reserved)
 	}
-	if !o.open {
-		o.adoptRequests(a)
-		o.open = true
+	ended := make(map[model.AttemptID]bool, len(a.Ended))
+	for _, e := range a.Ended {
+		ended[e.Attempt] = true
+	}
+	for id, known := range o.attempts {
+		known.missing = known.started && !running[id] && !ended[id] && a.Sequence >= known.startedAt+reportsUntilMissing
+	}
+	for id, after := range o.lingering {
+		if !running[id] && a.Sequence >= after {
+			delete(o.lingering, id)
+			o.table.Release(id.String())
+		}
 	}
 	return stop
 }
 
-// adoptedQuick is what a request of an earlier owner is counted as: its service is not known.
-var adoptedQuick = model.Resources{Slots: 1, Connections: 1}
-
-// adoptRequests holds room for the requests that an earlier owner dispatched.
-func (o *owned) adoptRequests(a model.Announcement) {
+// adoptRequests holds room for the requests that an earlier owner dispatched. Their service
+// is not known, so each counts as the largest.
+func (o *owned) adoptRequests(a model.Announcement, amount model.Resources) {
 	for _, id := range a.Requests {
 		if o.table.Holds(quickID(id)) {
 			continue
 		}
-		o.table.Adopt(quickID(id), adoptedQuick)
-		o.doubtful[id] = a.Sequence + 1
+		o.table.Adopt(quickID(id), reserve.Quick, amount)
+		o.doubtful[id] = doubt{o.start, a.Sequence + 1}
+	}
+}
+
+// mayRelease reports whether a report that leaves the request out proves that it is gone.
+// The caller holds o.mu.
+func (o *owned) mayRelease(d doubt) bool {
+	if d.start == o.start {
+		return o.sequence >= d.after
 	}
+	return time.Now().After(o.oldOver)
 }
 
-// overdue reports whether the target's lease is over by the granter's bound.
-func (o *owned) overdue(now time.Time, ttl time.Duration) bool {
+// beginLoss reports whether the target's lease is over by the granter's bound, and from then
+// on refuses to renew it.
+func (o *owned) beginLoss(now time.Time, ttl time.Duration) bool {
 	o.mu.Lock()
 	defer o.mu.Unlock()
-	return !o.record.Lost && now.After(lease.GranterEnd(o.answered, ttl, targetMargin))
+	if o.gone || o.record.Lost {
+		return false
+	}
+	if now.After(lease.GranterEnd(o.answered, ttl, targetMargin)) {
+		o.losing = true
+	}
+	return o.losing
 }
--- a/daemon/owner/owner.go
+++ b/daemon/owner/owner.go
@@ -7,10 +7,12 @@
 import (
 	"context"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/rs/zerolog"
 
+	"samphirepaddle.example/core/lease"
 	"samphirepaddle.example/core/model"
 	"samphirepaddle.example/core/reserve"
 	"samphirepaddle.example/core/state"
@@ -36,72 +38,126 @@
 	AnnounceEvery time.Duration
 	Targets       *target.Client
 	Proposer      Proposer
+	Picker        Picker // MostFree if nil
 	Logger        zerolog.Logger
 }
 
 // Table holds the owned targets.
 type Table struct {
-	options Options
-	lease   Lease
+	options  Options
+	lease    Lease
+	onRoom   func(model.PoolID)
+	draining atomic.Bool
+	jobs     chan job      // calls about attempts and losses of targets
+	kick     chan struct{} // wakes the loop before its next tick
+	working  atomic.Int64  // calls that are queued or in progress
+	needs    atomic.Pointer[map[model.PoolID]quickNeeds]
 
-	mu     sync.RWMutex
-	config state.Config
-	owned  map[model.TargetID]*owned
+	mu       sync.RWMutex
+	revision model.Revision // of the configuration
+	owned    map[model.TargetID]*owned
+	pools    map[model.PoolID][]*owned
 }
 
-// owned is one owned target.
+// owned is one owned target under one ownership epoch.
 type owned struct {
-	mu       sync.Mutex
-	record   state.Target
-	taken    time.Time // when this gateway became the owner
-	answered time.Time // last answer to an announcement, or taken
-	start    string    // start id of the process that announces itself
-	sequence uint64
-	open     bool // it reported under the present epoch
-	leaving  bool
-	table    *reserve.Table
-	attempts map[model.AttemptID]*attempt
-	doubtful map[model.RequestID]uint64 // sequence after which a report may release the request
-	summary  syncmsg.TargetSummary      // last one reported to the leader
+	onRoom func(model.PoolID)
+
+	mu        sync.Mutex
+	gone      bool // ownership ended; nothing may be dispatched under this epoch
+	record    state.Target
+	answered  time.Time // last answer to an announcement, or when ownership began
+	start     string    // start id of the process that announces itself
+	sequence  uint64
+	open      bool // it reported under the present epoch
+	leaving   bool
+	losing    bool // LoseTarget is proposed; the lease must not be renewed any more
+	lossBusy  bool // a proposal of LoseTarget is queued or in progress
+	strangers int  // attempts that it runs and should not
+	table     *reserve.Table
+	attempts  map[model.AttemptID]*attempt
+	lingering map[model.AttemptID]uint64 // closed without a confirmed stop; sequence as in doubt
+	doubtful  map[model.RequestID]doubt
+	retired   map[string]time.Time  // earlier start ids, with the end of their lease
+	oldOver   time.Time             // when the leases of all earlier processes are over
+	summary   syncmsg.TargetSummary // last one reported to the leader
 }
 
 // attempt is an open attempt on an owned target.
 type attempt struct {
-	order   syncmsg.Order
-	started bool // start was sent or the target lists it
-	busy    bool // a call about it is in progress
-	ended   bool // its end is proposed or committed
+	order      syncmsg.Order
+	sent       bool   // a start was sent and may have reached the target
+	started    bool   // the start was confirmed, or the target lists it
+	startedAt  uint64 // sequence of the last report before the start was confirmed
+	missing    bool   // reports do not list it any more
+	busy       bool   // a call about it is queued or in progress
+	notBefore  time.Time
+	failures   int
+	checkpoint []byte
+	end        *state.EndAttempt // decided end that is to be committed
+	ended      bool              // its end is committed
 }
 
 // NewTable returns an empty table. SetLease must be called before use.
 func NewTable(options Options) *Table {
-	return &Table{options: options, owned: map[model.TargetID]*owned{}}
+	if options.Picker == nil {
+		options.Picker = MostFree{}
+	}
+	return &Table{
+		options: options,
+		onRoom:  func(model.PoolID) {},
+		jobs:    make(chan job, jobBacklog),
+		kick:    make(chan struct{}, 1),
+		owned:   map[model.TargetID]*owned{},
+	}
 }
 
 // SetLease sets the session whose lease covers every dispatch.
 func (t *Table) SetLease(lease Lease) { t.lease = lease }
 
+// OnRoom sets a function that is called when room for quick requests may have appeared. It
+// must be set before use, and must not block.
+func (t *Table) OnRoom(f func(model.PoolID)) { t.onRoom = f }
+
 // Reset drops everything that an earlier session owned.
 func (t *Table) Reset() {
 	t.mu.Lock()
 	defer t.mu.Unlock()
+	for _, o := range t.owned {
+		o.leave()
+	}
 	t.owned = map[model.TargetID]*owned{}
+	t.index()
+}
+
+// leave ends the ownership. Dispatches that are about to be written see it.
+func (o *owned) leave() {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	o.gone = true
 }
 
 // Apply takes the targets and orders of the session.
 func (t *Table) Apply(changes *syncmsg.Changes, config state.Config) {
 	t.mu.Lock()
-	t.config = config
+	defer t.mu.Unlock()
+	if t.revision != config.Revision || t.needs.Load() == nil {
+		t.revision = config.Revision
+		needs := needsByPool(config)
+		t.needs.Store(&needs)
+	}
 	if changes == nil {
-		t.mu.Unlock()
 		return
 	}
 	t.dropLost(changes.Owned)
 	for _, record := range changes.Targets {
 		t.update(record)
 	}
-	t.mu.Unlock()
+	t.index()
+	// Orders are stored before t.mu is released: an announcement that found the target
+	// without its orders would have its attempts stopped and their ends acknowledged.
 	t.applyOrders(changes)
+	t.wake()
 }
 
 func (t *Table) dropLost(ids []model.TargetID) {
@@ -109,8 +165,9 @@
 	for _, id := range ids {
 		keep[id] = true
 	}
-	for id := range t.owned {
+	for id, o := range t.owned {
 		if !keep[id] {
+			o.leave()
 			delete(t.owned, id)
 		}
 	}
@@ -121,47 +178,89 @@
 func (t *Table) update(record state.Target) {
 	o, ok := t.owned[record.ID]
 	if ok && o.record.Epoch == record.Epoch {
-		o.mu.Lock()
-		o.record = record
-		o.mu.Unlock()
+		o.setRecord(record)
 		return
 	}
+	if ok {
+		o.leave()
+	}
 	now := time.Now()
 	t.owned[record.ID] = &owned{
+		onRoom:   t.onRoom,
 		record:   record,
-		taken:    now,
 		answered: now,
-		table:    reserve.NewTable(record.Capacity),
-		attempts: map[model.AttemptID]*attempt{},
-		doubtful: map[model.RequestID]uint64{},
+		start:    record.StartID,
+		// An earlier owner may have renewed the lease of an earlier process until just now.
+		oldOver:   lease.GranterEnd(now, t.options.TargetTTL, targetMargin),
+		table:     reserve.NewTable(record.Capacity),
+		attempts:  map[model.AttemptID]*attempt{},
+		lingering: map[model.AttemptID]uint64{},
+		doubtful:  map[model.RequestID]doubt{},
+		retired:   map[string]time.Time{},
+	}
+}
+
+func (o *owned) setRecord(record state.Target) {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	// A view from before a change that this gateway committed itself is older than o.record.
+	if record.Changed < o.record.Changed {
+		return
 	}
+	o.record = record
+	o.table.SetCapacity(record.Capacity)
 }
 
+// index rebuilds the lists per pool. The caller holds t.mu.
+func (t *Table) index() {
+	t.pools = map[model.PoolID][]*owned{}
+	for _, o := range t.owned {
+		o.mu.Lock()
+		pool := o.record.Pool
+		o.mu.Unlock()
+		t.pools[pool] = append(t.pools[pool], o)
+	}
+}
+
+// applyOrders is called with t.mu held.
 func (t *Table) applyOrders(changes *syncmsg.Changes) {
 	open := make(map[model.AttemptID]bool, len(changes.Open))
 	for _, id := range changes.Open {
 		open[id] = true
 	}
-	for _, o := range t.list() {
+	for _, o := range t.owned {
 		o.closeAttempts(open)
 	}
 	for _, order := range changes.Orders {
-		if o := t.get(order.Attempt.Target); o != nil {
+		if o, ok := t.owned[order.Attempt.Target]; ok {
 			o.takeOrder(order)
 		}
 	}
 }
 
-// closeAttempts forgets attempts whose end is committed and frees their reservations.
+// closeAttempts forgets attempts whose end is committed. Their room is freed at once if the
+// target or this gateway confirmed that they do not run, else when reports leave them out.
 func (o *owned) closeAttempts(open map[model.AttemptID]bool) {
+	if o.releaseClosed(open) {
+		o.onRoom(o.record.Pool)
+	}
+}
+
+func (o *owned) releaseClosed(open map[model.AttemptID]bool) (freed bool) {
 	o.mu.Lock()
 	defer o.mu.Unlock()
-	for id := range o.attempts {
-		if !open[id] {
-			delete(o.attempts, id)
-			o.table.Release(id.String())
+	for id, a := range o.attempts {
+		if open[id] {
+			continue
+		}
+		delete(o.attempts, id)
+		if a.sent && !a.ended {
+			o.lingering[id] = o.sequence + reportsUntilGone
+			continue
 		}
+		freed = o.table.Release(id.String()) || freed
 	}
+	return freed
 }
 
 func (o *owned) takeOrder(order syncmsg.Order) {
@@ -190,59 +289,32 @@
 	return all
 }
 
-// Summaries returns the summaries that changed since the last call, or all of them.
-func (t *Table) Summaries(all bool) []syncmsg.TargetSummary {
-	var list []syncmsg.TargetSummary
+// Drain stops every new dispatch, start and lease renewal. It returns when the calls about
+// attempts that had begun are over or ctx is done. DrainGateway may be proposed after it:
+// a renewal or start after the command would overlap with the next owner.
+func (t *Table) Drain(ctx context.Context) {
+	t.draining.Store(true)
 	for _, o := range t.list() {
-		summary := t.summarize(o)
-		o.mu.Lock()
-		if all || summary != o.summary {
-			o.summary = summary
-			list = append(list, summary)
-		}
-		o.mu.Unlock()
-	}
-	return list
-}
-
-func (t *Table) summarize(o *owned) syncmsg.TargetSummary {
-	kept := t.kept(o.record.Pool)
-	o.mu.Lock()
-	defer o.mu.Unlock()
-	free := o.table.Free()
-	return syncmsg.TargetSummary{
-		Target:    o.record.ID,
-		Epoch:     o.record.Epoch,
-		Pool:      o.record.Pool,
-		Open:      o.takesWork(),
-		FreeBatch: free.Sub(kept),
-		FreeQuick: free.Slots,
+		o.leave()
 	}
-}
-
-func (o *owned) takesWork() bool {
-	return o.open && !o.leaving && !o.record.Leaving && !o.record.Lost
-}
-
-// kept returns what batch work must leave free on the targets of a pool.
-func (t *Table) kept(pool model.PoolID) model.Resources {
-	t.mu.RLock()
-	defer t.mu.RUnlock()
-	var kept model.Resources
-	for _, service := range t.config.Services {
-		if service.Pool == pool {
-			kept = kept.Add(times(service.Quick, service.KeptSlots))
+	ticker := time.NewTicker(drainPoll)
+	defer ticker.Stop()
+	for t.working.Load() > 0 {
+		select {
+		case <-ticker.C:
+		case <-ctx.Done():
+			return
 		}
 	}
-	return kept
 }
 
-func times(r model.Resources, n int32) model.Resources {
-	return model.Resources{
-		Slots:        r.Slots * n,
-		Connections:  r.Connections * n,
-		CPUMillis:    r.CPUMillis * int64(n),
-		MemoryMiB:    r.MemoryMiB * int64(n),
-		Accelerators: r.Accelerators * n,
+// Address returns the address and epoch of an owned target.
+func (t *Table) Address(id model.TargetID) (address string, epoch model.Epoch, ok bool) {
+	o := t.get(id)
+	if o == nil || !t.lease.Valid() {
+		return "", 0, false
 	}
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	return o.record.Address, o.record.Epoch, true
 }
--- a/daemon/owner/quick.go
+++ b/daemon/owner/quick.go
@@ -2,6 +2,7 @@
 
 import (
 	"errors"
+	"sync"
 
 	"samphirepaddle.example/core/model"
 )
@@ -15,64 +16,106 @@
 	Address string
 	Epoch   model.Epoch
 
+	table   *Table
 	owned   *owned
 	request model.RequestID
 }
 
-// Reserve holds room for one quick request on the owned target with the most free slots.
-func (t *Table) Reserve(service model.Service, request model.RequestID) (*Grant, error) {
-	if !t.lease.Valid() {
+// choice is the scratch memory of one Reserve.
+type choice struct {
+	candidates []Candidate
+	owned      []*owned
+}
+
+var choices = sync.Pool{New: func() any { return &choice{} }}
+
+// reserveTries bounds how often a target is picked anew because another request took the
+// room between the choice and the reservation.
+const reserveTries = 3
+
+// Reserve holds room for one quick request on an owned target other than avoid.
+func (t *Table) Reserve(service model.Service, request model.RequestID, avoid model.TargetID) (*Grant, error) {
+	if t.draining.Load() || !t.lease.Valid() {
 		return nil, ErrNoCapacity
 	}
-	var best *owned
-	var bestFree int32
-	for _, o := range t.list() {
-		if free, ok := o.freeQuick(service); ok && (best == nil || free > bestFree) {
-			best, bestFree = o, free
+	c := choices.Get().(*choice)
+	defer choices.Put(c)
+	for range reserveTries {
+		c.collect(t.pool(service.Pool), service, avoid)
+		if len(c.candidates) == 0 {
+			return nil, ErrNoCapacity
+		}
+		picked := c.owned[t.options.Picker.Pick(service, c.candidates)]
+		if grant := picked.reserveQuick(t, service, request); grant != nil {
+			return grant, nil
 		}
 	}
-	if best == nil {
-		return nil, ErrNoCapacity
+	return nil, ErrNoCapacity
+}
+
+func (c *choice) collect(pool []*owned, service model.Service, avoid model.TargetID) {
+	c.candidates = c.candidates[:0]
+	c.owned = c.owned[:0]
+	for _, o := range pool {
+		if candidate, ok := o.candidate(service); ok && candidate.Target != avoid {
+			c.candidates = append(c.candidates, candidate)
+			c.owned = append(c.owned, o)
+		}
 	}
-	return best.reserveQuick(service, request)
 }
 
-func (o *owned) freeQuick(service model.Service) (int32, bool) {
+func (o *owned) candidate(service model.Service) (Candidate, bool) {
 	o.mu.Lock()
 	defer o.mu.Unlock()
-	if o.record.Pool != service.Pool || !o.takesWork() {
-		return 0, false
+	if !o.takesWork() {
+		return Candidate{}, false
 	}
 	free := o.table.Free()
-	return free.Slots, service.Quick.Fits(free)
+	if !service.Quick.Fits(free) {
+		return Candidate{}, false
+	}
+	return Candidate{Target: o.record.ID, Zone: o.record.Zone, Rack: o.record.Rack, Free: free}, true
 }
 
-func (o *owned) reserveQuick(service model.Service, request model.RequestID) (*Grant, error) {
+func (o *owned) reserveQuick(t *Table, service model.Service, request model.RequestID) *Grant {
 	o.mu.Lock()
 	defer o.mu.Unlock()
 	if !o.takesWork() {
-		return nil, ErrNoCapacity
+		return nil
 	}
-	if err := o.table.Reserve(quickID(request), service.Quick, model.Resources{}); err != nil {
-		return nil, errors.Join(ErrNoCapacity, err)
+	if err := o.table.ReserveQuick(quickID(request), service.Quick); err != nil {
+		return nil
 	}
 	return &Grant{
 		Target:  o.record.ID,
 		Address: o.record.Address,
 		Epoch:   o.record.Epoch,
+		table:   t,
 		owned:   o,
 		request: request,
-	}, nil
+	}
 }
 
 func quickID(request model.RequestID) string { return "quick/" + string(request) }
 
+// Valid reports whether the request may be dispatched now: the session lease holds and the
+// target is still owned under the epoch of the grant. A session that was lost and opened
+// again does not make the grants of the earlier one valid.
+func (g *Grant) Valid() bool {
+	g.owned.mu.Lock()
+	gone := g.owned.gone || g.owned.losing
+	g.owned.mu.Unlock()
+	return !gone && g.table.lease.Valid()
+}
+
 // Release gives the room back. It must be called only if the request does not occupy the
 // target any more.
 func (g *Grant) Release() {
 	g.owned.mu.Lock()
-	defer g.owned.mu.Unlock()
 	g.owned.table.Release(quickID(g.request))
+	pool := g.owned.record.Pool
+	g.owned.mu.Unlock()
+	g.owned.onRoom(pool)
 }
 
 // reportsUntilGone is the number of announcements after the loss of a connection that must
@@ -80,24 +123,33 @@
 // the request reached the target.
 const reportsUntilGone = 2
 
+// doubt is a request that may still run although its connection is lost.
+type doubt struct {
+	start string // process of the target
+	after uint64 // sequence of the first report that may release it
+}
+
 // Doubt keeps the room until reports of the target show that the request is gone. It is
 // called if the connection failed after the request may have been sent.
 func (g *Grant) Doubt() {
 	g.owned.mu.Lock()
 	defer g.owned.mu.Unlock()
-	g.owned.doubtful[g.request] = g.owned.sequence + reportsUntilGone
+	g.owned.doubtful[g.request] = doubt{g.owned.start, g.owned.sequence + reportsUntilGone}
 }
 
 // releaseGone frees doubtful requests that the announcement does not list. The caller holds o.mu.
-func (o *owned) releaseGone(a model.Announcement) {
+func (o *owned) releaseGone(a model.Announcement) (freed bool) {
 	listed := make(map[model.RequestID]bool, len(a.Requests))
 	for _, id := range a.Requests {
 		listed[id] = true
 	}
-	for id, after := range o.doubtful {
-		if !listed[id] && a.Sequence >= after {
-			delete(o.doubtful, id)
-			o.table.Release(quickID(id))
+	for id, d := range o.doubtful {
+		if listed[id] || !o.mayRelease(d) {
+			continue
 		}
+		delete(o.doubtful, id)
+		o.table.Release(quickID(id))
+		freed = true
 	}
+	return freed
 }
--- a/daemon/session/session.go
+++ b/daemon/session/session.go
@@ -52,6 +52,7 @@
 	client      *control.Client
 	owned       Owned
 	logger      zerolog.Logger
+	onRenewal   func()
 
 	mu     sync.RWMutex
 	epoch  model.Epoch
@@ -72,9 +73,14 @@
 		client:      client,
 		owned:       owned,
 		logger:      logger,
+		onRenewal:   func() {},
 	}
 }
 
+// OnRenewal sets a function that is called after each renewal. It must be set before Run and
+// must not block.
+func (s *Session) OnRenewal(f func()) { s.onRenewal = f }
+
 // Valid reports whether the lease holds now. It must be called immediately before each
 // dispatch: a process that was frozen wakes up with an old answer to any earlier call.
 func (s *Session) Valid() bool {
@@ -171,13 +177,15 @@
 			s.expire()
 			return
 		}
+		s.onRenewal()
 	}
 }
 
 func (s *Session) expire() {
 	s.mu.Lock()
-	defer s.mu.Unlock()
 	s.until = time.Time{}
+	s.mu.Unlock()
+	s.owned.Reset()
 }
 
 func (s *Session) renewOnce(ctx context.Context) (known bool, err error) {
--- a/daemon/target/client.go
+++ b/daemon/target/client.go
@@ -9,12 +9,12 @@
 	"errors"
 	"fmt"
 	"io"
-	"net"
 	"net/http"
 	"strconv"
 	"time"
 
 	"samphirepaddle.example/core/model"
+	"samphirepaddle.example/daemon/once"
 )
 
 // Headers of the targets' interface.
@@ -40,27 +40,38 @@
 	dialTimeout    = 1 * time.Second
 	controlTimeout = 5 * time.Second
 	idleTimeout    = 30 * time.Second
+	// OutputHeaderTimeout is the longest time until the status line of an output; the output
+	// itself has no deadline.
+	OutputHeaderTimeout = 20 * time.Second
 )
 
 // ErrRefused is returned if the target said that it did not run the work.
 var ErrRefused = errors.New("the target refused the work")
 
-// Client calls targets.
+// Client calls targets. Quick requests, control calls and outputs have connections of their
+// own, so that one kind never waits for another.
 type Client struct {
-	http *http.Client
+	quick   *http.Client
+	orders  *http.Client
+	outputs *http.Client
 }
 
-// NewClient returns a client with a connection pool of its own.
+// NewClient returns a client that keeps up to connectionsPerTarget idle connections to each
+// target for quick requests.
 func NewClient(connectionsPerTarget int) *Client {
-	dialer := &net.Dialer{Timeout: dialTimeout}
-	transport := &http.Transport{
-		DialContext:         dialer.DialContext,
-		MaxIdleConnsPerHost: connectionsPerTarget,
-		IdleConnTimeout:     idleTimeout,
-		DisableCompression:  true,
+	outputs := once.NewTransport(dialTimeout, idleTimeout, 0)
+	outputs.DisableKeepAlives = true
+	outputs.ResponseHeaderTimeout = OutputHeaderTimeout
+	return &Client{
+		quick:   newHTTP(once.NewTransport(dialTimeout, idleTimeout, connectionsPerTarget)),
+		orders:  newHTTP(once.NewTransport(dialTimeout, idleTimeout, 1)),
+		outputs: newHTTP(outputs),
 	}
+}
+
+func newHTTP(transport *http.Transport) *http.Client {
 	noRedirect := func(*http.Request, []*http.Request) error { return http.ErrUseLastResponse }
-	return &Client{http: &http.Client{Transport: transport, CheckRedirect: noRedirect}}
+	return &http.Client{Transport: transport, CheckRedirect: noRedirect}
 }
 
 // Task is the start order of an attempt.
@@ -108,14 +119,28 @@
 	return err
 }
 
+// StopAnswer is the optional body of a stop's answer.
+type StopAnswer struct {
+	// Ended is set if the attempt had ended by itself before the stop.
+	Ended *model.EndedAttempt `json:"ended,omitempty"`
+}
+
 // Stop stops an attempt. It returns nil only if the target confirmed that the attempt does
 // not run any more.
-func (c *Client) Stop(ctx context.Context, address string, epoch model.Epoch, attempt model.AttemptID) error {
-	_, err := c.control(ctx, address, epoch, taskPath(attempt, "stop"), nil)
-	return err
+func (c *Client) Stop(ctx context.Context, address string, epoch model.Epoch, attempt model.AttemptID) (StopAnswer, error) {
+	body, err := c.control(ctx, address, epoch, taskPath(attempt, "stop"), nil)
+	if err != nil {
+		return StopAnswer{}, err
+	}
+	var answer StopAnswer
+	if err := json.Unmarshal(body, &answer); err != nil || answer.Ended == nil || answer.Ended.Attempt != attempt {
+		return StopAnswer{}, nil // a plain confirmation
+	}
+	return answer, nil
 }
 
-// Output opens the output of an attempt from an offset. The caller closes the body.
+// Output opens the output of an attempt from an offset. The output ends when the attempt
+// has ended. The caller closes the body.
 func (c *Client) Output(ctx context.Context, address string, epoch model.Epoch, attempt model.AttemptID, offset int64) (*http.Response, error) {
 	url := fmt.Sprintf("http://%s%s?offset=%d", address, taskPath(attempt, "output"), offset)
 	request, err := http.NewRequestWithContext(ctx, http.MethodGet, url, nil)
@@ -123,7 +148,25 @@
 		return nil, err
 	}
 	setEpoch(request, epoch)
-	return c.http.Do(request)
+	response, err := c.outputs.Do(request)
+	if err != nil {
+		return nil, err
+	}
+	if response.StatusCode != http.StatusOK {
+		response.Body.Close()
+		return nil, &StatusError{Path: request.URL.Path, Status: response.StatusCode}
+	}
+	return response, nil
+}
+
+// StatusError is an answer with a status other than 200.
+type StatusError struct {
+	Path   string
+	Status int
+}
+
+func (e *StatusError) Error() string {
+	return fmt.Sprintf("%s: status %d", e.Path, e.Status)
 }
 
 func taskPath(attempt model.AttemptID, action string) string {
@@ -147,7 +190,7 @@
 	}
 	request.Header.Set("Content-Type", "application/json")
 	setEpoch(request, epoch)
-	response, err := c.http.Do(request)
+	response, err := c.orders.Do(request)
 	if err != nil {
 		return nil, err
 	}
@@ -156,7 +199,7 @@
 	if err != nil {
 		return nil, err
 	}
-	if response.Header.Get(HeaderRefused) == "true" {
+	if refused(response) {
 		return nil, fmt.Errorf("%s: %w: %s", path, ErrRefused, bytes.TrimSpace(answer))
 	}
 	if response.StatusCode != http.StatusOK {
