--- a/daemon/cmd/samphired/daemon.go
+++ b/daemon/cmd/samphired/daemon.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"errors"
 	"fmt"
 	"net"
 	"net/http"
@@ -48,6 +47,7 @@
 	session      *session.Session
 	owners       *owner.Table
 	gateway      *gateway.Gateway
+	control      *control.Client
 }
 
 func newDaemon(s settings.Settings) (*daemon, error) {
@@ -64,7 +64,7 @@
 		}
 	}
 	d.buildGateway(publicMux, peerMux)
-	d.public = server(s.PublicListen, publicMux)
+	d.public = server(s.PublicListen, d.gateway.Bound(publicMux))
 	d.peer = server(s.PeerListen, peerMux)
 	return d, nil
 }
@@ -134,13 +134,16 @@
 	d.session = session.New(identity, client, d.owners, d.logger)
 	d.owners.SetLease(d.session)
 	d.gateway = gateway.New(gateway.Options{
-		Session:  d.session,
-		Owners:   d.owners,
-		Targets:  targets,
-		Control:  client,
-		Forwards: &http.Client{Transport: transport},
-		Logger:   d.logger,
+		Session:   d.session,
+		Owners:    d.owners,
+		Targets:   targets,
+		Control:   client,
+		MaxQueued: d.settings.MaxQueuedPerHost,
+		PeerIP:    peerIP(d.settings.PeerListen),
+		Logger:    d.logger,
 	})
+	d.session.OnRenewal(d.gateway.Refresh)
+	d.control = client
 	d.gateway.Register(publicMux)
 	d.gateway.RegisterPeer(peerMux)
 	operator.New(client).Register(publicMux)
@@ -148,7 +151,8 @@
 }
 
 // run serves until ctx is done, then shuts down without cutting off requests in progress.
-func (d *daemon) run(ctx context.Context) error {
+// When force is done too, it leaves at once.
+func (d *daemon) run(ctx, force context.Context) error {
 	publicListener, err := net.Listen("tcp", d.settings.PublicListen)
 	if err != nil {
 		return fmt.Errorf("public_listen: %w", err)
@@ -159,7 +163,7 @@
 	}
 	failures := make(chan error, 2)
 	go func() { failures <- d.peer.Serve(peerListener) }()
-	go func() { failures <- d.public.Serve(publicListener) }()
+	go func() { failures <- d.public.Serve(limitConnections(publicListener, d.settings.MaxConnections)) }()
 	background, stop := context.WithCancel(context.Background())
 	defer stop()
 	d.startLoops(background)
@@ -170,7 +174,7 @@
 		return err
 	case <-ctx.Done():
 	}
-	return d.shutdown()
+	return d.shutdown(force)
 }
 
 func (d *daemon) startLoops(ctx context.Context) {
@@ -181,34 +185,3 @@
 	go d.session.Run(ctx)
 	go d.owners.Run(ctx)
 }
-
-func (d *daemon) shutdown() error {
-	d.logger.Info().Msg("shutting down")
-	d.gateway.Drain()
-	time.Sleep(time.Duration(d.settings.BalancerWaitMs) * time.Millisecond)
-	if err := d.public.Shutdown(context.Background()); err != nil && !errors.Is(err, http.ErrServerClosed) {
-		return err
-	}
-	time.Sleep(shutdownKeepGoing)
-	if d.log != nil {
-		return d.log.Close()
-	}
-	return nil
-}
-
-// peerTransport returns the transport for calls to other daemons. Calls leave from the
-// address of the peer listener, so that network rules see one address for each daemon.
-func peerTransport(listen string) *http.Transport {
-	dialer := &net.Dialer{Timeout: peerDialTimeout}
-	if host, _, err := net.SplitHostPort(listen); err == nil {
-		if ip := net.ParseIP(host); ip != nil && !ip.IsUnspecified() {
-			dialer.LocalAddr = &net.TCPAddr{IP: ip}
-		}
-	}
-	return &http.Transport{
-		DialContext:         dialer.DialContext,
-		MaxIdleConnsPerHost: connsPerPeer,
-		IdleConnTimeout:     peerIdleTimeout,
-		DisableCompression:  true,
-	}
-}
