core/fake: route quick checks by a cautious prediction

Routing by the mean sends the checks of a gateway to targets whose slowdown rests on one heavy task, which turns noisy with the others. Two standard deviations are added.

--- a/core/fake/respond.go
+++ b/core/fake/respond.go
@@ -66,6 +66,9 @@
 	s.orders.Throttle = append(s.orders.Throttle, Throttle{r.id, action.Level})
 }
 
+// routeCaution is the number of standard deviations that routing adds to a prediction.
+const routeCaution = 2.0
+
 // predictAll refreshes the slowdowns that routing uses in this second.
 func (s *Scheduler) predictAll() {
 	if !s.options.RouteSlowdown {
@@ -74,7 +77,7 @@
 	for _, id := range s.ids {
 		t := s.targets[id]
 		for i, load := range t.loads {
-			t.slow[i] = s.predictor.Predict(id, services[i].id, load).Mean
+			t.slow[i] = s.predictor.Predict(id, services[i].id, load).Upper(routeCaution)
 		}
 	}
 }
