core/response: throttle on the first report at every site

A throttle is no eviction, so a weight for evictions is no reason to wait with it; only the eviction itself keeps its patience.

--- a/core/response/response.go
+++ b/core/response/response.go
@@ -66,8 +66,7 @@
 type tuning struct {
 	high       float64 // slowdown above which the controller acts
 	low        float64 // slowdown below which it gives back
-	patience   int     // reports above the bound before a throttle
-	evictAfter int     // further reports above the bound before an eviction
+	evictAfter int     // reports above the bound with nothing left to throttle before an eviction
 	floor      float64 // lowest throttle level
 	budget     float64 // evictions per minute and 100 running tasks
 }
@@ -82,7 +81,7 @@
 )
 
 // tune maps the weights to the policy: a site that weighs evictions throttles deeper, waits
-// longer and has a smaller budget; one that weighs tail latency acts on the first report.
+// longer before an eviction and has a smaller budget.
 func tune(cfg Config) tuning {
 	w := cfg.Weights
 	sum := w.TailLatency + w.Throughput + w.Evictions
@@ -94,7 +93,6 @@
 	return tuning{
 		high:       cfg.MaxSlowdown,
 		low:        cfg.MaxSlowdown - hysteresis*allowed,
-		patience:   1 + int(math.Round(2*evictions)),
 		evictAfter: 1 + int(math.Round(10*evictions)),
 		floor:      math.Max(0.05, 0.3*(1-1.5*evictions)),
 		budget:     maxBudget * (1 - evictions) * (1 - evictions),
@@ -105,8 +103,7 @@
 type targetState struct {
 	lastFrom  model.Millis
 	effective model.Millis // evidence from before this time is ignored
-	above     int
-	stuck     int // reports above the bound while nothing is left to throttle
+	stuck     int          // reports above the bound while nothing is left to throttle
 	below     int
 }
 
@@ -160,23 +157,19 @@
 	switch {
 	case e.Slowdown.Mean > c.tuning.high:
 		s.below = 0
-		s.above++
 		return c.relieve(s, e)
 	case e.Slowdown.Mean < c.tuning.low:
-		s.above, s.stuck = 0, 0
+		s.stuck = 0
 		s.below++
 		return c.giveBack(s, e)
 	default:
-		s.above, s.stuck, s.below = 0, 0, 0
+		s.stuck, s.below = 0, 0
 		return nil
 	}
 }
 
 // relieve throttles from the most to the least to blame until the excess is covered.
 func (c *Controller) relieve(s *targetState, e Evidence) []Action {
-	if s.above < c.tuning.patience {
-		return nil
-	}
 	excess := e.Slowdown.Mean - (c.tuning.high+c.tuning.low)/2
 	var actions []Action
 	for _, t := range byBlame(e.Tasks) {
@@ -197,7 +190,6 @@
 	}
 	if len(actions) > 0 {
 		s.effective = e.Now + c.cfg.ActionMs
-		s.above = 0
 	}
 	if excess > 0 {
 		return append(actions, c.evict(s, e, excess)...)
@@ -228,7 +220,7 @@
 		return nil
 	}
 	c.tokens--
-	s.stuck, s.above = 0, 0
+	s.stuck = 0
 	s.effective = e.Now + c.cfg.EvictMs
 	return []Action{{
 		Kind:    Evict,
