--- /dev/null
+++ b/core/placement/bench_test.go
@@ -0,0 +1,132 @@
+package placement_test
+
+import (
+	"fmt"
+	"testing"
+
+	"samphirepaddle.example/core/model"
+	"samphirepaddle.example/core/placement"
+	"samphirepaddle.example/core/slowdown"
+)
+
+// sizes are the numbers of workers of a site today, of a large site, and of the design scale.
+var sizes = []int{50, 600, 17_000}
+
+// loaded returns a placer at about the design scale's density, 16 batch tasks per worker,
+// with a trained-size slowdown model.
+func loaded(workers int) *placement.Placer {
+	m := slowdown.New(slowdown.Config{})
+	p := placement.New(placement.Config{Seed: 1, Predictor: m, MaxSlowdown: 10})
+	for i := range workers {
+		id := model.TargetID(fmt.Sprintf("w%05d", i))
+		m.SetTarget(id, 24)
+		p.SetTarget(placement.TargetInfo{
+			ID:       id,
+			Pool:     "pool",
+			Zone:     model.Zone(fmt.Sprint("z", i%27)),
+			Rack:     model.Rack(fmt.Sprint("r", i/11)),
+			Capacity: model.Resources{Slots: 24, Connections: 64, CPUMillis: 64_000, MemoryMiB: 250 << 10},
+			Kept:     model.Resources{Slots: 4},
+		})
+		p.SetLoads(id, []placement.QuickLoad{{Service: "checks", Load: 0.1}, {Service: "labels", Load: 0.2}})
+		for j := range 16 {
+			task := benchTask(i*16 + j)
+			if err := p.Track(id, task); err != nil {
+				panic(err)
+			}
+			m.TaskStarted(id, task.Attempt, task.Kind, 0)
+		}
+	}
+	return p
+}
+
+func benchTask(n int) placement.Task {
+	return placement.Task{
+		Attempt: model.AttemptID{Job: model.JobID(fmt.Sprint("task-", n)), Number: 1},
+		Tenant:  "t",
+		Kind:    fmt.Sprint("kind-", n%12),
+		Size:    model.Resources{Slots: 1, CPUMillis: 2000, MemoryMiB: 8 << 10},
+		Bound:   true,
+		LossMs:  float64(n % 1000),
+	}
+}
+
+// BenchmarkPlace measures filter, score, reserve, bind and release of one task.
+func BenchmarkPlace(b *testing.B) {
+	for _, workers := range sizes {
+		b.Run(fmt.Sprint(workers), func(b *testing.B) {
+			p := loaded(workers)
+			b.ReportAllocs()
+			b.ResetTimer()
+			placeAndRelease(b.N, p)
+		})
+	}
+}
+
+func placeAndRelease(n int, p *placement.Placer) {
+	j := job(1<<30, model.Resources{Slots: 1, CPUMillis: 2000, MemoryMiB: 8 << 10})
+	for range n {
+		d, err := p.Place(j)
+		if err != nil {
+			panic(err)
+		}
+		if err := p.Reserve(d); err != nil {
+			panic(err)
+		}
+		if err := p.Bind(j.Attempt); err != nil {
+			panic(err)
+		}
+		p.Release(j.Attempt)
+	}
+}
+
+// BenchmarkPlaceFull measures a refusal at a site where the job fits nowhere.
+func BenchmarkPlaceFull(b *testing.B) {
+	for _, workers := range sizes {
+		b.Run(fmt.Sprint(workers), func(b *testing.B) {
+			p := loaded(workers)
+			j := job(1<<30, model.Resources{Slots: 12})
+			b.ReportAllocs()
+			b.ResetTimer()
+			for range b.N {
+				if _, err := p.Place(j); err == nil {
+					b.Fatal("the job fits")
+				}
+			}
+		})
+	}
+}
+
+// BenchmarkPreempt measures the choice of victims for an urgent job.
+func BenchmarkPreempt(b *testing.B) {
+	for _, workers := range sizes {
+		b.Run(fmt.Sprint(workers), func(b *testing.B) {
+			p := loaded(workers)
+			j := job(1<<30, model.Resources{Slots: 6})
+			b.ReportAllocs()
+			b.ResetTimer()
+			for range b.N {
+				if _, err := p.Preempt(j); err != nil {
+					b.Fatal(err)
+				}
+			}
+		})
+	}
+}
+
+// maxGrowth bounds the cost of a placement at 17,000 workers by that at 600. A scan of all
+// targets would grow by 28; the bound leaves room for caches that no longer hold the data.
+const maxGrowth = 8
+
+// Guards against a placement whose cost grows with the number of targets. Both sizes are
+// measured in one run, so the speed of the machine does not matter.
+func TestPlacementCostGrowsSlowly(t *testing.T) {
+	measure := func(workers int) float64 {
+		p := loaded(workers)
+		return float64(testing.Benchmark(func(b *testing.B) { placeAndRelease(b.N, p) }).NsPerOp())
+	}
+	small, large := measure(600), measure(17_000)
+	if large > maxGrowth*small {
+		t.Fatalf("a placement takes %.0f ns at 17,000 workers and %.0f ns at 600", large, small)
+	}
+}
--- a/core/placement/nofit.go
+++ b/core/placement/nofit.go
@@ -92,8 +92,8 @@
 	if avoided(job, t) {
 		return "the job failed there before"
 	}
-	if !p.withinSlowdown(job, t) {
-		return fmt.Sprintf("predicted slowdown of quick work %.2f exceeds %.2f", p.predict(job, t), p.cfg.MaxSlowdown)
+	if predicted := p.predict(job, t); predicted > p.cfg.MaxSlowdown {
+		return fmt.Sprintf("predicted slowdown of quick work %.2f exceeds %.2f", predicted, p.cfg.MaxSlowdown)
 	}
 	return ""
 }
--- a/core/placement/place.go
+++ b/core/placement/place.go
@@ -30,23 +30,28 @@
 // Place runs filter and score and changes nothing. If the job fits nowhere now, the error
 // is a *NoFitError.
 func (p *Placer) Place(job Job) (Decision, error) {
-	best := p.score(job, p.filter(job, p.withinSlowdown))
-	if best == nil && job.Urgent {
+	candidates := p.filter(job, p.cfg.MaxSlowdown)
+	if len(candidates) == 0 && job.Urgent {
 		// Urgent work starts even where it slows quick work beyond the bound; the response
 		// then throttles its neighbours.
-		best = p.score(job, p.filter(job, anySlowdown))
+		candidates = p.filter(job, math.Inf(1))
 	}
-	if best == nil {
+	if len(candidates) == 0 {
 		return Decision{}, p.noFit(job)
 	}
-	return *best, nil
+	best, cost := p.score(job, candidates)
+	return Decision{Job: job, Target: best.target.info.ID, Cost: cost, Predicted: best.predicted}, nil
 }
 
-func anySlowdown(Job, *target) bool { return true }
+// candidate is a target on which the job fits.
+type candidate struct {
+	target    *target
+	predicted float64 // cautious slowdown of quick work beside the new task
+}
 
-// filter returns up to cfg.Candidates targets on which the job fits and whose quick work is
-// acceptable, in index order from a random offset.
-func (p *Placer) filter(job Job, acceptable func(Job, *target) bool) []*target {
+// filter returns up to cfg.Candidates targets on which the job fits and whose quick work
+// stays within the slowdown bound, in index order from a random offset.
+func (p *Placer) filter(job Job, maxSlowdown float64) []candidate {
 	p.found = p.found[:0]
 	pool := p.pools[job.Pool]
 	if pool == nil || len(pool.targets) == 0 {
@@ -54,8 +59,11 @@
 	}
 	visit := func(i int) bool {
 		t := pool.targets[i]
-		if !avoided(job, t) && acceptable(job, t) {
-			p.found = append(p.found, t)
+		if avoided(job, t) {
+			return true
+		}
+		if predicted := p.predict(job, t); predicted <= maxSlowdown {
+			p.found = append(p.found, candidate{t, predicted})
 		}
 		return len(p.found) < p.cfg.Candidates
 	}
@@ -75,13 +83,13 @@
 	return false
 }
 
-func (p *Placer) withinSlowdown(job Job, t *target) bool {
-	return p.cfg.Predictor == nil || p.predict(job, t) <= p.cfg.MaxSlowdown
-}
-
-// predict returns the cautious slowdown of the worst-hit service beside the new task.
+// predict returns the cautious slowdown of the worst-hit service beside the new task, 1 if
+// neighbours are not considered.
 func (p *Placer) predict(job Job, t *target) float64 {
 	worst := 1.0
+	if p.cfg.Predictor == nil {
+		return worst
+	}
 	for _, quick := range t.loads {
 		present := p.cfg.Predictor.PredictFull(t.info.ID, quick.Service, quick.Load)
 		added := p.cfg.Predictor.Added(quick.Service, job.Kind, quick.Load)
@@ -98,27 +106,22 @@
 	balanceCost = 0.1
 )
 
-// score returns the candidate with the lowest cost, nil if there is none.
-func (p *Placer) score(job Job, candidates []*target) *Decision {
-	var best *Decision
-	for _, t := range candidates {
-		d := p.cost(job, t)
-		if best == nil || d.Cost < best.Cost {
-			best = &d
+// score returns the candidate with the lowest cost.
+func (p *Placer) score(job Job, candidates []candidate) (best candidate, cost float64) {
+	cost = math.Inf(1)
+	for _, c := range candidates {
+		if next := p.cost(job, c); next < cost {
+			best, cost = c, next
 		}
 	}
-	return best
+	return best, cost
 }
 
-func (p *Placer) cost(job Job, t *target) Decision {
-	d := Decision{Job: job, Target: t.info.ID, Predicted: 1}
-	if p.cfg.Predictor != nil {
-		d.Predicted = p.predict(job, t)
-		d.Cost += p.tailShare() * (d.Predicted - 1)
-	}
-	d.Cost += spreadCost * p.spread(job.Kind, t)
-	d.Cost += balanceCost * usedShare(t, job.Size)
-	return d
+func (p *Placer) cost(job Job, c candidate) float64 {
+	tail := p.tailShare() * (c.predicted - 1)
+	spread := spreadCost * p.spread(job.Kind, c.target)
+	balance := balanceCost * usedShare(c.target, job.Size)
+	return tail + spread + balance
 }
 
 // tailShare is the weight of the tail latency among the three weights of the site.
--- a/core/placement/target.go
+++ b/core/placement/target.go
@@ -121,7 +121,7 @@
 	pools   map[model.PoolID]*pool
 	racks   map[rackKey]int
 	zones   map[zoneKey]int
-	found   []*target // candidates of the present decision, reused
+	found   []candidate // candidates of the present decision, reused
 }
 
 // New returns a Placer without targets.
