--- a/core/state/queries.go
+++ b/core/state/queries.go
@@ -217,3 +217,12 @@
 	}
 	return all
 }
+
+// AllServices returns every service in order of their ids.
+func (s *State) AllServices() []model.Service {
+	var all []model.Service
+	for _, id := range sortedKeys(s.Config.Services) {
+		all = append(all, s.Config.Services[id])
+	}
+	return all
+}
--- a/daemon/cmd/samphired/daemon.go
+++ b/daemon/cmd/samphired/daemon.go
@@ -90,6 +90,7 @@
 	d.controller = controller.NewService(d.log, ttl, d.logger)
 	d.scheduler = scheduler.New(d.log, d.controller, d.logger)
 	d.controller.SetExplainer(d.scheduler)
+	d.controller.SetMembers(members{log})
 	peerMux.Handle(rpc.ControlPathPrefix, rpc.NewControlServer(d.controller))
 	return nil
 }
--- a/daemon/cmd/samphired/shutdown.go
+++ b/daemon/cmd/samphired/shutdown.go
@@ -15,6 +15,8 @@
 	ordersTimeout = 6 * time.Second  // for calls about attempts; one takes at most 5 s
 	handoverTries = 10 * time.Second // for DrainGateway; without it the session's expiry hands over
 	peerTimeout   = 2 * time.Second  // for the last calls of peers
+
+	transferTimeout = 2 * time.Second // for handing the leadership over
 )
 
 var errForced = errors.New("left at the second signal; requests in progress were cut off")
@@ -33,11 +35,23 @@
 		return errForced
 	}
 	if d.log != nil {
-		err = errors.Join(err, d.log.Close())
+		err = errors.Join(err, d.closeLog())
 	}
 	return err
 }
 
+// closeLog hands the leadership over first, so that the others need no election timeout.
+func (d *daemon) closeLog() error {
+	if d.log.Leader().Self {
+		ctx, cancel := context.WithTimeout(context.Background(), transferTimeout)
+		defer cancel()
+		if err := d.log.TransferLeadership(ctx); err != nil {
+			d.logger.Warn().Err(err).Msg("leadership not handed over; the others elect a leader")
+		}
+	}
+	return d.log.Close()
+}
+
 // handOver gives the targets to other gateways. Dispatches, starts and lease renewals stop
 // before the command, so that they cannot overlap with those of the next owners.
 func (d *daemon) handOver(force context.Context) {
--- a/daemon/controller/queries.go
+++ b/daemon/controller/queries.go
@@ -77,6 +77,7 @@
 	Revision model.Revision  `json:"revision"`
 	Gateways []state.Gateway `json:"gateways"`
 	Targets  []state.Target  `json:"targets"`
+	Services []model.Service `json:"services"`
 	Queued   int             `json:"queued_jobs"`
 	Never    int             `json:"never_runnable_jobs"` // of the queued ones
 	Tickets  int             `json:"kept_tickets"`
@@ -91,6 +92,7 @@
 	for _, target := range st.AllTargets() {
 		status.Targets = append(status.Targets, *target)
 	}
+	status.Services = st.AllServices()
 	status.Queued = st.QueuedCount()
 	status.Never = len(st.NeverRunnable())
 	status.Open = st.OpenCount()
--- /dev/null
+++ b/test/batch_test.go
@@ -0,0 +1,256 @@
+package test
+
+import (
+	"fmt"
+	"net/http"
+	"strings"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"samphirepaddle.example/test/cluster"
+)
+
+// job is the part of a job's state that the tests read.
+type job struct {
+	Phase     string `json:"phase"`
+	Attempts  int    `json:"attempts"`
+	Evictions int    `json:"evictions"`
+	Never     string `json:"never_reason"`
+	Open      *struct {
+		Target string `json:"target"`
+	} `json:"open"`
+}
+
+// jobRequest returns the body of a job of one slot.
+func jobRequest(id string, runTime time.Duration, more string) string {
+	return fmt.Sprintf(`{"id":%q,"pool":"shops","class":"batch","kind":"restock-plan","run_time_ms":%d,
+		"declared":{"slots":1,"connections":0,"cpu_millis":4000,"memory_mib":4096,"accelerators":0}%s}`,
+		id, runTime.Milliseconds(), more)
+}
+
+func submitJob(d *cluster.Daemon, id, body string) {
+	GinkgoHelper()
+	Eventually(func(g Gomega) {
+		answer, err := cluster.Do(http.MethodPost, "http://"+d.Public+"/v1/jobs", body,
+			"Samphire-Tenant", "cuenca", "Idempotency-Key", id)
+		g.Expect(err).NotTo(HaveOccurred())
+		g.Expect(answer.Status).To(Equal(http.StatusAccepted), answer.Body)
+	}).WithTimeout(patience).Should(Succeed())
+}
+
+func showJob(d *cluster.Daemon, id string) (job, error) {
+	var j job
+	err := cluster.GetJSON("http://"+d.Public+"/v1/jobs/"+id, &j)
+	return j, err
+}
+
+func waitPhase(d *cluster.Daemon, id, phase string) job {
+	GinkgoHelper()
+	var last job
+	Eventually(func(g Gomega) {
+		j, err := showJob(d, id)
+		g.Expect(err).NotTo(HaveOccurred())
+		g.Expect(j.Phase).To(Equal(phase), id)
+		last = j
+	}).WithTimeout(longPatience).Should(Succeed())
+	return last
+}
+
+// waitRunning waits until the job's open attempt has started at its target.
+func waitRunning(d *cluster.Daemon, id string, targets []*cluster.Target) *cluster.Target {
+	GinkgoHelper()
+	var on *cluster.Target
+	Eventually(func(g Gomega) {
+		on = nil
+		for _, t := range targets {
+			if t.Exited() {
+				continue
+			}
+			for _, entry := range journal(t) {
+				if entry.Attempt != nil && entry.Attempt.Job == id && entry.Event == "started" {
+					on = t
+				}
+			}
+		}
+		g.Expect(on).NotTo(BeNil())
+	}).WithTimeout(patience).Should(Succeed())
+	return on
+}
+
+// expectOneAtATime checks in the journals that no two attempts of a job ran at once and
+// that exactly one has finished.
+func expectOneAtATime(id string, targets []*cluster.Target) {
+	GinkgoHelper()
+	type run struct{ from, to int64 }
+	runs := map[int]*run{}
+	finished := 0
+	for _, t := range targets {
+		if t.Exited() {
+			continue
+		}
+		for _, entry := range journal(t) {
+			if entry.Attempt == nil || entry.Attempt.Job != id {
+				continue
+			}
+			number := entry.Attempt.Number
+			if entry.Event == "started" {
+				Expect(runs).NotTo(HaveKey(number), "attempt %d of %s started twice", number, id)
+				runs[number] = &run{from: entry.AtMs}
+				continue
+			}
+			runs[number].to = entry.AtMs
+			if entry.Outcome == "finished" {
+				finished++
+			}
+		}
+	}
+	Expect(finished).To(Equal(1), id)
+	for a, left := range runs {
+		for b, right := range runs {
+			if a < b {
+				Expect(left.to).To(BeNumerically("<=", right.from), "attempts %d and %d of %s overlap", a, b, id)
+			}
+		}
+	}
+}
+
+var _ = Describe("batch work", func() {
+	// Guards against a job that is started a second time, or lost, when the owner of its
+	// target or the leader dies while it runs.
+	It("finishes a job in one attempt while daemons are killed", func() {
+		c := startCluster(5, 3, nil)
+		applyTicket(c.Daemons[0], poolTicket(1, "1"))
+		targets := startTargets(c, 4)
+		const jobs = 12
+		for i := range jobs {
+			id := fmt.Sprintf("plan-%d", i)
+			submitJob(c.Daemons[i%5], id, jobRequest(id, 8*time.Second, ""))
+		}
+		for i := range jobs {
+			waitRunning(c.Daemons[0], fmt.Sprintf("plan-%d", i), targets)
+		}
+		c.Daemons[4].Kill()
+		c.Daemons[3].Kill()
+		dead := leader(c, c.Daemons[0])
+		dead.Kill()
+		asked := others(c, dead)[0]
+		for i := range jobs {
+			id := fmt.Sprintf("plan-%d", i)
+			j := waitPhase(asked, id, "finished")
+			Expect(j.Attempts).To(Equal(1), id)
+			expectOneAtATime(id, targets)
+		}
+		expectNoViolations(targets...)
+	})
+
+	// Guards against work that is lost with its target, and against a second run beside a
+	// target that is only cut off.
+	It("resumes the work of a target that cannot announce itself, after its lease", func() {
+		c := startCluster(3, 3, map[string]any{"target_ttl_ms": 3000, "announce_ms": 300})
+		applyTicket(c.Daemons[0], poolTicket(1, "1"))
+		targets := startTargets(c, 3)
+		submitJob(c.Daemons[0], "sheet", jobRequest("sheet", 6*time.Second, ""))
+		on := waitRunning(c.Daemons[0], "sheet", targets)
+		setFaults(on, `{"freeze_announcements":true}`)
+		j := waitPhase(c.Daemons[1], "sheet", "finished")
+		Expect(j.Attempts).To(Equal(2))
+		expectOneAtATime("sheet", targets)
+		expectNoViolations(targets...)
+	})
+
+	// Guards against a target that is frozen longer than its lease and goes on with a job that
+	// was requeued meanwhile.
+	It("does not finish a job twice when a frozen target wakes", func() {
+		c := startCluster(3, 3, map[string]any{"target_ttl_ms": 3000, "announce_ms": 300})
+		applyTicket(c.Daemons[0], poolTicket(1, "1"))
+		targets := startTargets(c, 3)
+		submitJob(c.Daemons[0], "sheet", jobRequest("sheet", 5*time.Second, ""))
+		on := waitRunning(c.Daemons[0], "sheet", targets)
+		on.Freeze()
+		waitPhase(c.Daemons[1], "sheet", "finished")
+		on.Thaw()
+		waitOpen(on)
+		finished := 0
+		for _, t := range targets {
+			for _, entry := range journal(t) {
+				if entry.Attempt != nil && entry.Attempt.Job == "sheet" && entry.Outcome == "finished" {
+					finished++
+				}
+			}
+		}
+		Expect(finished).To(Equal(1))
+		expectNoViolations(targets...)
+	})
+
+	// Guards against an eviction that loses the checkpoint, resumes twice or resumes beside
+	// the evicted attempt.
+	It("evicts for urgent work and resumes exactly once", func() {
+		c := startCluster(3, 3, nil)
+		applyTicket(c.Daemons[0], poolTicket(1, "1"))
+		targets := startTargets(c, 1)
+		for i := range 6 {
+			id := fmt.Sprintf("plan-%d", i)
+			submitJob(c.Daemons[0], id, jobRequest(id, 6*time.Second, ""))
+		}
+		for i := range 6 {
+			waitRunning(c.Daemons[0], fmt.Sprintf("plan-%d", i), targets)
+		}
+		submitJob(c.Daemons[1], "urgent", jobRequest("urgent", time.Second, `,"urgent":true`))
+		waitPhase(c.Daemons[0], "urgent", "finished")
+		evictions := 0
+		for i := range 6 {
+			id := fmt.Sprintf("plan-%d", i)
+			j := waitPhase(c.Daemons[0], id, "finished")
+			Expect(j.Attempts).To(Equal(j.Evictions+1), id)
+			evictions += j.Evictions
+			expectOneAtATime(id, targets)
+		}
+		Expect(evictions).To(BeNumerically(">", 0))
+		expectNoViolations(targets...)
+	})
+
+	// Guards against a cancellation that loses jobs, blocks the queue or leaves tasks running.
+	It("cancels a wave of jobs and runs the rest", func() {
+		c := startCluster(3, 3, nil)
+		applyTicket(c.Daemons[0], poolTicket(1, "1"))
+		targets := startTargets(c, 2)
+		const jobs = 100
+		for i := range jobs {
+			id := fmt.Sprintf("plan-%d", i)
+			submitJob(c.Daemons[i%3], id, jobRequest(id, 30*time.Second, ""))
+		}
+		for i := range jobs {
+			for range 2 {
+				answer, err := cluster.Do(http.MethodPost, fmt.Sprintf("http://%s/v1/jobs/plan-%d/cancel", c.Daemons[(i+1)%3].Public, i), "",
+					"Samphire-Tenant", "cuenca")
+				Expect(err).NotTo(HaveOccurred())
+				Expect(answer.Status).To(Equal(http.StatusAccepted), answer.Body)
+			}
+		}
+		for i := range jobs {
+			waitPhase(c.Daemons[0], fmt.Sprintf("plan-%d", i), "cancelled")
+		}
+		submitJob(c.Daemons[0], "after", jobRequest("after", time.Second, ""))
+		waitPhase(c.Daemons[0], "after", "finished")
+		expectNoViolations(targets...)
+	})
+
+	// Guards against a job that can never run and blocks the queue behind it without a reason.
+	It("names a job that can never run and runs the others", func() {
+		c := startCluster(3, 3, nil)
+		applyTicket(c.Daemons[0], poolTicket(1, "1"))
+		startTargets(c, 2)
+		huge := strings.Replace(jobRequest("huge", time.Second, ""), `"memory_mib":4096`, `"memory_mib":9000000`, 1)
+		submitJob(c.Daemons[0], "huge", huge)
+		submitJob(c.Daemons[0], "plan", jobRequest("plan", time.Second, ""))
+		waitPhase(c.Daemons[0], "plan", "finished")
+		Eventually(func(g Gomega) {
+			j, err := showJob(c.Daemons[1], "huge")
+			g.Expect(err).NotTo(HaveOccurred())
+			g.Expect(j.Phase).To(Equal("queued"))
+			g.Expect(j.Never).To(ContainSubstring("memory"))
+		}).WithTimeout(patience).Should(Succeed())
+	})
+})
--- a/test/suite_test.go
+++ b/test/suite_test.go
@@ -165,13 +165,10 @@
 	GinkgoHelper()
 	var found *cluster.Daemon
 	Eventually(func(g Gomega) {
-		var members struct {
-			Leader string `json:"leader"`
-		}
-		g.Expect(cluster.GetJSON("http://"+asked.Public+"/v1/members", &members)).To(Succeed())
-		for _, d := range c.Daemons {
-			if d.ID == members.Leader {
-				found = d
+		found = nil
+		for _, m := range members(asked) {
+			if m.Role == "leader" {
+				found = daemon(c, m.ID)
 			}
 		}
 		g.Expect(found).NotTo(BeNil())
@@ -179,6 +176,15 @@
 	return found
 }
 
+func daemon(c *cluster.Cluster, id string) *cluster.Daemon {
+	for _, d := range c.Daemons {
+		if d.ID == id {
+			return d
+		}
+	}
+	return nil
+}
+
 // others returns the daemons without one.
 func others(c *cluster.Cluster, without *cluster.Daemon) []*cluster.Daemon {
 	var rest []*cluster.Daemon
--- a/test/tickets_test.go
+++ b/test/tickets_test.go
@@ -166,25 +166,23 @@
 
 // member is the part of a controller's membership that the tests read.
 type member struct {
-	Gateway string `json:"gateway"`
-	Role    string `json:"role"`
+	ID   string `json:"id"`
+	Role string `json:"role"`
 }
 
 func members(d *cluster.Daemon) []member {
-	var answer struct {
-		Members []member `json:"members"`
-	}
-	if err := cluster.GetJSON("http://"+d.Public+"/v1/members", &answer); err != nil {
+	var list []member
+	if err := cluster.GetJSON("http://"+d.Public+"/v1/members", &list); err != nil {
 		return nil
 	}
-	return answer.Members
+	return list
 }
 
 func voters(d *cluster.Daemon) []string {
 	var ids []string
 	for _, m := range members(d) {
-		if m.Role == "voter" {
-			ids = append(ids, m.Gateway)
+		if m.Role != "learner" {
+			ids = append(ids, m.ID)
 		}
 	}
 	return ids
