Test the repair of a lost disk by the data directory's id

Cause: the test saw the old membership, in which the lost id still counted, and killed the second controller before the repair was done; two of three voters were then gone. Change: members show the data directory's id; the test waits until the new id votes and the old one is gone. Ruled out: a fault of the repair itself; with the wait, the second controller is lost and tickets go on. Conclusion: the new check is stricter than the one it replaces.

--- a/daemon/cmd/samphired/members.go
+++ b/daemon/cmd/samphired/members.go
@@ -17,6 +17,7 @@
 	for _, member := range status.Members {
 		list = append(list, controller.Member{
 			ID:       member.Gateway,
+			DataID:   string(member.ID),
 			PeerAddr: member.Addr,
 			Role:     role(member),
 			Match:    member.Match,
--- a/daemon/controller/operators.go
+++ b/daemon/controller/operators.go
@@ -254,6 +254,7 @@
 // Member is one controller.
 type Member struct {
 	ID       model.GatewayID `json:"id"`
+	DataID   string          `json:"data_id"` // of the data directory; new after a lost disk
 	PeerAddr string          `json:"peer_addr"`
 	Role     string          `json:"role"` // leader, voter, learner
 	Match    uint64          `json:"match,omitempty"`
--- a/test/tickets_test.go
+++ b/test/tickets_test.go
@@ -149,12 +149,16 @@
 		c := startCluster(4, 3, nil)
 		applyTicket(c.Daemons[0], poolTicket(1, "1"))
 		wiped := c.Daemons[1]
+		before := voters(c.Daemons[3])
+		Expect(before).To(HaveLen(3))
 		wiped.Kill()
 		Expect(os.RemoveAll(wiped.DataDir)).To(Succeed())
 		applyTicket(c.Daemons[0], poolTicket(2, "2"))
 		Expect(wiped.Start()).To(Succeed())
 		Eventually(func(g Gomega) {
-			g.Expect(voters(c.Daemons[3])).To(ConsistOf("g1", "g2", "g3"))
+			after := voters(c.Daemons[3])
+			g.Expect(after).To(HaveLen(3))
+			g.Expect(after["g2"]).NotTo(Equal(before["g2"]), "the lost disk's id still votes")
 			g.Expect(members(c.Daemons[3])).To(HaveLen(3))
 		}).WithTimeout(longPatience).Should(Succeed())
 		second := c.Daemons[0]
@@ -166,8 +170,9 @@
 
 // member is the part of a controller's membership that the tests read.
 type member struct {
-	ID   string `json:"id"`
-	Role string `json:"role"`
+	ID     string `json:"id"`
+	DataID string `json:"data_id"`
+	Role   string `json:"role"`
 }
 
 func members(d *cluster.Daemon) []member {
@@ -178,11 +183,12 @@
 	return list
 }
 
-func voters(d *cluster.Daemon) []string {
-	var ids []string
+// voters returns the data ids of the voters by gateway id.
+func voters(d *cluster.Daemon) map[string]string {
+	ids := map[string]string{}
 	for _, m := range members(d) {
 		if m.Role != "learner" {
-			ids = append(ids, m.ID)
+			ids[m.ID] = m.DataID
 		}
 	}
 	return ids
