--- a/daemon/gateway/call.go
+++ b/daemon/gateway/call.go
@@ -29,6 +29,7 @@
 
 // call is one quick request in progress.
 type call struct {
+	id         model.RequestID // of all dispatches; wire.ID is that of the present one
 	service    model.Service
 	tenant     model.TenantID
 	idempotent bool
@@ -64,7 +65,7 @@
 		writeOutcome(w, *problem)
 		return
 	}
-	w.Header().Set(target.HeaderRequestID, string(c.wire.ID))
+	w.Header().Set(target.HeaderRequestID, string(c.id))
 	out := g.runLimited(r.Context(), c)
 	g.metrics.observe(c.tenant, c.service.ID, model.ClassQuick, time.Since(began))
 	g.metrics.count(out.verdict)
@@ -112,7 +113,7 @@
 		Tenant:   c.tenant,
 		Key:      c.wire.Key,
 		BodyHash: contentHash(c),
-		Request:  c.wire.ID,
+		Request:  c.id,
 		Gateway:  g.session.Gateway(),
 		Epoch:    g.session.Epoch(),
 	}})
@@ -192,7 +193,7 @@
 
 // recordEnd records the outcome. The caller may be gone, so its context is not used.
 func (g *Gateway) recordEnd(c *call, out outcome) {
-	end := &state.EndRequest{Tenant: c.tenant, Key: c.wire.Key, Request: c.wire.ID, Verdict: out.verdict}
+	end := &state.EndRequest{Tenant: c.tenant, Key: c.wire.Key, Request: c.id, Verdict: out.verdict}
 	if out.verdict == model.VerdictRan && len(out.answer.Body) <= maxStoredAnswer {
 		end.Answer = &state.StoredAnswer{
 			Status:      out.answer.Status,
@@ -207,7 +208,7 @@
 		}
 		if try == recordTries {
 			// The key stays in progress until this session ends, and is unknown after that.
-			g.logger.Warn().Err(err).Str("request", string(c.wire.ID)).Msg("outcome of request not recorded")
+			g.logger.Warn().Err(err).Str("request", string(c.id)).Msg("outcome of request not recorded")
 			return
 		}
 		time.Sleep(recordPause)
@@ -274,8 +275,9 @@
 	default:
 		return refuse(http.StatusBadRequest, "bad_header", "%s %q is none of true, false", headerIdempotent, text)
 	}
+	c.id = model.RequestID(rand.Text())
 	c.wire = target.Call{
-		ID:       model.RequestID(rand.Text()),
+		ID:       c.id,
 		Tenant:   c.tenant,
 		Method:   r.Method,
 		Path:     callPath(r),
--- a/daemon/gateway/forward.go
+++ b/daemon/gateway/forward.go
@@ -131,10 +131,11 @@
 		return
 	}
 	c.forwarded = true
-	c.wire.ID = model.RequestID(r.Header.Get(target.HeaderRequestID))
+	c.id = model.RequestID(r.Header.Get(target.HeaderRequestID))
+	c.wire.ID = c.id
 	c.wire.Key = r.Header.Get(target.HeaderKey)
 	out := g.route(r.Context(), c)
-	w.Header().Set(target.HeaderRequestID, string(c.wire.ID))
+	w.Header().Set(target.HeaderRequestID, string(c.id))
 	w.Header().Set(headerFree, strconv.Itoa(int(g.owners.FreeQuick(c.service.Pool))))
 	if out.status != 0 {
 		writeForwardProblem(w, out)
--- a/daemon/gateway/route.go
+++ b/daemon/gateway/route.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"fmt"
 	"net/http"
 	"time"
 
@@ -25,8 +26,19 @@
 // route runs the call, and again elsewhere if that is safe and the retry budget allows it.
 func (g *Gateway) route(ctx context.Context, c *call) outcome {
 	g.budget.Earn()
+	var unknown *outcome // an earlier dispatch that may have run
 	for try := 1; ; try++ {
+		if try > 1 {
+			// An earlier dispatch may still hold a slot and answer under its own id.
+			c.wire.ID = model.RequestID(fmt.Sprintf("%s.%d", c.id, try))
+		}
 		out := g.place(ctx, c)
+		if out.verdict == model.VerdictNotRun && unknown != nil {
+			return *unknown
+		}
+		if out.verdict == model.VerdictUnknown {
+			unknown = &out
+		}
 		if !out.elsewhere || try == maxTries || !c.mayRunAgain(out) || ctx.Err() != nil {
 			return out
 		}
@@ -55,6 +67,12 @@
 				return out
 			}
 		}
+		if c.avoid != "" {
+			// Only the target that failed before has room.
+			if grant, err := g.owners.Reserve(c.service, c.wire.ID, ""); err == nil {
+				return g.dispatch(ctx, grant, c, q)
+			}
+		}
 	}
 	if c.forwarded {
 		return failed(model.VerdictNotRun, http.StatusServiceUnavailable, "no_capacity", "no target of pool %q has room", c.service.Pool)
@@ -104,7 +122,7 @@
 		q.Leave(w)
 		return queueRefusal(admission.ErrTooLate, expected), true
 	}
-	if grant, err := g.owners.Reserve(c.service, c.wire.ID, c.avoid); err == nil {
+	if grant, err := g.owners.Reserve(c.service, c.wire.ID, ""); err == nil {
 		q.Leave(w)
 		return g.dispatch(ctx, grant, c, q), true
 	}
