--- a/core/admission/limits.go
+++ b/core/admission/limits.go
@@ -50,7 +50,7 @@
 		return LimitConcurrent, 0
 	}
 	if tenant.QuickPerSecond > 0 {
-		if wait := u.takeToken(now, float64(tenant.QuickPerSecond)); wait > 0 {
+		if ok, wait := u.takeToken(now, float64(tenant.QuickPerSecond)); !ok {
 			return LimitRate, wait
 		}
 	}
@@ -59,15 +59,15 @@
 }
 
 // takeToken takes one token of a bucket that holds one second's worth.
-func (u *usage) takeToken(now time.Time, perSecond float64) time.Duration {
+func (u *usage) takeToken(now time.Time, perSecond float64) (ok bool, wait time.Duration) {
 	passed := max(0, now.Sub(u.filled).Seconds())
 	u.tokens = math.Min(perSecond, u.tokens+passed*perSecond)
 	u.filled = now
 	if u.tokens < 1 {
-		return time.Duration((1 - u.tokens) / perSecond * float64(time.Second))
+		return false, time.Duration((1 - u.tokens) / perSecond * float64(time.Second))
 	}
 	u.tokens--
-	return 0
+	return true, 0
 }
 
 // Give ends a request that Take admitted.
--- /dev/null
+++ b/daemon/owner/owner_test.go
@@ -0,0 +1,365 @@
+package owner
+
+import (
+	"context"
+	"errors"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/rs/zerolog"
+
+	"samphirepaddle.example/core/model"
+	"samphirepaddle.example/core/state"
+	"samphirepaddle.example/core/syncmsg"
+	"samphirepaddle.example/daemon/target"
+)
+
+type fakeLease struct{ valid atomic.Bool }
+
+func (l *fakeLease) Valid() bool { return l.valid.Load() }
+
+// fakeProposer notes commands and accepts them, unless down.
+type fakeProposer struct {
+	mu       sync.Mutex
+	down     bool
+	commands []state.Command
+}
+
+func (p *fakeProposer) Propose(_ context.Context, c state.Command) (state.Result, error) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.down {
+		return state.Result{}, errors.New("no leader")
+	}
+	p.commands = append(p.commands, c)
+	return state.Result{Code: state.CodeOK}, nil
+}
+
+func (p *fakeProposer) ends() (ends []state.EndAttempt) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for _, c := range p.commands {
+		if c.EndAttempt != nil {
+			ends = append(ends, *c.EndAttempt)
+		}
+	}
+	return ends
+}
+
+// fakeTarget counts calls per action; an action named in fail gets no answer that often.
+type fakeTarget struct {
+	mu    sync.Mutex
+	calls map[string]int
+	fail  map[string]int
+}
+
+func (f *fakeTarget) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	action := r.URL.Path[strings.LastIndex(r.URL.Path, "/")+1:]
+	f.mu.Lock()
+	f.calls[action]++
+	fail := f.fail[action] >= f.calls[action]
+	f.mu.Unlock()
+	if fail {
+		panic(http.ErrAbortHandler)
+	}
+	_, _ = w.Write([]byte(`{"checkpoint":"Y3A="}`))
+}
+
+func (f *fakeTarget) count(action string) int {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.calls[action]
+}
+
+type fixture struct {
+	t        *testing.T
+	table    *Table
+	lease    *fakeLease
+	proposer *fakeProposer
+	target   *fakeTarget
+	record   state.Target
+}
+
+// Target leases: long where a test does not let them end.
+const (
+	longTTL  = time.Minute
+	shortTTL = 100 * time.Millisecond
+)
+
+var (
+	capacity = model.Resources{Slots: 4, Connections: 8}
+	one      = model.Resources{Slots: 1, Connections: 1}
+	service  = model.Service{ID: "s", Pool: "p", Quick: one}
+	jobOne   = model.AttemptID{Job: "j", Number: 1}
+)
+
+func newFixture(t *testing.T, ttl time.Duration) *fixture {
+	f := &fixture{
+		t: t, lease: &fakeLease{}, proposer: &fakeProposer{},
+		target: &fakeTarget{calls: map[string]int{}, fail: map[string]int{}},
+	}
+	server := httptest.NewServer(f.target)
+	t.Cleanup(server.Close)
+	f.lease.valid.Store(true)
+	f.table = NewTable(Options{
+		Gateway: "g", TargetTTL: ttl, AnnounceEvery: time.Second,
+		Targets: target.NewClient(4), Proposer: f.proposer, Logger: zerolog.Nop(),
+	})
+	f.table.SetLease(f.lease)
+	f.record = state.Target{
+		ID: "t", StartID: "s1", Address: strings.TrimPrefix(server.URL, "http://"), Pool: "p", Capacity: capacity, Owner: "g", Epoch: 5,
+	}
+	return f
+}
+
+func (f *fixture) own(orders ...syncmsg.Order) {
+	changes := &syncmsg.Changes{Owned: []model.TargetID{"t"}, Targets: []state.Target{f.record}, Orders: orders}
+	for _, order := range orders {
+		changes.Open = append(changes.Open, order.Attempt.ID)
+	}
+	f.table.Apply(changes, state.Config{Revision: 1})
+}
+
+func order(epoch model.Epoch) syncmsg.Order {
+	return syncmsg.Order{Attempt: state.Attempt{ID: jobOne, Target: "t", StartID: "s1", Epoch: epoch, Reserved: one}}
+}
+
+func (f *fixture) report(sequence uint64, change func(*model.Announcement)) (model.AnnouncementAnswer, error) {
+	a := model.Announcement{
+		Target: "t", StartID: "s1", Sequence: sequence, Epoch: 5, Address: f.record.Address, Pool: "p",
+		Capacity: capacity, State: model.TargetReady,
+	}
+	if change != nil {
+		change(&a)
+	}
+	return f.table.Announce(context.Background(), a)
+}
+
+func (f *fixture) mustReport(sequence uint64, change func(*model.Announcement)) model.AnnouncementAnswer {
+	f.t.Helper()
+	answer, err := f.report(sequence, change)
+	if err != nil {
+		f.t.Fatal(err)
+	}
+	return answer
+}
+
+func (f *fixture) run() {
+	ctx, cancel := context.WithCancel(context.Background())
+	f.t.Cleanup(cancel)
+	go f.table.Run(ctx)
+}
+
+func (f *fixture) eventually(what string, condition func() bool) {
+	f.t.Helper()
+	for end := time.Now().Add(20 * time.Second); !condition(); time.Sleep(time.Millisecond) {
+		if time.Now().After(end) {
+			f.t.Fatalf("did not happen: %s", what)
+		}
+	}
+}
+
+func (f *fixture) takes() bool {
+	grant, err := f.table.Reserve(service, "probe", "")
+	if err != nil {
+		return false
+	}
+	grant.Release()
+	return true
+}
+
+// Guards against work for a target that the new owner has not heard of under its epoch.
+func TestTakeoverIsFullUntilReported(t *testing.T) {
+	f := newFixture(t, longTTL)
+	f.own()
+	if f.takes() {
+		t.Error("a target takes work before any report")
+	}
+	answer := f.mustReport(1, func(a *model.Announcement) { a.Epoch = 4 })
+	if f.takes() || answer.NextMs != 0 || answer.Epoch != 5 {
+		t.Errorf("after a report under the old epoch it takes work: %v; answer %+v", f.takes(), answer)
+	}
+	f.mustReport(2, func(a *model.Announcement) { a.Requests = []model.RequestID{"r1", "r2"} })
+	if free := f.table.FreeQuick("p"); free != 2 {
+		t.Errorf("%d slots free beside 2 adopted requests, want 2", free)
+	}
+	f.mustReport(3, func(a *model.Announcement) { a.Requests = []model.RequestID{"r1"} })
+	if free := f.table.FreeQuick("p"); free != 3 {
+		t.Errorf("%d slots free after one ended, want 3", free)
+	}
+	f.mustReport(2, nil)
+	if free := f.table.FreeQuick("p"); free != 3 {
+		t.Errorf("a report out of order changed the free slots to %d", free)
+	}
+}
+
+// Guards against a start that is lost with its answer: it is repeated, and the attempt is not
+// given back while it may run.
+func TestStartWithUnknownOutcomeIsRepeated(t *testing.T) {
+	f := newFixture(t, longTTL)
+	f.target.fail["tasks"] = 2
+	f.own(order(5))
+	f.mustReport(1, nil)
+	f.run()
+	f.eventually("the start is confirmed", func() bool { return f.target.count("tasks") == 3 })
+	if ends := f.proposer.ends(); len(ends) != 0 {
+		t.Errorf("ends %+v", ends)
+	}
+}
+
+// Guards against a refused start that leaves the job assigned for ever.
+func TestStartWithoutRoomIsRefused(t *testing.T) {
+	f := newFixture(t, longTTL)
+	big := order(5)
+	big.Attempt.Reserved = model.Resources{Slots: 5}
+	f.own(big)
+	f.mustReport(1, nil)
+	f.run()
+	f.eventually("the end is committed", func() bool { return len(f.proposer.ends()) == 1 })
+	if end := f.proposer.ends()[0]; end.Outcome != state.OutcomeRefused || end.Epoch != 5 || f.target.count("tasks") != 0 {
+		t.Errorf("end %+v after %d starts", end, f.target.count("tasks"))
+	}
+}
+
+// Guards against starts by a gateway whose session is lost.
+func TestNoStartWithoutLease(t *testing.T) {
+	f := newFixture(t, longTTL)
+	f.own(order(5))
+	f.mustReport(1, nil)
+	f.lease.valid.Store(false)
+	f.run()
+	time.Sleep(4 * tick)
+	if f.target.count("tasks") != 0 {
+		t.Error("an attempt was started without a lease")
+	}
+	f.lease.valid.Store(true)
+	f.eventually("the attempt is started", func() bool { return f.target.count("tasks") == 1 })
+}
+
+// Guards against a renewal after the loss was proposed, which would run the work twice.
+func TestNoRenewalOnceTheLossIsProposed(t *testing.T) {
+	f := newFixture(t, shortTTL)
+	f.own()
+	f.mustReport(1, nil)
+	f.proposer.down = true
+	f.run()
+	f.eventually("the lease is over", func() bool {
+		o := f.table.get("t")
+		o.mu.Lock()
+		defer o.mu.Unlock()
+		return o.losing
+	})
+	if _, err := f.report(2, nil); !errors.Is(err, ErrNotOwner) {
+		t.Errorf("the lease was renewed: %v", err)
+	}
+}
+
+// Guards against a second run after a restart of the target: attempts of the old process end
+// only after its lease, and a late report of the old process does not bring it back.
+func TestRestartedTargetLosesOldAttemptsAfterTheLease(t *testing.T) {
+	f := newFixture(t, shortTTL)
+	f.own(order(5))
+	f.mustReport(1, func(a *model.Announcement) { a.Running = []model.AttemptID{jobOne} })
+	f.run()
+	restart := func(a *model.Announcement) { a.StartID = "s2" }
+	f.mustReport(1, restart)
+	o := f.table.get("t")
+	o.mu.Lock()
+	over := o.oldOver
+	o.mu.Unlock()
+	if _, err := f.report(2, nil); !errors.Is(err, ErrSuperseded) {
+		t.Errorf("a late report of the old process: %v", err)
+	}
+	for sequence := uint64(2); len(f.proposer.ends()) == 0; sequence++ {
+		f.mustReport(sequence, restart)
+		time.Sleep(5 * time.Millisecond)
+	}
+	if end := f.proposer.ends()[0]; end.Outcome != state.OutcomeLost || time.Now().Before(over) {
+		t.Errorf("end %+v, %v before the old lease was over", end, time.Until(over))
+	}
+}
+
+// Guards against new work for a leaving target, and against a late report that undoes it.
+func TestLeavingTargetTakesNoWork(t *testing.T) {
+	f := newFixture(t, longTTL)
+	f.own()
+	f.mustReport(1, nil)
+	f.proposer.down = true // the local effect must not wait for the log
+	f.mustReport(3, func(a *model.Announcement) { a.State = model.TargetLeaving })
+	f.proposer.down = false
+	f.mustReport(2, nil)
+	f.mustReport(4, nil)
+	if f.takes() {
+		t.Error("a leaving target takes work")
+	}
+}
+
+// Guards against a grant of an earlier ownership that is used after a freeze.
+func TestGrantOfEarlierOwnershipIsNotValid(t *testing.T) {
+	f := newFixture(t, longTTL)
+	f.own()
+	f.mustReport(1, nil)
+	grant, err := f.table.Reserve(service, "r", "")
+	if err != nil || !grant.Valid() {
+		t.Fatalf("grant: %v", err)
+	}
+	f.table.Reset() // the session was lost; the lease below is that of a new one
+	f.record.Epoch = 9
+	f.own()
+	if grant.Valid() {
+		t.Error("the grant of the earlier session is valid under the new one")
+	}
+}
+
+// Guards against work beside attempts whose size is not known.
+func TestUnknownAttemptsAreStoppedAndCloseTheTarget(t *testing.T) {
+	f := newFixture(t, longTTL)
+	f.own()
+	answer := f.mustReport(1, func(a *model.Announcement) { a.Running = []model.AttemptID{jobOne} })
+	if len(answer.Stop) != 1 || f.takes() {
+		t.Errorf("answer %+v, takes work %v", answer, f.takes())
+	}
+	f.mustReport(2, nil)
+	if !f.takes() {
+		t.Error("the target is closed although the attempt is gone")
+	}
+}
+
+// Guards against a lost end, and against a requeue before checkpoint and stop are confirmed.
+func TestEviction(t *testing.T) {
+	f := newFixture(t, longTTL)
+	f.target.fail["stop"] = 1
+	evicting := order(5)
+	evicting.Attempt.Evicting = "room"
+	f.own(evicting)
+	f.mustReport(1, func(a *model.Announcement) { a.Running = []model.AttemptID{jobOne} })
+	f.run()
+	f.eventually("the end is committed", func() bool { return len(f.proposer.ends()) == 1 })
+	end := f.proposer.ends()[0]
+	if end.Outcome != state.OutcomeEvicted || string(end.Checkpoint) != "cp" || f.target.count("stop") != 2 || f.target.count("checkpoint") != 1 {
+		t.Errorf("end %+v after %d checkpoints and %d stops", end, f.target.count("checkpoint"), f.target.count("stop"))
+	}
+}
+
+// Guards against renewals and starts that overlap with those of the next owner.
+func TestDrainStopsRenewalsAndDispatches(t *testing.T) {
+	f := newFixture(t, longTTL)
+	f.own()
+	f.mustReport(1, nil)
+	grant, err := f.table.Reserve(service, "r", "")
+	if err != nil {
+		t.Fatal(err)
+	}
+	f.table.Drain(context.Background())
+	if _, err := f.report(2, nil); !errors.Is(err, ErrNotOwner) {
+		t.Errorf("renewal: %v", err)
+	}
+	if f.takes() || grant.Valid() {
+		t.Error("a drained gateway dispatches")
+	}
+}
