scheduler: hold targets for urgent and patient jobs; state: capture before encoding

Room that an eviction freed could be taken by smaller jobs before all of it was free, a large job could wait for ever among smaller ones, and jobs that do not fit now hid the rest of their tenant's queue. A target is kept free for an urgent job whose victims stop, and for one job of each pool that has waited 60 s; plans move on through long queues.

--- a/core/state/bench_test.go
+++ b/core/state/bench_test.go
@@ -124,6 +124,12 @@
 			b.ReportMetric(float64(len(data))/float64(n), "B/job")
 			b.ReportMetric(float64(b.Elapsed().Nanoseconds())/float64(b.N)/float64(n), "ns/job")
 		})
+		b.Run(fmt.Sprintf("capture/jobs=%d", n), func(b *testing.B) {
+			for range b.N {
+				s.Capture()
+			}
+			b.ReportMetric(float64(b.Elapsed().Nanoseconds())/float64(b.N)/float64(n), "ns/job")
+		})
 		b.Run(fmt.Sprintf("restore/jobs=%d", n), func(b *testing.B) {
 			for range b.N {
 				if _, err := Restore(data); err != nil {
--- a/core/state/random_test.go
+++ b/core/state/random_test.go
@@ -171,10 +171,13 @@
 }
 
 // Guards against replicas that diverge: through the order of maps, or because an index that
-// Restore rebuilt differs from the one that grew with the commands.
+// Restore rebuilt differs from the one that grew with the commands. Guards also against
+// commands that change a captured state before it is encoded.
 func TestReplicasAgreeAfterRestore(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		a, b := seeded(), seeded()
+		var captured *Capture
+		var stored []byte
 		n := rapid.IntRange(100, 200).Draw(t, "commands")
 		for i := range n {
 			c := command(t, a)
@@ -187,8 +190,12 @@
 					t.Fatal(err)
 				}
 				b = restored
+				captured, stored = a.Capture(), snapshotOf(t, a)
 			}
 		}
+		if late, err := captured.Encode(); err != nil || !bytes.Equal(late, stored) {
+			t.Fatalf("later commands changed a captured state: %v", err)
+		}
 		if !bytes.Equal(snapshotOf(t, a), snapshotOf(t, b)) {
 			t.Fatal("snapshots differ")
 		}
--- a/core/state/snapshot.go
+++ b/core/state/snapshot.go
@@ -46,24 +46,66 @@
 	Record *RequestRecord `cbor:"2,keyasint"`
 }
 
-// Snapshot returns the stored form of the state; equal states have equal snapshots.
-func (s *State) Snapshot() ([]byte, error) {
-	return model.Encode(snapshot{
+// Capture is a copy of the state that later commands do not change.
+type Capture struct {
+	stored snapshot
+}
+
+// Capture copies the records, but not the payloads, answers and results in them, which are
+// replaced and never changed in place. It takes a fraction of the time of encoding, so the
+// state has to be locked during Capture only, and Encode may run beside later commands.
+func (s *State) Capture() *Capture {
+	return &Capture{snapshot{
 		Version:      snapshotVersion,
 		Revision:     s.Revision,
 		Now:          s.Now,
 		NextEpoch:    s.NextEpoch,
 		NextSequence: s.NextSequence,
-		Config:       s.Config,
+		Config:       s.Config.Clone(),
 		LastTicket:   s.lastTicketEntries(),
-		Tickets:      s.Tickets,
+		Tickets:      copyRecords(s.Tickets),
 		TicketFloor:  s.TicketFloor,
-		Gateways:     s.Gateways,
-		Targets:      s.Targets,
-		Jobs:         s.Jobs,
+		Gateways:     copyRecords(s.Gateways),
+		Targets:      copyRecords(s.Targets),
+		Jobs:         copyJobs(s.Jobs),
 		JobKeys:      s.jobKeyEntries(),
 		Requests:     s.requestEntries(),
+	}}
+}
+
+// Encode returns the stored form; equal states have equal forms.
+func (c *Capture) Encode() ([]byte, error) {
+	slices.SortFunc(c.stored.LastTicket, func(a, b lastTicketEntry) int {
+		return cmp.Or(cmp.Compare(a.Ref.Kind, b.Ref.Kind), cmp.Compare(a.Ref.ID, b.Ref.ID))
 	})
+	slices.SortFunc(c.stored.JobKeys, func(a, b jobKeyEntry) int { return a.Key.compare(b.Key) })
+	slices.SortFunc(c.stored.Requests, func(a, b requestEntry) int { return a.Key.compare(b.Key) })
+	return model.Encode(c.stored)
+}
+
+// Snapshot returns the stored form of the state.
+func (s *State) Snapshot() ([]byte, error) { return s.Capture().Encode() }
+
+// copyRecords copies the records into one array, which is much cheaper than one allocation each.
+func copyRecords[K comparable, V any](records map[K]*V) map[K]*V {
+	copies := make([]V, 0, len(records))
+	out := make(map[K]*V, len(records))
+	for key, record := range records {
+		copies = append(copies, *record)
+		out[key] = &copies[len(copies)-1]
+	}
+	return out
+}
+
+func copyJobs(jobs map[model.JobID]*Job) map[model.JobID]*Job {
+	out := copyRecords(jobs)
+	for _, job := range out {
+		if job.Open != nil {
+			open := *job.Open
+			job.Open = &open
+		}
+	}
+	return out
 }
 
 // Restore returns the state that Snapshot stored.
@@ -111,27 +153,26 @@
 	for ref, number := range s.LastTicket {
 		entries = append(entries, lastTicketEntry{ref, number})
 	}
-	slices.SortFunc(entries, func(a, b lastTicketEntry) int {
-		return cmp.Or(cmp.Compare(a.Ref.Kind, b.Ref.Kind), cmp.Compare(a.Ref.ID, b.Ref.ID))
-	})
 	return entries
 }
 
 func (s *State) jobKeyEntries() []jobKeyEntry {
+	copies := make([]JobKey, 0, len(s.JobKeys))
 	entries := make([]jobKeyEntry, 0, len(s.JobKeys))
-	for key, job := range s.JobKeys {
-		entries = append(entries, jobKeyEntry{key, job})
+	for key, record := range s.JobKeys {
+		copies = append(copies, *record)
+		entries = append(entries, jobKeyEntry{key, &copies[len(copies)-1]})
 	}
-	slices.SortFunc(entries, func(a, b jobKeyEntry) int { return a.Key.compare(b.Key) })
 	return entries
 }
 
 func (s *State) requestEntries() []requestEntry {
+	copies := make([]RequestRecord, 0, len(s.Requests))
 	entries := make([]requestEntry, 0, len(s.Requests))
 	for key, record := range s.Requests {
-		entries = append(entries, requestEntry{key, record})
+		copies = append(copies, *record)
+		entries = append(entries, requestEntry{key, &copies[len(copies)-1]})
 	}
-	slices.SortFunc(entries, func(a, b requestEntry) int { return a.Key.compare(b.Key) })
 	return entries
 }
 
--- a/core/state/state_test.go
+++ b/core/state/state_test.go
@@ -1,6 +1,7 @@
 package state
 
 import (
+	"bytes"
 	"fmt"
 	"testing"
 
@@ -351,3 +352,35 @@
 		t.Fatalf("%d jobs are left", len(w.s.Jobs))
 	}
 }
+
+// Guards against replicas that differ because a command visits records in the order of a map.
+func TestExpiryIsTheSameOnEveryReplica(t *testing.T) {
+	var first []byte
+	for range 2 {
+		w := newWorld(t)
+		epoch := w.s.Gateways["gw1"].Epoch
+		for i := range 100 {
+			key := fmt.Sprint("k", i)
+			w.ok(Command{BeginRequest: &BeginRequest{Tenant: "andino", Key: key, Request: model.RequestID(key), Gateway: "gw1", Epoch: epoch}})
+			w.ok(Command{JoinTarget: &JoinTarget{Target: model.TargetID(key), StartID: "p", Pool: "shops", Capacity: model.Resources{Slots: 8}}})
+			w.submit(model.JobID(key))
+		}
+		for i := range 4 {
+			w.ok(w.assign(model.JobID(fmt.Sprint("k", i)), 1))
+		}
+		for i := range 3 {
+			w.ok(Command{RegisterGateway: &RegisterGateway{Gateway: model.GatewayID(fmt.Sprint("other", i)), Incarnation: "a"}})
+		}
+		w.ok(Command{ExpireGateway: &ExpireGateway{"gw1", epoch}})
+		w.ok(Command{LoseTarget: &LoseTarget{"t1", w.s.Targets["t1"].Epoch}})
+		data, err := w.s.Snapshot()
+		if err != nil {
+			t.Fatal(err)
+		}
+		if first == nil {
+			first = data
+		} else if !bytes.Equal(first, data) {
+			t.Fatal("the same commands led to different states")
+		}
+	}
+}
--- a/daemon/scheduler/bench_test.go
+++ b/daemon/scheduler/bench_test.go
@@ -7,6 +7,7 @@
 
 	"samphirepaddle.example/core/model"
 	"samphirepaddle.example/core/state"
+	"samphirepaddle.example/core/syncmsg"
 	"samphirepaddle.example/daemon/replica"
 )
 
@@ -22,38 +23,50 @@
 	}
 }
 
-func benchPlan(b *testing.B, targets, queued int) {
-	log := replica.NewSingle("c", "")
-	w := &site{log: log, now: 1_000_000, reported: make(chan struct{})}
-	w.s = New(log, w, quiet)
-	must := func(c state.Command) {
-		if r, _ := log.Propose(context.Background(), c); !r.OK() {
-			b.Fatal(r.Message)
-		}
-	}
-	must(state.Command{SubmitTicket: &state.SubmitTicket{Ticket: model.Ticket{Number: 1, Pools: []model.Pool{{ID: "shops"}}, Tenants: []model.Tenant{{ID: "a"}}}}})
-	must(state.Command{RegisterGateway: &state.RegisterGateway{Gateway: "gw", Incarnation: "x"}})
-	submit := func(id string) {
-		must(state.Command{SubmitJob: &state.SubmitJob{Key: id, Spec: model.JobSpec{ID: model.JobID(id), Tenant: "a", Pool: "shops",
-			Class: model.ClassBatch, Kind: "plan", Declared: model.Resources{Slots: 1}}}})
-	}
-	for t := range targets {
-		id := model.TargetID(fmt.Sprint("t", t))
-		must(state.Command{JoinTarget: &state.JoinTarget{Target: id, StartID: "p", Pool: "shops", Capacity: model.Resources{Slots: 20}}})
-		for j := range 16 {
-			job := fmt.Sprintf("j%d-%d", t, j)
-			submit(job)
-			must(state.Command{AssignAttempt: &state.AssignAttempt{Attempt: model.AttemptID{Job: model.JobID(job), Number: 1}, Target: id, Epoch: epochOf(log, id), Reserved: model.Resources{Slots: 1}}})
-		}
+// BenchmarkPlanFull measures a plan that finds no room: 350 tenants with 20 queued jobs each.
+func BenchmarkPlanFull(b *testing.B) {
+	for _, targets := range []int{65, 1400} {
+		b.Run(fmt.Sprintf("targets=%d", targets), func(b *testing.B) {
+			w, summaries := benchSite(b, targets, 20)
+			var tenants []model.Tenant
+			for i := range 350 {
+				tenants = append(tenants, model.Tenant{ID: model.TenantID(fmt.Sprint("tenant", i))})
+			}
+			w.must(b, state.Command{SubmitTicket: &state.SubmitTicket{Ticket: model.Ticket{Number: 2, Tenants: tenants[:175]}}})
+			w.must(b, state.Command{SubmitTicket: &state.SubmitTicket{Ticket: model.Ticket{Number: 3, Tenants: tenants[175:]}}})
+			for i := range 350 * 20 {
+				w.queue(b, fmt.Sprint("q", i), tenants[i%350].ID)
+			}
+			w.bench(b, summaries)
+		})
 	}
+}
+
+func benchPlan(b *testing.B, targets, queued int) {
+	w, summaries := benchSite(b, targets, 16)
 	for q := range queued {
-		submit(fmt.Sprint("q", q))
+		w.queue(b, fmt.Sprint("q", q), "a")
 	}
-	summaries := w.TakeSummaries(0)
+	w.bench(b, summaries)
+}
+
+func (w *site) must(b *testing.B, c state.Command) {
+	if r, _ := w.log.Propose(context.Background(), c); !r.OK() {
+		b.Fatal(r.Message)
+	}
+}
+
+func (w *site) queue(b *testing.B, id string, tenant model.TenantID) {
+	w.must(b, state.Command{At: w.now, SubmitJob: &state.SubmitJob{Key: id, Spec: model.JobSpec{ID: model.JobID(id), Tenant: tenant, Pool: "shops",
+		Class: model.ClassBatch, Kind: "plan", Declared: model.Resources{Slots: 1}}}})
+}
+
+// bench plans again and again; no decision is committed.
+func (w *site) bench(b *testing.B, summaries map[model.TargetID]syncmsg.TargetSummary) {
 	b.ResetTimer()
 	for range b.N {
 		var commands []state.Command
-		log.View(func(st *state.State) { commands = w.s.picture.decide(st, summaries, nil, w.now) })
+		w.log.View(func(st *state.State) { commands = w.s.picture.decide(st, summaries, nil, w.now) })
 		summaries = nil // the owners report what has changed
 		for _, c := range commands {
 			w.s.settle(0, c, false)
@@ -61,6 +74,25 @@
 	}
 }
 
+// benchSite returns a site with a number of open attempts on each target of 20 slots.
+func benchSite(b *testing.B, targets, open int) (*site, map[model.TargetID]syncmsg.TargetSummary) {
+	log := replica.NewSingle("c", "")
+	w := &site{log: log, now: 1_000_000, reported: make(chan struct{})}
+	w.s = New(log, w, quiet)
+	w.must(b, state.Command{SubmitTicket: &state.SubmitTicket{Ticket: model.Ticket{Number: 1, Pools: []model.Pool{{ID: "shops"}}, Tenants: []model.Tenant{{ID: "a"}}}}})
+	w.must(b, state.Command{RegisterGateway: &state.RegisterGateway{Gateway: "gw", Incarnation: "x"}})
+	for t := range targets {
+		id := model.TargetID(fmt.Sprint("t", t))
+		w.must(b, state.Command{JoinTarget: &state.JoinTarget{Target: id, StartID: "p", Pool: "shops", Capacity: model.Resources{Slots: 20}}})
+		for j := range open {
+			job := fmt.Sprintf("j%d-%d", t, j)
+			w.queue(b, job, "a")
+			w.must(b, state.Command{AssignAttempt: &state.AssignAttempt{Attempt: model.AttemptID{Job: model.JobID(job), Number: 1}, Target: id, Epoch: epochOf(log, id), Reserved: model.Resources{Slots: 1}}})
+		}
+	}
+	return w, w.TakeSummaries(0)
+}
+
 func epochOf(log replica.Log, id model.TargetID) (epoch model.Epoch) {
 	log.View(func(st *state.State) { epoch = st.Targets[id].Epoch })
 	return epoch
--- a/daemon/scheduler/picture.go
+++ b/daemon/scheduler/picture.go
@@ -116,6 +116,9 @@
 	p.response.forget(id)
 	delete(p.refused, id)
 	delete(p.reports, id)
+	if _, held := p.holds[id]; held {
+		p.dropHold(id)
+	}
 }
 
 func (p *picture) updateTarget(st *state.State, target *state.Target, summary syncmsg.TargetSummary, now model.Millis) {
@@ -199,6 +202,8 @@
 		return "its owner has not reported its free capacity"
 	case !summary.Open:
 		return "its owner takes no new work for it"
+	case p.holds[target.ID].job != "":
+		return p.holds[target.ID].reason()
 	case now < p.refused[target.ID].until:
 		return refusedReason
 	default:
@@ -258,7 +263,6 @@
 	ended := job == nil || job.Ended()
 	if ended {
 		defer p.health.Forget(id.Job)
-		delete(p.preempts, id.Job)
 	}
 	switch {
 	case job != nil && job.Phase == state.JobFinished:
--- a/daemon/scheduler/plan.go
+++ b/daemon/scheduler/plan.go
@@ -24,8 +24,10 @@
 func (p *picture) decide(st *state.State, summaries map[model.TargetID]syncmsg.TargetSummary, usage []syncmsg.TargetUsage, now model.Millis) []state.Command {
 	commands := p.update(st, summaries, now)
 	commands = append(commands, p.respond(st, usage, now)...)
+	commands = append(commands, p.serveHolds(st, now)...)
 	jobs := p.tenants.Order(p.candidates(st))
 	commands = append(commands, p.probe(st, jobs, now)...)
+	clear(p.tooLarge)
 	for _, job := range jobs {
 		if !p.pending[job.Attempt] && !p.proposed[job.ID] {
 			commands = append(commands, p.place(st, job, now)...)
@@ -34,18 +36,31 @@
 	return append(commands, p.recheckNever(st)...)
 }
 
-// candidates returns the jobs that wait longest, at most perTenant of each tenant.
+// candidates returns the jobs that one plan looks at. Half of each tenant's are those that
+// wait longest; the other half moves on through its queue, so that jobs which do not fit now
+// keep none of the others from being looked at.
 func (p *picture) candidates(st *state.State) []placement.Job {
 	var jobs []placement.Job
-	for _, tenant := range st.ReadyTenants() {
-		taken := 0
+	tenants := st.ReadyTenants()
+	limit := max(minPerTenant, min(perTenant, perPlan/max(1, len(tenants))))
+	for _, tenant := range tenants {
+		position, taken := 0, 0
+		skip := p.offset[tenant]
 		for job := range st.ReadyJobs(tenant) {
-			if taken == perTenant {
+			position++
+			if taken >= limit/2 && position <= skip {
+				continue
+			}
+			if taken == limit {
 				break
 			}
 			taken++
 			jobs = append(jobs, p.jobOf(job))
 		}
+		p.offset[tenant] = position
+		if taken < limit || position > maxOffset {
+			p.offset[tenant] = 0
+		}
 	}
 	return jobs
 }
@@ -88,20 +103,57 @@
 		}
 		return nil
 	}
-	decision, err := p.placer.Place(job)
-	if err == nil {
-		return p.assign(st, decision)
-	}
-	var noFit *placement.NoFitError
-	if errors.As(err, &noFit) && noFit.Never {
+	if p.placer.NeverFits(job) {
+		_, err := p.placer.Place(job)
 		return p.never(job.ID, neverCapacity+err.Error())
 	}
+	if !p.knownTooLarge(job) {
+		decision, err := p.placer.Place(job)
+		if err == nil {
+			return p.assign(st, decision)
+		}
+		p.noteTooLarge(job)
+	}
 	if job.Urgent {
 		return p.preempt(st, job, now)
 	}
+	p.keepForPatient(st, job, now)
 	return nil
 }
 
+// maxTooLarge bounds the sizes that are remembered in one plan for each pool.
+const maxTooLarge = 4
+
+// knownTooLarge reports whether a job of at most this size found no target in this plan.
+// In a full pool nearly all jobs find none, and each search costs a list of reasons.
+func (p *picture) knownTooLarge(job placement.Job) bool {
+	for _, size := range p.tooLarge[job.Pool] {
+		if size.Fits(job.Size) {
+			return true
+		}
+	}
+	return false
+}
+
+// noteTooLarge remembers a size. A job that avoids targets, or whose neighbours were the
+// reason, says nothing about others; urgent jobs ignore the neighbours.
+func (p *picture) noteTooLarge(job placement.Job) {
+	if job.Urgent && len(job.Avoid) == 0 && len(p.tooLarge[job.Pool]) < maxTooLarge {
+		p.tooLarge[job.Pool] = append(p.tooLarge[job.Pool], job.Size)
+		return
+	}
+	if len(job.Avoid) == 0 && len(p.tooLarge[job.Pool]) < maxTooLarge && !p.fitsSomewhere(job) {
+		p.tooLarge[job.Pool] = append(p.tooLarge[job.Pool], job.Size)
+	}
+}
+
+// fitsSomewhere reports whether the job would fit if the slowdown of its neighbours were ignored.
+func (p *picture) fitsSomewhere(job placement.Job) bool {
+	job.Urgent = true
+	_, err := p.placer.Place(job)
+	return err == nil
+}
+
 // never marks a job; the text is cut because it may name many targets.
 func (p *picture) never(id model.JobID, reason string) []state.Command {
 	const maxReason = 1000 // bytes
@@ -123,10 +175,10 @@
 	}}}
 }
 
-// preempt makes room for an urgent job by evicting the tasks that lose least. The room is
-// not held: urgent jobs come first in the next plan.
+// preempt makes room for an urgent job by evicting the tasks that lose least. The target is
+// held for the job until its victims have stopped.
 func (p *picture) preempt(st *state.State, job placement.Job, now model.Millis) []state.Command {
-	if at, ok := p.preempts[job.ID]; ok && now-at < preemptPause {
+	if _, held := p.heldFor[job.ID]; held {
 		return nil
 	}
 	p.setLosses(st, now)
@@ -134,7 +186,7 @@
 	if err != nil {
 		return nil
 	}
-	p.preempts[job.ID] = now
+	p.keep(plan.Target, job, now+urgentHold)
 	var commands []state.Command
 	for _, victim := range plan.Victims {
 		p.placer.SetLoss(victim, 0, true)
--- a/daemon/scheduler/scheduler.go
+++ b/daemon/scheduler/scheduler.go
@@ -26,21 +26,27 @@
 	// planPause is the shortest time between two plans, so that a burst of changes is planned
 	// once. It is small beside the 2.1 s in which urgent work has to start.
 	planPause = 20 * time.Millisecond
+	// pauseFactor times the time that a plan took is paused after it, so that plans take at
+	// most 2% of a core. maxPlanPause bounds the pause; it delays urgent work.
+	pauseFactor  = 50
+	maxPlanPause = 250 * time.Millisecond
 	// idlePlan is the longest time between two plans: probes and pauses after refusals become
 	// due without any change.
 	idlePlan = 500 * time.Millisecond
 	// maxInFlight bounds the proposals that wait for their commit. At 2,200 starts/s and a
 	// commit time of 50 ms, 110 are in flight.
 	maxInFlight = 256
-	// perTenant bounds the queued jobs of one tenant that one plan looks at.
-	perTenant = 64
+	// perPlan bounds the queued jobs that one plan looks at, perTenant those of one tenant. At
+	// least minPerTenant of each are looked at. maxOffset bounds how far a plan reads a queue.
+	perPlan      = 2048
+	perTenant    = 64
+	minPerTenant = 8
+	maxOffset    = 4096
 	// refusalPause keeps new work off a target whose owner refused a task, until its next
 	// reports of free capacity have arrived. It doubles with each refusal in a row, so that a
 	// target that refuses everything causes few commits.
 	refusalPause    = model.Millis(500)
 	maxRefusalPause = model.Millis(32_000)
-	// preemptPause is how long a preemption may take before another one is tried.
-	preemptPause = model.Millis(1500)
 )
 
 // Owners answers what the owners of the targets reported; the controller implements it.
@@ -93,7 +99,10 @@
 	proposed map[model.JobID]bool     // commands about a job without a known outcome yet
 	changing map[model.TargetID]bool  // targets with a proposed change of quarantine
 	refused  map[model.TargetID]refusal
-	preempts map[model.JobID]model.Millis // time of the last preemption for a job
+	holds    map[model.TargetID]hold
+	heldFor  map[model.JobID]model.TargetID
+	offset   map[model.TenantID]int             // place in its queue that the next plan starts from
+	tooLarge map[model.PoolID][]model.Resources // sizes that found no target in this plan
 	capacity model.Resources
 	checked  model.Revision // configuration that the never-runnable jobs were checked with
 	version  int            // number of targets that they were checked with
@@ -152,7 +161,10 @@
 		proposed: map[model.JobID]bool{},
 		changing: map[model.TargetID]bool{},
 		refused:  map[model.TargetID]refusal{},
-		preempts: map[model.JobID]model.Millis{},
+		holds:    map[model.TargetID]hold{},
+		heldFor:  map[model.JobID]model.TargetID{},
+		offset:   map[model.TenantID]int{},
+		tooLarge: map[model.PoolID][]model.Resources{},
 	}
 	p.placer = placement.New(placement.Config{Seed: 1, Predictor: p.response.model})
 	return p
@@ -164,8 +176,8 @@
 	for ctx.Err() == nil {
 		changed, reported := s.log.Changed(), s.owners.Reported()
 		if leader := s.log.Leader(); leader.Self {
-			s.plan(ctx, leader.Term)
-			sleep(ctx, planPause)
+			took := s.plan(ctx, leader.Term)
+			sleep(ctx, max(planPause, min(maxPlanPause, pauseFactor*took)))
 		}
 		timer := time.NewTimer(idlePlan)
 		select {
@@ -188,13 +200,14 @@
 	}
 }
 
-// plan decides on one snapshot and proposes what it decided.
-func (s *Scheduler) plan(ctx context.Context, term uint64) {
+// plan decides on one snapshot and proposes what it decided. It returns how long it decided.
+func (s *Scheduler) plan(ctx context.Context, term uint64) time.Duration {
 	summaries := s.owners.TakeSummaries(term)
 	usage := s.owners.TakeUsage()
 	now := model.Millis(time.Now().UnixMilli())
 	var commands []state.Command
 	var levels map[model.GatewayID][]syncmsg.Throttle
+	begin := time.Now()
 	s.log.View(func(st *state.State) {
 		s.mu.Lock()
 		defer s.mu.Unlock()
@@ -205,10 +218,12 @@
 		commands = s.picture.decide(st, summaries, usage, now)
 		levels = s.picture.response.levelsByOwner(st)
 	})
+	took := time.Since(begin)
 	s.owners.SetThrottles(levels)
 	for i := range commands {
 		s.propose(ctx, term, commands[i])
 	}
+	return took
 }
 
 // propose commits a command in the background; it waits only while too many are in flight.
--- a/daemon/scheduler/scheduler_test.go
+++ b/daemon/scheduler/scheduler_test.go
@@ -428,3 +428,53 @@
 		})
 	}
 }
+
+// Guards against room made for an urgent job that smaller jobs take before all of it is free.
+func TestRoomForUrgentWorkIsHeld(t *testing.T) {
+	w := newSite(t, single(), 1)
+	for i := range 4 {
+		w.submit(fmt.Sprint("batch", i), "a", 1, false)
+	}
+	w.plan()
+	w.submit("urgent", "b", 2, true)
+	for i := range 20 {
+		w.submit(fmt.Sprint("small", i), "a", 1, false)
+	}
+	w.plan()
+	for range 2 {
+		first := true
+		w.end(state.OutcomeEvicted, func(j *state.Job) bool {
+			take := first && j.Open.Evicting != ""
+			first = first && !take
+			return take
+		})
+		w.plan()
+	}
+	if w.job("urgent").Phase != state.JobAssigned {
+		t.Fatalf("the urgent job is %s after its victims have stopped", w.job("urgent").Phase)
+	}
+}
+
+// Guards against a large job that waits for ever because smaller ones take all room, and
+// against a head of a queue that does not fit and keeps the jobs behind it from running.
+func TestLargeJobRunsAmongSmallOnes(t *testing.T) {
+	w := newSite(t, single(), 2)
+	w.submit("filler", "a", 1, false)
+	w.plan()
+	for i := range 2 * perTenant {
+		w.submit(fmt.Sprint("large", i), "a", 4, false)
+	}
+	w.submit("behind", "a", 1, false)
+	for step := range 2000 {
+		w.submit(fmt.Sprint("small", step), "b", 1, false)
+		n := 0
+		w.end(state.OutcomeFinished, func(*state.Job) bool { n++; return n == 1 })
+		w.plan()
+	}
+	if n := w.job("large0").Attempts; n == 0 {
+		t.Fatal("the large job did not run")
+	}
+	if n := w.job("behind").Attempts; n == 0 {
+		t.Fatal("the job behind the large ones did not run")
+	}
+}
