scheduler: fair turns by what is held, not by what is planned

The fair order charged each job when it was ordered, whether or not it found room, so a tenant whose large jobs do not fit lost the turns of its small ones. Shares now change only when a job is placed.

--- a/core/placement/tenants.go
+++ b/core/placement/tenants.go
@@ -1,7 +1,6 @@
 package placement
 
 import (
-	"container/heap"
 	"fmt"
 	"slices"
 	"strings"
@@ -132,56 +131,26 @@
 
 func (t *Tenants) interleave(out []Job, tenants []model.TenantID, queues map[model.TenantID][]Job) []Job {
 	round := &Tenants{limits: t.limits, total: t.total, held: map[model.TenantID]model.Resources{}}
-	turns := make(turns, 0, len(tenants))
+	shares := make([]float64, len(tenants))
 	for i, id := range tenants {
 		round.held[id] = t.held[id]
-		turns = append(turns, turn{share: t.Share(id), place: i, queue: queues[id]})
+		shares[i] = t.Share(id)
 	}
-	heap.Init(&turns)
-	for len(turns) > 0 {
-		next := &turns[0]
-		job := next.queue[0]
-		next.queue = next.queue[1:]
-		out = append(out, job)
-		if len(next.queue) == 0 {
-			heap.Pop(&turns)
-			continue
+	for {
+		next := -1
+		for i, id := range tenants {
+			if len(queues[id]) > 0 && (next < 0 || shares[i] < shares[next]) {
+				next = i
+			}
 		}
-		id := tenants[next.place]
+		if next < 0 {
+			return out
+		}
+		id := tenants[next]
+		job := queues[id][0]
+		queues[id] = queues[id][1:]
+		out = append(out, job)
 		round.Charge(id, job.Size)
-		next.share = round.Share(id)
-		heap.Fix(&turns, 0)
+		shares[next] = round.Share(id)
 	}
-	return out
-}
-
-// turn is a tenant with waiting jobs.
-type turn struct {
-	share float64
-	place int // of the tenant in the order of ids, which decides between equal shares
-	queue []Job
-}
-
-// turns is a heap with the smallest share first.
-type turns []turn
-
-func (t turns) Len() int { return len(t) }
-
-func (t turns) Less(i, j int) bool {
-	if t[i].share != t[j].share {
-		return t[i].share < t[j].share
-	}
-	return t[i].place < t[j].place
-}
-
-func (t turns) Swap(i, j int) { t[i], t[j] = t[j], t[i] }
-
-// Push implements heap.Interface.
-func (t *turns) Push(x any) { *t = append(*t, x.(turn)) }
-
-// Pop implements heap.Interface.
-func (t *turns) Pop() any {
-	last := (*t)[len(*t)-1]
-	*t = (*t)[:len(*t)-1]
-	return last
 }
--- a/daemon/scheduler/picture.go
+++ b/daemon/scheduler/picture.go
@@ -290,5 +290,5 @@
 	}
 	pause := min(max(2*last.pause, refusalPause), maxRefusalPause)
 	p.refused[id] = refusal{until: now + pause, pause: pause}
-	p.placer.SetBlocked(id, refusedReason)
+	p.dirty[id] = true
 }
--- a/daemon/scheduler/plan.go
+++ b/daemon/scheduler/plan.go
@@ -25,14 +25,10 @@
 	commands := p.update(st, summaries, now)
 	commands = append(commands, p.respond(st, usage, now)...)
 	commands = append(commands, p.serveHolds(st, now)...)
-	jobs := p.tenants.Order(p.candidates(st))
+	jobs := p.candidates(st)
 	commands = append(commands, p.probe(st, jobs, now)...)
 	clear(p.tooLarge)
-	for _, job := range jobs {
-		if !p.pending[job.Attempt] && !p.proposed[job.ID] {
-			commands = append(commands, p.place(st, job, now)...)
-		}
-	}
+	commands = append(commands, p.placeInTurn(st, jobs, now)...)
 	return append(commands, p.recheckNever(st)...)
 }
 
@@ -47,13 +43,13 @@
 		position, taken := 0, 0
 		skip := p.offset[tenant]
 		for job := range st.ReadyJobs(tenant) {
+			if taken == limit {
+				break
+			}
 			position++
 			if taken >= limit/2 && position <= skip {
 				continue
 			}
-			if taken == limit {
-				break
-			}
 			taken++
 			jobs = append(jobs, p.jobOf(job))
 		}
@@ -270,16 +266,13 @@
 	return commands
 }
 
-// carryOut turns the decisions of the health tracker into commands. They hold at once, so
-// that the same plan does not use the target or the job again.
+// carryOut turns the decisions of the health tracker into commands. The target and the job
+// are not used until the commands are answered.
 func (p *picture) carryOut(changes []health.Change) []state.Command {
 	var commands []state.Command
 	for _, change := range changes {
 		if change.Target != "" {
 			p.changing[change.Target] = true
-			if change.On {
-				p.placer.SetBlocked(change.Target, "it is in quarantine: "+change.Reason)
-			}
 			commands = append(commands, state.Command{QuarantineTarget: &state.QuarantineTarget{
 				Target: change.Target, On: change.On, Reason: change.Reason,
 			}})
