Balance the ownership of targets over the gateways

Cause: apply assigns an owner only to targets that have none, so a gateway that came back owned nothing; restarts of all gateways in turn would leave every target to the last ones, often in another zone. Ruled out: reassigning by the leader alone, because the old owner could dispatch beside the new one until its next renewal.

--- a/core/state/apply.go
+++ b/core/state/apply.go
@@ -27,6 +27,10 @@
 		return s.expireGateway(c.ExpireGateway)
 	case c.DrainGateway != nil:
 		return s.drainGateway(c.DrainGateway)
+	case c.MoveTarget != nil:
+		return s.moveTarget(c.MoveTarget)
+	case c.HandOverTarget != nil:
+		return s.handOverTarget(c.HandOverTarget)
 	case c.JoinTarget != nil:
 		return s.joinTarget(c.JoinTarget)
 	case c.LeaveTarget != nil:
--- /dev/null
+++ b/core/state/balance.go
@@ -0,0 +1,69 @@
+package state
+
+import (
+	"samphirepaddle.example/core/model"
+)
+
+func (s *State) moveTarget(c *MoveTarget) Result {
+	target, ok := s.Targets[c.Target]
+	if !ok || target.Owner == "" || target.Epoch != c.Epoch {
+		return resultf(CodeStale, "target %q is not owned under epoch %d", c.Target, c.Epoch)
+	}
+	if target.Moving {
+		return Result{Code: CodeRepeated}
+	}
+	target.Moving = true
+	s.touchTarget(target)
+	return Result{Code: CodeOK}
+}
+
+func (s *State) handOverTarget(c *HandOverTarget) Result {
+	target, ok := s.Targets[c.Target]
+	if !ok || !target.Moving || target.Epoch != c.Epoch {
+		return resultf(CodeStale, "target %q is not to be moved under epoch %d", c.Target, c.Epoch)
+	}
+	s.touchTarget(target)
+	s.setOwner(target, "")
+	s.assignOwner(target, s.ownedCounts())
+	return Result{Code: CodeOK, Epoch: target.Epoch}
+}
+
+// Misplaced returns up to limit owned targets, those that are being moved included, whose
+// owner is in another zone although their zone has a live gateway, or owns at least two
+// targets more than the gateway that would be chosen now. A difference of one is left alone,
+// so that moves come to an end.
+func (s *State) Misplaced(limit int) []*Target {
+	load := s.ownedCounts()
+	var misplaced []*Target
+	for _, id := range sortedKeys(s.Targets) {
+		target := s.Targets[id]
+		if len(misplaced) == limit {
+			break
+		}
+		if target.Owner == "" || target.Lost {
+			continue
+		}
+		better := s.leastLoaded(load, target.Zone)
+		if better == "" {
+			better = s.leastLoaded(load, "")
+		}
+		if better == "" || !target.Moving && !s.worthMoving(target, better, load) {
+			continue
+		}
+		load[target.Owner]--
+		load[better]++
+		misplaced = append(misplaced, target)
+	}
+	return misplaced
+}
+
+func (s *State) worthMoving(target *Target, better model.GatewayID, load map[model.GatewayID]int) bool {
+	owner, ok := s.Gateways[target.Owner]
+	if !ok || !owner.Live() || better == target.Owner {
+		return false
+	}
+	if s.Gateways[better].Zone == target.Zone && owner.Zone != target.Zone {
+		return true
+	}
+	return load[target.Owner] >= load[better]+2
+}
--- a/core/state/commands.go
+++ b/core/state/commands.go
@@ -14,6 +14,8 @@
 	RegisterGateway   *RegisterGateway   `json:"register_gateway,omitempty"`
 	ExpireGateway     *ExpireGateway     `json:"expire_gateway,omitempty"`
 	DrainGateway      *DrainGateway      `json:"drain_gateway,omitempty"`
+	MoveTarget        *MoveTarget        `json:"move_target,omitempty"`
+	HandOverTarget    *HandOverTarget    `json:"hand_over_target,omitempty"`
 	JoinTarget        *JoinTarget        `json:"join_target,omitempty"`
 	LeaveTarget       *LeaveTarget       `json:"leave_target,omitempty"`
 	LoseTarget        *LoseTarget        `json:"lose_target,omitempty"`
@@ -56,6 +58,20 @@
 	Epoch   model.Epoch     `json:"epoch"`
 }
 
+// MoveTarget asks the owner of a target to hand it over, because ownership is unevenly
+// spread after gateways came back.
+type MoveTarget struct {
+	Target model.TargetID `json:"target"`
+	Epoch  model.Epoch    `json:"epoch"` // ownership epoch; another value changes nothing
+}
+
+// HandOverTarget gives a target that is to be moved to another gateway. Its owner proposes it
+// after it has stopped dispatching, starting and renewing under the epoch.
+type HandOverTarget struct {
+	Target model.TargetID `json:"target"`
+	Epoch  model.Epoch    `json:"epoch"`
+}
+
 // JoinTarget records a target, or a new process of a known one, and assigns an owner if
 // it has none.
 type JoinTarget struct {
--- a/core/state/members.go
+++ b/core/state/members.go
@@ -78,6 +78,7 @@
 	s.ownershipChanged[target.Owner] = s.Revision
 	s.ownershipChanged[owner] = s.Revision
 	s.index.dropTarget(target)
+	target.Moving = false
 	target.Owner = owner
 	s.index.addTarget(target)
 }
--- a/core/state/state.go
+++ b/core/state/state.go
@@ -110,6 +110,7 @@
 	Capacity    model.Resources `json:"capacity" cbor:"7,keyasint"`
 	Owner       model.GatewayID `json:"owner" cbor:"8,keyasint,omitempty"`
 	Epoch       model.Epoch     `json:"epoch" cbor:"9,keyasint,omitempty"`
+	Moving      bool            `json:"moving,omitempty"` // the owner is asked to hand it over
 	Leaving     bool            `json:"leaving,omitempty" cbor:"10,keyasint,omitempty"`
 	Lost        bool            `json:"lost,omitempty" cbor:"11,keyasint,omitempty"`
 	Quarantined string          `json:"quarantined,omitempty" cbor:"12,keyasint,omitempty"` // reason
--- a/daemon/controller/service.go
+++ b/daemon/controller/service.go
@@ -140,14 +140,18 @@
 
 // Run lets sessions expire until ctx is done.
 func (s *Service) Run(ctx context.Context) {
-	ticker := time.NewTicker(expiryTick)
-	defer ticker.Stop()
+	expiry := time.NewTicker(expiryTick)
+	defer expiry.Stop()
+	balance := time.NewTicker(balanceTick)
+	defer balance.Stop()
 	for {
 		select {
 		case <-ctx.Done():
 			return
-		case <-ticker.C:
+		case <-expiry.C:
 			s.expireSessions(ctx)
+		case <-balance.C:
+			s.balanceOwnership(ctx)
 		}
 	}
 }
--- a/daemon/owner/attempts.go
+++ b/daemon/owner/attempts.go
@@ -22,7 +22,7 @@
 	drainPoll      = 5 * time.Millisecond
 )
 
-// job is one call about an attempt, or the loss of the target if attempt is nil.
+// job is one call about an attempt, or the loss or handover of the target if attempt is nil.
 type job struct {
 	owned   *owned
 	attempt *attempt
@@ -67,6 +67,10 @@
 }
 
 func (t *Table) do(ctx context.Context, j job) {
+	if j.attempt == nil && j.owned.isMoving() {
+		t.handOver(ctx, j.owned)
+		return
+	}
 	if j.attempt == nil {
 		t.lose(ctx, j.owned)
 		j.owned.finishLoss()
@@ -83,6 +87,9 @@
 	}
 	now := time.Now()
 	for _, o := range t.list() {
+		if o.claimHandover() && !t.enqueue(job{owned: o}) {
+			o.finishHandover()
+		}
 		if o.beginLoss(now, t.options.TargetTTL) {
 			if o.claimLoss() && !t.enqueue(job{owned: o}) {
 				o.finishLoss()
--- /dev/null
+++ b/daemon/owner/handover.go
@@ -0,0 +1,55 @@
+package owner
+
+import (
+	"context"
+
+	"samphirepaddle.example/core/state"
+)
+
+// beginHandover stops every new dispatch, start and renewal under the epoch. The caller holds o.mu.
+func (o *owned) beginHandover() {
+	o.moving = true
+	o.gone = true
+}
+
+func (o *owned) isMoving() bool {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	return o.moving
+}
+
+// claimHandover reports whether the target can be handed over now: no call about an attempt
+// may be in progress, because a start after the command would overlap with the next owner.
+func (o *owned) claimHandover() bool {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	if !o.moving || o.moveBusy {
+		return false
+	}
+	for _, a := range o.attempts {
+		if a.busy {
+			return false
+		}
+	}
+	o.moveBusy = true
+	return true
+}
+
+func (o *owned) finishHandover() {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	o.moveBusy = false
+}
+
+// handOver gives the target to another gateway. A failed proposal is repeated at a later step.
+func (t *Table) handOver(ctx context.Context, o *owned) {
+	defer o.finishHandover()
+	o.mu.Lock()
+	id, epoch := o.record.ID, o.record.Epoch
+	o.mu.Unlock()
+	if err := t.propose(ctx, state.Command{HandOverTarget: &state.HandOverTarget{Target: id, Epoch: epoch}}); err != nil {
+		t.options.Logger.Warn().Err(err).Str("target", string(id)).Msg("handover of target not committed")
+		return
+	}
+	t.options.Logger.Debug().Str("target", string(id)).Msg("target handed over")
+}
--- a/daemon/owner/owner.go
+++ b/daemon/owner/owner.go
@@ -71,6 +71,8 @@
 	sequence  uint64
 	open      bool // it reported under the present epoch
 	leaving   bool
+	moving    bool // the leader asked to hand it over; gone is set too
+	moveBusy  bool // a proposal of HandOverTarget is queued or in progress
 	losing    bool // LoseTarget is proposed; the lease must not be renewed any more
 	lossBusy  bool // a proposal of LoseTarget is queued or in progress
 	strangers int  // attempts that it runs and should not
@@ -209,6 +211,9 @@
 	}
 	o.record = record
 	o.table.SetCapacity(record.Capacity)
+	if record.Moving {
+		o.beginHandover()
+	}
 }
 
 // index rebuilds the lists per pool. The caller holds t.mu.
