Check the lease before a completion in the stand-in target

Cause: a target frozen longer than its lease woke with the end of its lease and the end of its task both due, and recorded the task as finished before it saw the lease; the job had finished elsewhere meanwhile. Ruled out: a second completion in the state; the job showed two attempts and one end. Change: the stand-in checks its lease immediately before a completion takes effect, as the interface requires.

--- a/ctl/standin/task.go
+++ b/ctl/standin/task.go
@@ -178,11 +178,16 @@
 	}
 }
 
-// endIfDue ends the task if it was stopped or is complete. The caller holds mu.
+// endIfDue ends the task if it was stopped or is complete. The lease is checked before a
+// completion takes effect: a process that was frozen longer than its lease wakes with the
+// end of the lease and the end of the task both due, and may see the latter first. The caller
+// holds mu.
 func (t *Target) endIfDue(k *task) bool {
 	switch {
 	case k.stopping != "":
 		k.outcome = k.stopping
+	case k.progress >= 1 && !t.leased():
+		k.outcome = outcomeLeaseOver
 	case k.progress < 1:
 		return false
 	case k.plan.Fail || t.faults.FailTasks:
