core/placement: bound the predictions per decision

At a site where the slowdown bound excludes nearly every target that fits by resources, a decision predicted for each of them. It now examines at most 128; a later decision starts at another offset. A prediction looks up the service, the load and the base latency once instead of once per task.

--- a/core/placement/bench_test.go
+++ b/core/placement/bench_test.go
@@ -15,8 +15,12 @@
 // loaded returns a placer at about the design scale's density, 16 batch tasks per worker,
 // with a trained-size slowdown model.
 func loaded(workers int) *placement.Placer {
+	return loadedBelow(workers, 10)
+}
+
+func loadedBelow(workers int, maxSlowdown float64) *placement.Placer {
 	m := slowdown.New(slowdown.Config{})
-	p := placement.New(placement.Config{Seed: 1, Predictor: m, MaxSlowdown: 10})
+	p := placement.New(placement.Config{Seed: 1, Predictor: m, MaxSlowdown: maxSlowdown})
 	for i := range workers {
 		id := model.TargetID(fmt.Sprintf("w%05d", i))
 		m.SetTarget(id, 24)
@@ -37,9 +41,21 @@
 			m.TaskStarted(id, task.Attempt, task.Kind, 0)
 		}
 	}
+	train(m)
 	return p
 }
 
+// train makes the pairs of both services known, so that a prediction takes its usual path.
+func train(m *slowdown.Model) {
+	for _, service := range []model.ServiceID{"checks", "labels"} {
+		for i := range 40 {
+			from := model.Millis(1000 + 5000*i)
+			target := model.TargetID(fmt.Sprintf("w%05d", i%50))
+			m.Observe(target, model.UsageReport{Service: service, FromMs: from, ToMs: from + 5000, LatencyUs: 20_000, Requests: 100}, from+8000)
+		}
+	}
+}
+
 func benchTask(n int) placement.Task {
 	return placement.Task{
 		Attempt: model.AttemptID{Job: model.JobID(fmt.Sprint("task-", n)), Number: 1},
@@ -97,6 +113,24 @@
 	}
 }
 
+// BenchmarkPlaceCrowded measures a refusal at a site where the job fits by resources but
+// every target exceeds the slowdown bound.
+func BenchmarkPlaceCrowded(b *testing.B) {
+	for _, workers := range sizes[1:] {
+		b.Run(fmt.Sprint(workers), func(b *testing.B) {
+			p := loadedBelow(workers, 1.01)
+			j := job(1<<30, model.Resources{Slots: 1})
+			b.ReportAllocs()
+			b.ResetTimer()
+			for range b.N {
+				if _, err := p.Place(j); err == nil {
+					b.Fatal("the job fits")
+				}
+			}
+		})
+	}
+}
+
 // BenchmarkPreempt measures the choice of victims for an urgent job.
 func BenchmarkPreempt(b *testing.B) {
 	for _, workers := range sizes {
--- a/core/placement/place.go
+++ b/core/placement/place.go
@@ -50,9 +50,12 @@
 }
 
 // filter returns up to cfg.Candidates targets on which the job fits and whose quick work
-// stays within the slowdown bound, in index order from a random offset.
+// stays within the slowdown bound, in index order from a random offset. It predicts for at
+// most cfg.Examined targets, because a site where the bound excludes nearly all of them
+// would cost a prediction for each; a later decision starts at another offset.
 func (p *Placer) filter(job Job, maxSlowdown float64) []candidate {
 	p.found = p.found[:0]
+	examined := 0
 	pool := p.pools[job.Pool]
 	if pool == nil || len(pool.targets) == 0 {
 		return nil
@@ -62,10 +65,11 @@
 		if avoided(job, t) {
 			return true
 		}
+		examined++
 		if predicted := p.predict(job, t); predicted <= maxSlowdown {
 			p.found = append(p.found, candidate{t, predicted})
 		}
-		return len(p.found) < p.cfg.Candidates
+		return len(p.found) < p.cfg.Candidates && examined < p.cfg.Examined
 	}
 	start := p.rng.IntN(len(pool.targets))
 	if pool.free.walk(job.Size, start, len(pool.targets), visit) {
--- a/core/placement/target.go
+++ b/core/placement/target.go
@@ -24,6 +24,7 @@
 type Config struct {
 	Seed       uint64        // of the offsets at which the filter starts
 	Candidates int           // targets that are scored per decision; default 32
+	Examined   int           // targets whose slowdown is predicted per decision; default 128
 	Weights    model.Weights // of the site
 	// Predictor is nil if neighbours are not considered.
 	Predictor Predictor
@@ -38,6 +39,7 @@
 
 const (
 	defaultCandidates  = 32
+	defaultExamined    = 128
 	defaultMaxSlowdown = 1.5
 	defaultCaution     = 0.5
 	defaultListed      = 100
@@ -127,6 +129,7 @@
 // New returns a Placer without targets.
 func New(cfg Config) *Placer {
 	cfg.Candidates = cmp.Or(cfg.Candidates, defaultCandidates)
+	cfg.Examined = cmp.Or(cfg.Examined, defaultExamined)
 	cfg.MaxSlowdown = cmp.Or(cfg.MaxSlowdown, defaultMaxSlowdown)
 	cfg.Caution = cmp.Or(cfg.Caution, defaultCaution)
 	cfg.ListedTargets = cmp.Or(cfg.ListedTargets, defaultListed)
--- a/core/slowdown/model.go
+++ b/core/slowdown/model.go
@@ -162,16 +162,44 @@
 	return max(mean, 0), variance
 }
 
-// Added returns the slowdown that one task of a class adds to a service at a load.
-func (m *Model) Added(id model.ServiceID, kind string, load float64) Estimate {
+// view is a service at one load; it holds what is the same for every task.
+type view struct {
+	service *service // nil while nothing is known
+	weights [numKnots]float64
+	base    float64
+}
+
+func (m *Model) view(id model.ServiceID, load float64) view {
 	s := m.services[id]
 	if s == nil || s.unitUs == 0 {
-		return Estimate{Mean: pairMean, Std: math.Sqrt(pairVariance)}
+		return view{}
 	}
 	weights := hat(load)
-	base := s.baseAt(weights)
-	mean, variance := s.coefficient(kind, weights)
-	return Estimate{Mean: mean / base, Std: math.Sqrt(variance) / base}
+	return view{service: s, weights: weights, base: s.baseAt(weights)}
+}
+
+// added returns the mean and variance of the slowdown that one task of a class adds.
+func (v *view) added(kind string) (mean, variance float64) {
+	if v.service == nil {
+		return pairMean, pairVariance
+	}
+	mean, variance = v.service.coefficient(kind, v.weights)
+	return mean / v.base, variance / (v.base * v.base)
+}
+
+// task returns the mean and variance of the slowdown that one task adds at a throttle level.
+func (v *view) task(r *taskRecord, level float64) (mean, variance float64) {
+	mean, variance = v.added(r.kind)
+	factor := max(r.effect.mean, minEffect)
+	variance = factor*factor*variance + mean*mean*r.effect.variance
+	return mean * factor * level, variance * level * level
+}
+
+// Added returns the slowdown that one task of a class adds to a service at a load.
+func (m *Model) Added(id model.ServiceID, kind string, load float64) Estimate {
+	v := m.view(id, load)
+	mean, variance := v.added(kind)
+	return Estimate{Mean: mean, Std: math.Sqrt(variance)}
 }
 
 // Predict returns the slowdown of a service on a target beside the tasks that run there at
@@ -192,25 +220,19 @@
 	if h == nil {
 		return Estimate{Mean: 1}
 	}
+	v := m.view(id, load)
 	for _, r := range h.running {
 		level := 1.0
 		if !full {
 			level = r.level()
 		}
-		added := m.taskAdded(r, id, load, level)
-		sum += added.Mean
-		variance += added.Std * added.Std
+		added, uncertainty := v.task(r, level)
+		sum += added
+		variance += uncertainty
 	}
 	return Estimate{Mean: sum, Std: math.Sqrt(variance)}
 }
 
-func (m *Model) taskAdded(r *taskRecord, id model.ServiceID, load, level float64) Estimate {
-	added := m.Added(id, r.kind, load)
-	factor := max(r.effect.mean, minEffect)
-	std := math.Hypot(added.Std*factor, added.Mean*math.Sqrt(r.effect.variance))
-	return Estimate{Mean: added.Mean * factor * level, Std: std * level}
-}
-
 // Blame is the part that one task has in the slowdown of a service.
 type Blame struct {
 	Attempt model.AttemptID
@@ -226,9 +248,11 @@
 		return nil
 	}
 	var out []Blame
+	v := m.view(id, load)
 	for _, r := range h.running {
-		level := r.level()
-		out = append(out, Blame{Attempt: r.attempt, Kind: r.kind, Level: level, Added: m.taskAdded(r, id, load, level)})
+		mean, variance := v.task(r, r.level())
+		added := Estimate{Mean: mean, Std: math.Sqrt(variance)}
+		out = append(out, Blame{Attempt: r.attempt, Kind: r.kind, Level: r.level(), Added: added})
 	}
 	slices.SortStableFunc(out, func(a, b Blame) int { return cmp.Compare(b.Added.Mean, a.Added.Mean) })
 	return out
