--- a/daemon/gateway/announce.go
+++ b/daemon/gateway/announce.go
@@ -39,12 +39,25 @@
 		return
 	}
 	if err != nil {
+		g.recordLeaving(ctx, a)
 		writeProblem(w, http.StatusServiceUnavailable, model.VerdictNotRun, "no_owner", err.Error())
 		return
 	}
 	writeJSON(w, http.StatusOK, answer)
 }
 
+// recordLeaving commits that a target is leaving although its owner was not reached: the
+// owner may be live and hears of it through its session.
+func (g *Gateway) recordLeaving(ctx context.Context, a model.Announcement) {
+	if a.State != model.TargetLeaving {
+		return
+	}
+	command := state.Command{LeaveTarget: &state.LeaveTarget{Target: a.Target, StartID: a.StartID}}
+	if _, err := g.propose(ctx, command); err != nil {
+		g.logger.Warn().Err(err).Str("target", string(a.Target)).Msg("leaving of target not committed")
+	}
+}
+
 func checkAnnouncement(a model.Announcement) error {
 	if err := model.CheckIdentifier("target", string(a.Target)); err != nil {
 		return err
--- a/daemon/owner/attempts.go
+++ b/daemon/owner/attempts.go
@@ -222,13 +222,13 @@
 func (t *Table) advance(ctx context.Context, o *owned, a *attempt) {
 	o.mu.Lock()
 	step := o.nextStep(a, time.Now())
-	id := a.order.Attempt.ID
+	id, cancelling := a.order.Attempt.ID, a.order.Cancelling
 	o.mu.Unlock()
 	var err error
 	switch step {
 	case stepRefuse:
 		outcome := state.OutcomeRefused
-		if a.order.Cancelling {
+		if cancelling {
 			outcome = state.OutcomeStopped
 		}
 		o.decide(a, state.EndAttempt{Outcome: outcome, Message: "it was not started"})
