Accept a target's new process that another gateway recorded

The owner compared the announcing process with the committed record only, so a process that another gateway had recorded was refused for ever. Proposals of the owner are bounded in time. A test with two daemons covers the handover of a target while a request on it is open; it passes with the race detector.

--- a/daemon/cmd/samphired/daemon_test.go
+++ b/daemon/cmd/samphired/daemon_test.go
@@ -3,6 +3,7 @@
 import (
 	"bufio"
 	"context"
+	"encoding/json"
 	"errors"
 	"fmt"
 	"io"
@@ -13,6 +14,7 @@
 	"testing"
 	"time"
 
+	"samphirepaddle.example/core/model"
 	"samphirepaddle.example/daemon/settings"
 	"samphirepaddle.example/daemon/target"
 )
@@ -30,10 +32,19 @@
 // startDaemon runs a daemon that is its own controller.
 func startDaemon(t *testing.T) (public string, stop, force context.CancelFunc, ended <-chan error) {
 	t.Helper()
-	public, peer := freeAddress(t), freeAddress(t)
-	s, err := settings.Parse(fmt.Appendf(nil, `{"gateway":"g1","zone":"z","public_addr":%q,"peer_addr":%q,
+	return startMember(t, "g1", freeAddress(t))
+}
+
+// startMember runs a daemon in its own zone; g1 is the controller and has the given peer address.
+func startMember(t *testing.T, id, controller string) (public string, stop, force context.CancelFunc, ended <-chan error) {
+	t.Helper()
+	public, peer := freeAddress(t), controller
+	if id != "g1" {
+		peer = freeAddress(t)
+	}
+	s, err := settings.Parse(fmt.Appendf(nil, `{"gateway":%q,"zone":"zone-%s","public_addr":%q,"peer_addr":%q,
 		"controllers":[{"id":"g1","peer_addr":%q}],"data_dir":%q,"balancer_wait_ms":50,"log_level":"error"}`,
-		public, peer, peer, t.TempDir()))
+		id, id, public, peer, controller, t.TempDir()))
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -76,26 +87,106 @@
 	}
 }
 
-// setUp applies a ticket and announces a target until it is open.
-func setUp(t *testing.T, public, address string) {
+// announcer sends the announcements of one target.
+type announcer struct {
+	address  string
+	zone     string
+	sequence int
+	epoch    uint64
+}
+
+// announce reports the requests in progress and takes over the epoch of the answer.
+func (a *announcer) announce(public string, requests ...string) (owner string) {
+	a.sequence++
+	list, _ := json.Marshal(requests)
+	_, content, _ := post(public, "/v1/targets/announce", fmt.Sprintf(`{"target":"t1","start_id":"a","sequence":%d,"epoch":%d,
+		"address":%q,"zone":%q,"pool":"p","state":"ready","capacity":{"slots":4,"connections":8},"requests":%s}`,
+		a.sequence, a.epoch, a.address, a.zone, list))
+	var answer model.AnnouncementAnswer
+	if json.Unmarshal([]byte(content), &answer) == nil && answer.Epoch > 0 {
+		a.epoch = uint64(answer.Epoch)
+	}
+	return string(answer.Owner)
+}
+
+const ticket = `{"number":1,"author":"test","services":[{"id":"s","pool":"p","quick":{"slots":1,"connections":1},
+	"deadline_ms":20000,"queue_length":10}],"pools":[{"id":"p"}],"tenants":[{"id":"shop"}]}`
+
+func applyTicket(t *testing.T, public string) {
 	t.Helper()
-	ticket := `{"number":1,"author":"test","services":[{"id":"s","pool":"p","quick":{"slots":1,"connections":1},
-		"deadline_ms":20000,"queue_length":10}],"pools":[{"id":"p"}],"tenants":[{"id":"shop"}]}`
 	until(t, "the ticket is accepted", func() bool {
 		status, _, err := post(public, "/v1/tickets", ticket)
 		return err == nil && status == http.StatusOK
 	})
-	sequence, epoch := 0, "0"
+}
+
+func check(public, deadline string) bool {
+	status, _, err := post(public, "/v1/call/s/", "x", "Samphire-Tenant", "shop", "Samphire-Deadline-Ms", deadline)
+	return err == nil && status == http.StatusOK
+}
+
+// setUp applies a ticket and announces a target until it is open.
+func setUp(t *testing.T, public, address string) {
+	t.Helper()
+	applyTicket(t, public)
+	a := &announcer{address: address}
 	until(t, "the target is open", func() bool {
-		sequence++
-		_, answer, _ := post(public, "/v1/targets/announce", fmt.Sprintf(`{"target":"t1","start_id":"a","sequence":%d,"epoch":%s,
-			"address":%q,"pool":"p","state":"ready","capacity":{"slots":4,"connections":8}}`, sequence, epoch, address))
-		if _, rest, ok := strings.Cut(answer, `{"epoch":`); ok {
-			epoch, _, _ = strings.Cut(rest, ",")
+		a.announce(public)
+		return check(public, "200")
+	})
+}
+
+// Guards against a handover that cuts off an open request, gives its slot away, or leaves
+// the target without an owner.
+func TestShutdownHandsTargetsOver(t *testing.T) {
+	arrived, release := make(chan string, 1), make(chan struct{})
+	server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		w.Header().Set(target.HeaderRequestID, r.Header.Get(target.HeaderRequestID))
+		if strings.HasPrefix(r.URL.Path, "/slow") {
+			arrived <- r.Header.Get(target.HeaderRequestID)
+			<-release
 		}
-		status, _, err := post(public, "/v1/call/s/", "x", "Samphire-Tenant", "shop", "Samphire-Deadline-Ms", "200")
-		return err == nil && status == http.StatusOK
+		_, _ = io.WriteString(w, "complete")
+	}))
+	defer server.Close()
+	controller := freeAddress(t)
+	first, _, _, _ := startMember(t, "g1", controller)
+	second, stop, _, ended := startMember(t, "g2", controller)
+	applyTicket(t, first)
+	until(t, "both gateways are ready", func() bool {
+		response, err := http.Get("http://" + second + "/healthz/ready")
+		if err != nil {
+			return false
+		}
+		response.Body.Close()
+		return response.StatusCode == http.StatusOK
+	})
+	a := &announcer{address: server.Listener.Addr().String(), zone: "zone-g2"}
+	until(t, "the gateway in the target's zone owns it and both serve", func() bool {
+		return a.announce(first) == "g2" && check(first, "200") && check(second, "200")
+	})
+	result := make(chan string, 1)
+	go func() {
+		_, content, _ := post(second, "/v1/call/s/slow", "x", "Samphire-Tenant", "shop")
+		result <- content
+	}()
+	open := <-arrived
+	stop()
+	until(t, "the other gateway owns the target and serves", func() bool {
+		return a.announce(first, open) == "g1" && check(first, "200")
 	})
+	select {
+	case err := <-ended:
+		t.Errorf("the daemon left with an open request: %v", err)
+	default:
+	}
+	close(release)
+	if content := <-result; content != "complete" {
+		t.Errorf("the open request got %q", content)
+	}
+	if err := <-ended; err != nil {
+		t.Errorf("shutdown: %v", err)
+	}
 }
 
 // Guards against a shutdown that cuts off an open request, and against one that the second
--- a/daemon/owner/announce.go
+++ b/daemon/owner/announce.go
@@ -43,10 +43,16 @@
 // recordProcess commits a new process of the target before it is answered.
 func (t *Table) recordProcess(ctx context.Context, o *owned, a model.Announcement) error {
 	o.mu.Lock()
-	same := o.record.StartID == a.StartID
+	recorded := o.record.StartID == a.StartID
+	known := o.start == a.StartID
+	revision := o.record.Changed
 	until, retired := o.retired[a.StartID]
 	o.mu.Unlock()
-	if same {
+	if recorded && known {
+		return nil
+	}
+	if recorded { // another gateway recorded the new process
+		o.replaceProcess(a, revision, t.options.TargetTTL)
 		return nil
 	}
 	// A late announcement of an earlier process must not replace the present one. After its
@@ -54,6 +60,8 @@
 	if retired && time.Now().Before(until) {
 		return ErrSuperseded
 	}
+	ctx, cancel := context.WithTimeout(ctx, proposeTimeout)
+	defer cancel()
 	result, err := t.options.Proposer.Propose(ctx, state.Command{JoinTarget: JoinCommand(a)})
 	if err != nil {
 		return err
@@ -138,7 +146,13 @@
 // errInvalid is returned if the state rejects the content of a command.
 var errInvalid = errors.New("the command is invalid")
 
+// proposeTimeout bounds a proposal, so that workers are not held for the whole time without
+// a leader. What was not committed is proposed again.
+const proposeTimeout = 5 * time.Second
+
 func (t *Table) propose(ctx context.Context, c state.Command) error {
+	ctx, cancel := context.WithTimeout(ctx, proposeTimeout)
+	defer cancel()
 	result, err := t.options.Proposer.Propose(ctx, c)
 	if err != nil {
 		return err
--- a/daemon/owner/owner_test.go
+++ b/daemon/owner/owner_test.go
@@ -284,6 +284,21 @@
 	}
 }
 
+// Guards against a target that is refused for ever because its new process was recorded by
+// another gateway.
+func TestNewProcessRecordedElsewhereIsAccepted(t *testing.T) {
+	f := newFixture(t, longTTL)
+	f.own()
+	f.mustReport(1, nil)
+	f.record.StartID = "s2"
+	f.record.Changed = 7
+	f.own()
+	f.mustReport(1, func(a *model.Announcement) { a.StartID = "s2" })
+	if !f.takes() {
+		t.Error("the new process takes no work")
+	}
+}
+
 // Guards against new work for a leaving target, and against a late report that undoes it.
 func TestLeavingTargetTakesNoWork(t *testing.T) {
 	f := newFixture(t, longTTL)
