--- a/daemon/cmd/samphired/shutdown.go
+++ b/daemon/cmd/samphired/shutdown.go
@@ -5,16 +5,20 @@
 	"errors"
 	"fmt"
 	"net/http"
+	"sync"
 	"time"
 
+	"samphirepaddle.example/core/model"
 	"samphirepaddle.example/core/state"
 )
 
 // Bounds of the steps of a shutdown that depend on other daemons.
 const (
 	ordersTimeout = 6 * time.Second  // for calls about attempts; one takes at most 5 s
-	handoverTries = 10 * time.Second // for DrainGateway; without it the session's expiry hands over
-	peerTimeout   = 2 * time.Second  // for the last calls of peers
+	handoverWait  = 10 * time.Second // for the first commit of DrainGateway
+	drainTimeout  = 5 * time.Second  // of one try
+	drainPause    = 200 * time.Millisecond
+	peerTimeout   = 2 * time.Second // for the last calls of peers
 
 	transferTimeout = 2 * time.Second // for handing the leadership over
 )
@@ -29,47 +33,78 @@
 	d.gateway.Drain()
 	sleep(force, time.Duration(d.settings.BalancerWaitMs)*time.Millisecond)
 	d.public.SetKeepAlivesEnabled(false)
-	d.handOver(force)
+	leaving, left := context.WithCancel(force)
+	defer left()
+	d.handOver(leaving)
+	d.handLeadershipOver(force)
 	err := d.waitForRequests(force)
 	if force.Err() != nil {
 		return errForced
 	}
 	if d.log != nil {
-		err = errors.Join(err, d.closeLog())
+		err = errors.Join(err, d.log.Close())
 	}
 	return err
 }
 
-// closeLog hands the leadership over first, so that the others need no election timeout.
-func (d *daemon) closeLog() error {
-	if d.log.Leader().Self {
-		ctx, cancel := context.WithTimeout(context.Background(), transferTimeout)
-		defer cancel()
-		if err := d.log.TransferLeadership(ctx); err != nil {
-			d.logger.Warn().Err(err).Msg("leadership not handed over; the others elect a leader")
-		}
+// handLeadershipOver spares the others an election timeout. It comes before the peer listener
+// closes, because the successor still has to exchange messages with this controller.
+func (d *daemon) handLeadershipOver(force context.Context) {
+	if d.log == nil || !d.log.Leader().Self {
+		return
+	}
+	ctx, cancel := context.WithTimeout(force, transferTimeout)
+	defer cancel()
+	if err := d.log.TransferLeadership(ctx); err != nil {
+		d.logger.Warn().Err(err).Msg("leadership not handed over; the others elect a leader")
 	}
-	return d.log.Close()
 }
 
 // handOver gives the targets to other gateways. Dispatches, starts and lease renewals stop
-// before the command, so that they cannot overlap with those of the next owners.
+// before the command, so that they cannot overlap with those of the next owners. It returns
+// when the command is committed or after handoverWait; the command is repeated after that,
+// because a session that goes on without it would keep the targets from any owner.
 func (d *daemon) handOver(force context.Context) {
 	orders, cancel := context.WithTimeout(force, ordersTimeout)
 	defer cancel()
 	d.owners.Drain(orders)
-	ctx, cancel := context.WithTimeout(force, handoverTries)
+	committed := make(chan struct{})
+	go d.keepDrained(force, sync.OnceFunc(func() { close(committed) }))
+	select {
+	case <-committed:
+	case <-time.After(handoverWait):
+		d.logger.Warn().Msg("targets not handed over yet")
+	case <-force.Done():
+	}
+}
+
+// keepDrained commits DrainGateway for the present session, and again for each later one.
+func (d *daemon) keepDrained(force context.Context, committed func()) {
+	var drained model.Epoch
+	for force.Err() == nil {
+		if epoch := d.session.Epoch(); epoch != drained {
+			if err := d.drainSession(force, epoch); err != nil {
+				d.logger.Warn().Err(err).Msg("handover of targets not committed")
+			} else {
+				drained = epoch
+				committed()
+			}
+		}
+		sleep(force, drainPause)
+	}
+}
+
+func (d *daemon) drainSession(force context.Context, epoch model.Epoch) error {
+	ctx, cancel := context.WithTimeout(force, drainTimeout)
 	defer cancel()
 	result, err := d.control.Propose(ctx, state.Command{DrainGateway: &state.DrainGateway{
 		Gateway: d.settings.Gateway,
-		Epoch:   d.session.Epoch(),
+		Epoch:   epoch,
 	}})
 	if err == nil && !result.OK() {
-		err = fmt.Errorf("%s: %s", result.Code, result.Message)
-	}
-	if err != nil {
-		d.logger.Warn().Err(err).Msg("targets not handed over; they follow when the session expires")
+		return fmt.Errorf("%s: %s", result.Code, result.Message)
 	}
+	return err
 }
 
 // waitForRequests waits for callers first and for peers last: until then, peers may still
--- a/daemon/owner/owner_test.go
+++ b/daemon/owner/owner_test.go
@@ -192,7 +192,7 @@
 	if free := f.table.FreeQuick("p"); free != 3 {
 		t.Errorf("%d slots free after one ended, want 3", free)
 	}
-	f.mustReport(2, nil)
+	f.mustReport(2, func(a *model.Announcement) { a.Running = []model.AttemptID{jobOne} })
 	if free := f.table.FreeQuick("p"); free != 3 {
 		t.Errorf("a report out of order changed the free slots to %d", free)
 	}
@@ -284,6 +284,21 @@
 	}
 }
 
+// Guards against a target that is refused for ever because its new process was recorded by
+// another gateway.
+func TestNewProcessRecordedElsewhereIsAccepted(t *testing.T) {
+	f := newFixture(t, longTTL)
+	f.own()
+	f.mustReport(1, nil)
+	f.record.StartID = "s2"
+	f.record.Changed = 7
+	f.own()
+	f.mustReport(1, func(a *model.Announcement) { a.StartID = "s2" })
+	if !f.takes() {
+		t.Error("the new process takes no work")
+	}
+}
+
 // Guards against new work for a leaving target, and against a late report that undoes it.
 func TestLeavingTargetTakesNoWork(t *testing.T) {
 	f := newFixture(t, longTTL)
