controller: idle renewals skip the peers

Each renewal listed, copied and compared all peers. Nothing is built now if no session and no free quick slots have changed since the acknowledged answer.

Tested: go test -race ./controller ./control; bad arguments of the operators' interface in ctl.

--- a/core/state/members.go
+++ b/core/state/members.go
@@ -24,6 +24,7 @@
 		return resultf(CodeInProgress, "gateway %q still has session %d; it must expire first", c.Gateway, old.Epoch)
 	}
 	epoch := s.takeEpoch()
+	s.gatewaysChanged = s.Revision
 	s.Gateways[c.Gateway] = &Gateway{
 		ID:          c.Gateway,
 		Incarnation: c.Incarnation,
@@ -45,6 +46,7 @@
 		return Result{Code: CodeRepeated}
 	}
 	gateway.Expired = true
+	s.gatewaysChanged = s.Revision
 	s.releaseTargets(c.Gateway)
 	s.forgetRequests(c.Gateway)
 	return Result{Code: CodeOK}
@@ -59,6 +61,7 @@
 		return Result{Code: CodeRepeated}
 	}
 	gateway.Draining = true
+	s.gatewaysChanged = s.Revision
 	s.releaseTargets(c.Gateway)
 	return Result{Code: CodeOK}
 }
--- a/core/state/queries.go
+++ b/core/state/queries.go
@@ -117,6 +117,9 @@
 	return live
 }
 
+// GatewaysChanged returns the revision of the last change of a session.
+func (s *State) GatewaysChanged() model.Revision { return s.gatewaysChanged }
+
 // OwnedChangedSince reports whether the targets of a gateway, or the attempts on them, have
 // changed after the revision.
 func (s *State) OwnedChangedSince(gateway model.GatewayID, revision model.Revision) bool {
--- a/core/state/snapshot.go
+++ b/core/state/snapshot.go
@@ -142,6 +142,7 @@
 		s.Requests[e.Key] = e.Record
 	}
 	s.closedSince = s.Revision
+	s.gatewaysChanged = s.Revision
 	s.journal.since = s.Revision
 	s.configSince = s.Revision
 	s.rebuild()
--- a/core/state/state.go
+++ b/core/state/state.go
@@ -194,6 +194,9 @@
 
 	journal journal
 
+	// gatewaysChanged is the revision of the last change of a session; not part of snapshots.
+	gatewaysChanged model.Revision
+
 	// closed remembers the attempts that closed after closedSince, by owner; not part of snapshots.
 	closed      map[model.GatewayID]*closedLog
 	closedSince model.Revision
--- a/ctl/cmd/samphirectl/run_test.go
+++ b/ctl/cmd/samphirectl/run_test.go
@@ -4,6 +4,7 @@
 	"bytes"
 	"context"
 	"encoding/json"
+	"io"
 	"net/http"
 	"net/http/httptest"
 	"os"
@@ -172,3 +173,38 @@
 	s.run(exitOK, `"phase":"cancelled"`, "--json", "jobs")
 	s.run(exitFailed, "expected command", "no-such-command")
 }
+
+// Guards against bad arguments that are taken as defaults or reach the log.
+func TestBadArgumentsAreRefused(t *testing.T) {
+	s := newStation(t)
+	for _, c := range []struct{ method, path, body, part string }{
+		{"GET", "/v1/tickets/5?wait_ms=soon", "", `wait_ms \"soon\" is not a whole number from 0 to 60000`},
+		{"GET", "/v1/tickets/5?wait_ms=60001", "", "from 0 to 60000"},
+		{"GET", "/v1/tickets/five", "", `ticket number \"five\"`},
+		{"GET", "/v1/jobs?phase=lost", "", "none of queued, assigned"},
+		{"POST", "/v1/jobs/cancel", `{"jobs": []}`, "at least 1 job id"},
+		{"POST", "/v1/jobs/cancel", `{"jobs": ["a"], "force": true}`, "unknown field"},
+		{"POST", "/v1/jobs/cancel", `{"jobs": "a"}`, "allowed is a list"},
+		{"POST", "/v1/quarantine/t1", `{"reason": 1}`, "allowed is a string"},
+		{"POST", "/v1/quarantine/t1", strings.Repeat(" ", 2<<20), "larger than"},
+	} {
+		request, err := http.NewRequest(c.method, "http://"+s.address+c.path, strings.NewReader(c.body))
+		if err != nil {
+			t.Fatal(err)
+		}
+		response, err := http.DefaultClient.Do(request)
+		if err != nil {
+			t.Fatal(err)
+		}
+		body, _ := io.ReadAll(response.Body)
+		response.Body.Close()
+		if response.StatusCode != http.StatusBadRequest || !strings.Contains(string(body), c.part) {
+			t.Fatalf("%s %s: status %d, %s", c.method, c.path, response.StatusCode, body)
+		}
+	}
+	s.log.View(func(st *state.State) {
+		if st.Revision != 0 {
+			t.Fatalf("bad input reached the log: revision %d", st.Revision)
+		}
+	})
+}
--- a/daemon/controller/service.go
+++ b/daemon/controller/service.go
@@ -112,14 +112,18 @@
 // is read together with that confirmation, so a lease never comes with an older view.
 func (s *Service) answer(ctx context.Context, term uint64, body syncmsg.Request) (syncmsg.Response, error) {
 	var response syncmsg.Response
-	err := s.log.Read(ctx, func(st *state.State) { response = syncView(st, body) })
+	var gateways peerList
+	err := s.log.Read(ctx, func(st *state.State) {
+		response = syncView(st, body)
+		gateways = s.sessions.peersFor(st, body)
+	})
 	if err != nil {
 		return syncmsg.Response{}, err
 	}
 	if leader := s.log.Leader(); !leader.Self || leader.Term != term {
 		return syncmsg.Response{}, replica.ErrNotLeader
 	}
-	if !response.Known || !s.sessions.grant(term, body, &response) {
+	if !response.Known || !s.sessions.grant(term, body, gateways, &response) {
 		return syncmsg.Response{}, nil
 	}
 	s.throttles.fill(body, &response)
--- a/daemon/controller/sessions.go
+++ b/daemon/controller/sessions.go
@@ -1,6 +1,7 @@
 package controller
 
 import (
+	"maps"
 	"sync"
 	"time"
 
@@ -33,14 +34,15 @@
 type sessions struct {
 	ttl time.Duration
 
-	mu      sync.Mutex
-	term    uint64
-	since   time.Time // begin of this leadership, as far as this table knows
-	byID    map[model.GatewayID]*session
-	number  uint64                                   // of the last answer of any session
-	changed chan struct{}                            // closed when a session has applied a newer revision
-	fresh   map[model.TargetID]syncmsg.TargetSummary // reports that were not taken yet
-	news    chan struct{}                            // closed at the next report of free capacity
+	mu          sync.Mutex
+	term        uint64
+	since       time.Time // begin of this leadership, as far as this table knows
+	byID        map[model.GatewayID]*session
+	number      uint64                                   // of the last answer of any session
+	freeVersion uint64                                   // grows with each change of the free quick slots of a session
+	changed     chan struct{}                            // closed when a session has applied a newer revision
+	fresh       map[model.TargetID]syncmsg.TargetSummary // reports that were not taken yet
+	news        chan struct{}                            // closed at the next report of free capacity
 }
 
 func newSessions(ttl time.Duration) *sessions {
@@ -98,7 +100,10 @@
 		}
 	}
 	if body.All || len(body.Targets) > 0 {
-		s.freeQuick = freeQuick(s.targets)
+		if free := freeQuick(s.targets); !maps.Equal(free, s.freeQuick) {
+			s.freeQuick = free
+			t.freeVersion++
+		}
 		close(t.news)
 		t.news = make(chan struct{})
 	}
@@ -122,7 +127,7 @@
 // grant records that a renewal is being answered now, before the answer is sent: the granter's
 // bound then lies after the holder's, which counts from the time it sent the call. It
 // refuses a session that is about to be expired, so that the grant cannot follow the decision.
-func (t *sessions) grant(term uint64, body syncmsg.Request, response *syncmsg.Response) bool {
+func (t *sessions) grant(term uint64, body syncmsg.Request, gateways peerList, response *syncmsg.Response) bool {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	if !t.enterTerm(term) {
@@ -137,7 +142,7 @@
 	response.LeaseMs = model.Millis(t.ttl.Milliseconds())
 	t.number++
 	response.Number = t.number
-	t.addPeers(s, body, response)
+	t.addPeers(s, body, gateways, response)
 	return true
 }
 
--- a/daemon/controller/sessions_test.go
+++ b/daemon/controller/sessions_test.go
@@ -119,10 +119,10 @@
 		t.Fatalf("a new leader let %v expire at once", over)
 	}
 	var response syncmsg.Response
-	if !table.grant(2, syncmsg.Request{Gateway: "gw", Epoch: 1}, &response) {
+	if !table.grant(2, syncmsg.Request{Gateway: "gw", Epoch: 1}, peerList{}, &response) {
 		t.Fatal("no grant")
 	}
-	if table.grant(1, syncmsg.Request{Gateway: "gw", Epoch: 1}, &response) {
+	if table.grant(1, syncmsg.Request{Gateway: "gw", Epoch: 1}, peerList{}, &response) {
 		t.Fatal("a grant under a term that has passed")
 	}
 	table.since = time.Now().Add(-time.Hour)
@@ -130,14 +130,14 @@
 		t.Fatalf("%v expired although it was answered now", over)
 	}
 	table.byID["gw"].answered = time.Now().Add(-time.Hour)
-	if !table.grant(2, syncmsg.Request{Gateway: "gw", Epoch: 1}, &response) || len(table.overdue(2, open)) != 0 {
+	if !table.grant(2, syncmsg.Request{Gateway: "gw", Epoch: 1}, peerList{}, &response) || len(table.overdue(2, open)) != 0 {
 		t.Fatal("a grant is not counted")
 	}
 	table.byID["gw"].answered = time.Now().Add(-time.Hour)
 	if over := table.overdue(2, open); len(over) != 1 {
 		t.Fatal("a session whose lease is over did not expire")
 	}
-	if table.grant(2, syncmsg.Request{Gateway: "gw", Epoch: 1}, &response) {
+	if table.grant(2, syncmsg.Request{Gateway: "gw", Epoch: 1}, peerList{}, &response) {
 		t.Fatal("a grant followed the decision to expire the session")
 	}
 }
@@ -198,7 +198,7 @@
 	request := syncmsg.Request{Gateway: "gw0", Epoch: f.epochs[0]}
 	var open []model.AttemptID
 	var config state.Config
-	var peers []syncmsg.Peer
+	var merged []syncmsg.Peer
 	for step := range 60 {
 		f.start(3)
 		r.s.sessions.report(1, syncmsg.Request{Gateway: "gw2", Epoch: f.epochs[2], Targets: f.summaries(2, step%3)})
@@ -227,9 +227,12 @@
 		if response.Changes != nil {
 			open = response.Changes.Open
 		}
-		peers = response.Peers
+		merged = response.Peers
 		var full syncmsg.Response
-		r.log.View(func(st *state.State) { full = syncView(st, syncmsg.Request{Gateway: "gw0", Epoch: f.epochs[0]}) })
+		r.log.View(func(st *state.State) {
+			full = syncView(st, syncmsg.Request{Gateway: "gw0", Epoch: f.epochs[0]})
+			full.Peers = peers(st)
+		})
 		for i := range full.Peers {
 			if other, ok := r.s.sessions.byID[full.Peers[i].ID]; ok {
 				full.Peers[i].FreeQuick = other.freeQuick
@@ -238,8 +241,8 @@
 		if !reflect.DeepEqual(config, *full.Config) {
 			t.Fatalf("step %d: configuration %+v, full %+v", step, config, *full.Config)
 		}
-		if fmt.Sprint(peers) != fmt.Sprint(full.Peers) {
-			t.Fatalf("step %d: peers %+v, full %+v", step, peers, full.Peers)
+		if fmt.Sprint(merged) != fmt.Sprint(full.Peers) {
+			t.Fatalf("step %d: peers %+v, full %+v", step, merged, full.Peers)
 		}
 		if got, want := setOf(open), setOf(full.Changes.Open); !reflect.DeepEqual(got, want) {
 			t.Fatalf("step %d: open %v, full %v", step, got, want)
--- a/daemon/controller/view.go
+++ b/daemon/controller/view.go
@@ -6,13 +6,14 @@
 	"samphirepaddle.example/core/syncmsg"
 )
 
-// syncView answers what changed for a gateway since the revision of its view.
+// syncView answers what changed for a gateway since the revision of its view. The peers are
+// left to the caller.
 func syncView(st *state.State, body syncmsg.Request) syncmsg.Response {
 	gateway, ok := st.Gateways[body.Gateway]
 	if !ok || gateway.Epoch != body.Epoch || gateway.Expired {
 		return syncmsg.Response{}
 	}
-	response := syncmsg.Response{Known: true, Revision: st.Revision, Peers: peers(st)}
+	response := syncmsg.Response{Known: true, Revision: st.Revision}
 	addConfig(st, body, &response)
 	if st.OwnedChangedSince(body.Gateway, body.Revision) {
 		response.Changes = changes(st, body)
@@ -43,7 +44,6 @@
 			PublicAddr: gateway.PublicAddr,
 			PeerAddr:   gateway.PeerAddr,
 			Draining:   gateway.Draining,
-			FreeQuick:  map[model.PoolID]int32{},
 		})
 	}
 	return list
