--- a/daemon/controller/sessions_test.go
+++ b/daemon/controller/sessions_test.go
@@ -259,7 +259,7 @@
 }
 
 // Guards against a change of the peers that is lost together with an answer, because the next
-// answer names only the differences to the lost one.
+// answer names only the differences to the lost one, and against one that is not sent at all.
 func TestPeersAfterALostAnswer(t *testing.T) {
 	r := newRig(t, time.Minute)
 	f := newFleet(r, 3, 3)
@@ -285,4 +285,12 @@
 			t.Fatalf("peer after a lost answer: %+v", peer)
 		}
 	}
+	r.propose(state.Command{DrainGateway: &state.DrainGateway{Gateway: "gw2", Epoch: f.epochs[2]}})
+	if peers := renew(false); len(peers) != 3 || !peers[2].Draining {
+		t.Fatalf("peers after a drain: %+v", peers)
+	}
+	r.register("gw3", "x")
+	if peers := renew(false); len(peers) != 4 {
+		t.Fatalf("peers after a registration: %+v", peers)
+	}
 }
