owner: an attempt that an earlier owner left needs room, also of an earlier process

Cause: after a takeover, an attempt that the target did not list was started without a check of room or of the leaving state, and attempts that an earlier process of the target may still run held no room at the new owner. The orders themselves were ruled out: they arrive before the first report.

Change: only an attempt that this owner may have sent keeps its room without a check; the others are refused if there is none. Attempts of earlier processes are adopted at the first report.

Before: three new tests in protection_test.go failed (a fifth slot used on four, a start on a leaving target, 4 slots free instead of 3). After: they pass, as do the tests of owner and gateway. The other new tests guard protections whose removal no test had noticed.

--- a/daemon/owner/announce.go
+++ b/daemon/owner/announce.go
@@ -239,6 +239,7 @@
 	answer.Stop = o.reconcile(a)
 	if !o.open {
 		o.adoptRequests(a, t.largestQuick(o.record.Pool))
+		o.adoptForeign()
 		o.open = true
 	}
 	if o.strangers > 0 {
@@ -309,6 +310,16 @@
 	}
 }
 
+// adoptForeign holds room for the attempts of earlier processes, which may run until the lease
+// of those is over. No report of the present process lists them. The caller holds o.mu.
+func (o *owned) adoptForeign() {
+	for id, known := range o.attempts {
+		if !known.ended && known.order.Attempt.StartID != o.start {
+			o.table.Adopt(id.String(), reserve.Batch, known.order.Attempt.Reserved)
+		}
+	}
+}
+
 // mayRelease reports whether a report that leaves the request out proves that it is gone.
 // The caller holds o.mu.
 func (o *owned) mayRelease(d doubt) bool {
--- a/daemon/owner/attempts.go
+++ b/daemon/owner/attempts.go
@@ -340,7 +340,9 @@
 }
 
 // reserveStart holds room for the attempt, or says why it cannot start here. An attempt that
-// may have been sent keeps the room that it holds, also by an earlier owner.
+// may have been sent keeps its room. One that only an earlier owner may have sent has not
+// started, because the target reported under the present epoch without it and refuses a
+// smaller one, so it needs room like a new one.
 func (t *Table) reserveStart(o *owned, a *attempt) error {
 	o.mu.Lock()
 	defer o.mu.Unlock()
@@ -349,7 +351,7 @@
 	if o.table.Holds(id) {
 		return nil
 	}
-	if a.sent || a.order.Attempt.Epoch != o.record.Epoch {
+	if a.sent {
 		o.table.Adopt(id, reserve.Batch, a.order.Attempt.Reserved)
 		return nil
 	}
--- a/daemon/owner/owner_test.go
+++ b/daemon/owner/owner_test.go
@@ -56,6 +56,7 @@
 	mu    sync.Mutex
 	calls map[string]int
 	fail  map[string]int
+	body  string // of every answer
 }
 
 func (f *fakeTarget) ServeHTTP(w http.ResponseWriter, r *http.Request) {
@@ -67,7 +68,7 @@
 	if fail {
 		panic(http.ErrAbortHandler)
 	}
-	_, _ = w.Write([]byte(`{"checkpoint":"Y3A="}`))
+	_, _ = w.Write([]byte(f.body))
 }
 
 func (f *fakeTarget) count(action string) int {
@@ -101,7 +102,7 @@
 func newFixture(t *testing.T, ttl time.Duration) *fixture {
 	f := &fixture{
 		t: t, lease: &fakeLease{}, proposer: &fakeProposer{},
-		target: &fakeTarget{calls: map[string]int{}, fail: map[string]int{}},
+		target: &fakeTarget{calls: map[string]int{}, fail: map[string]int{}, body: `{"checkpoint":"Y3A="}`},
 	}
 	server := httptest.NewServer(f.target)
 	t.Cleanup(server.Close)
--- /dev/null
+++ b/daemon/owner/protection_test.go
@@ -0,0 +1,158 @@
+package owner
+
+import (
+	"context"
+	"errors"
+	"testing"
+	"time"
+
+	"samphirepaddle.example/core/model"
+	"samphirepaddle.example/core/state"
+)
+
+// Guards against a dispatch by a gateway whose session lease is over: it may have been frozen
+// between the reservation and the dispatch.
+func TestGrantNeedsTheLease(t *testing.T) {
+	f := newFixture(t, longTTL)
+	f.own()
+	f.mustReport(1, nil)
+	grant, err := f.table.Reserve(service, "r", "")
+	if err != nil {
+		t.Fatal(err)
+	}
+	f.lease.valid.Store(false)
+	if grant.Valid() {
+		t.Error("a grant is valid without the lease")
+	}
+	if f.takes() {
+		t.Error("a target takes work without the lease")
+	}
+	if _, err := f.report(2, nil); !errors.Is(err, ErrNotOwner) {
+		t.Errorf("a target's lease was renewed without the session lease: %v", err)
+	}
+}
+
+// Guards against work beside attempts that an earlier owner started.
+func TestListedAttemptsKeepTheirRoom(t *testing.T) {
+	f := newFixture(t, longTTL)
+	f.own(order(4))
+	f.mustReport(1, func(a *model.Announcement) { a.Running = []model.AttemptID{jobOne} })
+	if free := f.table.FreeQuick("p"); free != 3 {
+		t.Errorf("%d slots free beside a listed attempt, want 3", free)
+	}
+}
+
+// Guards against a start that takes more than the target has: an attempt that an earlier owner
+// was to start, and that the target does not list, needs room like a new one.
+func TestUnstartedAttemptOfEarlierOwnerNeedsRoom(t *testing.T) {
+	f := newFixture(t, longTTL)
+	f.own(order(4))
+	f.mustReport(1, func(a *model.Announcement) { a.Requests = []model.RequestID{"1", "2", "3", "4"} })
+	f.run()
+	f.eventually("the end is committed", func() bool { return len(f.proposer.ends()) == 1 })
+	if end := f.proposer.ends()[0]; end.Outcome != state.OutcomeRefused || f.target.count("tasks") != 0 {
+		t.Errorf("end %+v after %d starts on a full target", end, f.target.count("tasks"))
+	}
+}
+
+// Guards against a start on a leaving target by an owner that took it over.
+func TestUnstartedAttemptOfEarlierOwnerIsNotStartedOnLeavingTarget(t *testing.T) {
+	f := newFixture(t, longTTL)
+	f.own(order(4))
+	f.mustReport(1, func(a *model.Announcement) { a.State = model.TargetLeaving })
+	f.run()
+	f.eventually("the end is committed", func() bool { return len(f.proposer.ends()) == 1 })
+	if end := f.proposer.ends()[0]; end.Outcome != state.OutcomeRefused || f.target.count("tasks") != 0 {
+		t.Errorf("end %+v after %d starts on a leaving target", end, f.target.count("tasks"))
+	}
+}
+
+// Guards against work in the room of attempts that the target's earlier process may still run
+// when the target has a new owner.
+func TestAttemptsOfEarlierProcessKeepTheirRoomAtTakeover(t *testing.T) {
+	f := newFixture(t, longTTL)
+	f.own(order(4))
+	f.mustReport(1, func(a *model.Announcement) { a.StartID = "s2" })
+	if free := f.table.FreeQuick("p"); free != 3 {
+		t.Errorf("%d slots free beside an attempt of the earlier process, want 3", free)
+	}
+}
+
+// Guards against a loss before the lease of a silent target is over, by its owner and by one
+// that took it over without a report.
+func TestLossWaitsForTheLease(t *testing.T) {
+	const ttl = 2 * time.Second
+	for _, reported := range []bool{true, false} {
+		f := newFixture(t, ttl)
+		f.own(order(5))
+		begin := time.Now()
+		if reported {
+			begin = time.Now()
+			f.mustReport(1, nil)
+		}
+		f.run()
+		f.eventually("the loss is committed", func() bool { return f.proposer.lost() })
+		if passed := time.Since(begin); passed < ttl {
+			t.Errorf("reported %v: lost after %v, before its lease of %v was over", reported, passed, ttl)
+		}
+	}
+}
+
+func (p *fakeProposer) lost() bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for _, c := range p.commands {
+		if c.LoseTarget != nil {
+			return true
+		}
+	}
+	return false
+}
+
+// Guards against a requeue as evicted of an attempt that had finished before it was stopped.
+func TestFinishBeforeTheStopCounts(t *testing.T) {
+	f := newFixture(t, longTTL)
+	f.target.body = `{"checkpoint":"Y3A=","ended":{"attempt":{"job":"j","number":1}}}`
+	evicting := order(5)
+	evicting.Attempt.Evicting = "room"
+	f.own(evicting)
+	f.mustReport(1, func(a *model.Announcement) { a.Running = []model.AttemptID{jobOne} })
+	f.run()
+	f.eventually("the end is committed", func() bool { return len(f.proposer.ends()) == 1 })
+	if end := f.proposer.ends()[0]; end.Outcome != state.OutcomeFinished {
+		t.Errorf("end %+v of an attempt that had finished", end)
+	}
+}
+
+// Guards against a late report that frees the room of a request which a newer one lists.
+func TestLateReportFreesNothing(t *testing.T) {
+	f := newFixture(t, longTTL)
+	f.own()
+	f.mustReport(1, func(a *model.Announcement) { a.Requests = []model.RequestID{"r"} })
+	f.mustReport(3, func(a *model.Announcement) { a.Requests = []model.RequestID{"r"} })
+	f.mustReport(2, nil)
+	if free := f.table.FreeQuick("p"); free != 3 {
+		t.Errorf("%d slots free after a late report, want 3", free)
+	}
+}
+
+// Guards against a leaving target that later owners do not know of.
+func TestLeavingIsCommitted(t *testing.T) {
+	f := newFixture(t, longTTL)
+	f.own()
+	f.mustReport(1, func(a *model.Announcement) { a.State = model.TargetLeaving })
+	f.proposer.mu.Lock()
+	commands := len(f.proposer.commands)
+	f.proposer.mu.Unlock()
+	if commands != 1 || f.proposer.commands[0].LeaveTarget == nil {
+		t.Errorf("%d commands, want LeaveTarget", commands)
+	}
+	g := newFixture(t, longTTL)
+	g.record.Leaving = true
+	g.own()
+	g.mustReport(1, nil)
+	if g.takes() {
+		t.Error("the next owner gives work to a leaving target")
+	}
+	g.table.Drain(context.Background())
+}
