--- /dev/null
+++ b/daemon/gateway/protection_test.go
@@ -0,0 +1,42 @@
+package gateway
+
+import (
+	"net/http"
+	"net/http/httptest"
+	"testing"
+
+	"samphirepaddle.example/core/model"
+	"samphirepaddle.example/core/syncmsg"
+	"samphirepaddle.example/daemon/target"
+)
+
+// Guards against a peer's answer to another request that reaches this caller, and against a
+// second run because a peer's lost answer counts as not run.
+func TestDamagedAnswersOfPeers(t *testing.T) {
+	tests := map[string]http.HandlerFunc{
+		"of another request": func(w http.ResponseWriter, _ *http.Request) {
+			w.Header().Set(target.HeaderRequestID, "other")
+			w.Header().Set(model.VerdictHeader, "ran")
+			_, _ = w.Write([]byte("other"))
+		},
+		"cut short": func(w http.ResponseWriter, r *http.Request) {
+			w.Header().Set(target.HeaderRequestID, r.Header.Get(target.HeaderRequestID))
+			w.Header().Set(model.VerdictHeader, "ran")
+			w.Header().Set("Content-Length", "10")
+			_, _ = w.Write([]byte("half"))
+		},
+		"without a verdict": func(w http.ResponseWriter, r *http.Request) {
+			w.Header().Set(target.HeaderRequestID, r.Header.Get(target.HeaderRequestID))
+		},
+		"lost": func(http.ResponseWriter, *http.Request) { panic(http.ErrAbortHandler) },
+	}
+	for name, handle := range tests {
+		peer := httptest.NewServer(handle)
+		w := newWorld(t, "g1", echo)
+		w.session.peers = []syncmsg.Peer{{ID: "g2", PeerAddr: address(peer), FreeQuick: map[model.PoolID]int32{"p": 4}}}
+		if r := mustCall(t, w, http.MethodPost, "/", "x", headerDeadline, "5000"); r.verdict != "unknown" || r.code != "peer_failed" {
+			t.Errorf("answer %s: %+v; want unknown", name, r)
+		}
+		peer.Close()
+	}
+}
