Pace announcements beside unknown attempts; pass answers without a content type as they are

A target that took long to stop an unknown attempt was asked to announce again at once, over and over; it now does so every 100 ms.

--- a/daemon/gateway/call.go
+++ b/daemon/gateway/call.go
@@ -323,6 +323,7 @@
 		return
 	}
 	beginAnswer(w)
+	w.Header()["Content-Type"] = nil // the server must not guess one that the target left out
 	for _, name := range answerHeaders {
 		if value := out.answer.Header.Get(name); value != "" {
 			w.Header().Set(name, value)
--- a/daemon/owner/announce.go
+++ b/daemon/owner/announce.go
@@ -256,11 +256,15 @@
 		o.open = true
 	}
 	if o.strangers > 0 {
-		answer.NextMs = 0
+		// The target is closed until they are gone. A stop may take long, so not at once.
+		answer.NextMs = min(answer.NextMs, strangersNextMs)
 	}
 	return answer, freed || !wasOpen && o.takesWork(), nil
 }
 
+// strangersNextMs is the interval of announcements while a target stops unknown attempts.
+const strangersNextMs = model.Millis(100)
+
 // acknowledged returns the reported ends that need no further report. The caller holds o.mu.
 func (o *owned) acknowledged(a model.Announcement) []model.AttemptID {
 	var done []model.AttemptID
