Replace idle connections that are closed before the first byte

A connection that was discarded after a crossed answer could be idle again; the next request on it failed without a written byte and counted as unknown. A first write without a byte is now not sent, and the request goes to another connection. The test of crossed answers failed once under load because of this.

--- a/daemon/once/once.go
+++ b/daemon/once/once.go
@@ -76,31 +76,45 @@
 }
 
 func (c *conn) Write(p []byte) (int, error) {
-	if err := c.begin(); err != nil {
+	first, err := c.begin()
+	if err != nil {
 		return 0, err
 	}
-	return c.Conn.Write(p)
+	n, err := c.Conn.Write(p)
+	if first && n == 0 && err != nil {
+		c.unwritten()
+	}
+	return n, err
+}
+
+// unwritten notes that the first write of a request failed without a byte, as on a
+// connection that was closed while it was idle.
+func (c *conn) unwritten() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.started = false
+	c.sealed = true
 }
 
 // begin runs the check before the first byte of a request. A process that is frozen between
 // the check and the write is covered by the margin of the lease's granter, and after that
 // by the epoch: a target that has seen a newer one refuses this request.
-func (c *conn) begin() error {
+func (c *conn) begin() (first bool, err error) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	if c.started {
-		return nil
+		return false, nil
 	}
 	if c.sealed {
-		return errSealed
+		return false, errSealed
 	}
 	if c.check != nil && !c.check() {
 		c.refused = true
 		c.sealed = true
-		return ErrNotAllowed
+		return false, ErrNotAllowed
 	}
 	c.started = true
-	return nil
+	return true, nil
 }
 
 // body is a request body that cannot be rewound.
@@ -110,18 +124,21 @@
 
 // Request is one request that is sent at most once.
 type Request struct {
-	http *http.Request
-	conn *conn
+	http    *http.Request
+	content []byte
+	conn    *conn
+	reused  bool
 }
 
 // NewRequest returns a request. check runs immediately before the first byte is written;
 // if it returns false, nothing is sent. It may be nil.
 func NewRequest(ctx context.Context, method, url string, content []byte, check func() bool) (*Request, error) {
-	r := &Request{}
+	r := &Request{content: content}
 	trace := &httptrace.ClientTrace{GotConn: func(info httptrace.GotConnInfo) {
 		if c, ok := info.Conn.(*conn); ok {
 			c.arm(check)
 			r.conn = c
+			r.reused = info.Reused
 		}
 	}}
 	request, err := http.NewRequestWithContext(httptrace.WithClientTrace(ctx, trace), method, url, body{bytes.NewReader(content)})
@@ -142,8 +159,24 @@
 // Header returns the headers to be sent.
 func (r *Request) Header() http.Header { return r.http.Header }
 
-// Do sends the request. sent is false only if no byte of it was written and none will be.
+// maxIdleTries bounds the connections that are tried until one takes the first byte.
+const maxIdleTries = 4
+
+// Do sends the request. sent is false only if no byte of it was written and none will be. An
+// idle connection that turns out to be closed before the first byte is replaced.
 func (r *Request) Do(client *http.Client) (response *http.Response, sent bool, err error) {
+	for try := 1; ; try++ {
+		response, sent, err = r.try(client)
+		if err == nil || sent || !r.reused || try == maxIdleTries || errors.Is(err, ErrNotAllowed) || r.http.Context().Err() != nil {
+			return response, sent, err
+		}
+		r.http = r.http.Clone(r.http.Context())
+		r.http.Body = body{bytes.NewReader(r.content)}
+	}
+}
+
+func (r *Request) try(client *http.Client) (response *http.Response, sent bool, err error) {
+	r.conn, r.reused = nil, false
 	response, err = client.Do(r.http)
 	if err == nil {
 		return response, true, nil
--- /dev/null
+++ b/daemon/once/once_test.go
@@ -0,0 +1,67 @@
+package once
+
+import (
+	"context"
+	"io"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"sync/atomic"
+	"testing"
+	"time"
+)
+
+// Guards against "unknown" for a request whose idle connection was closed before its first
+// byte, and against a second run: the request is sent once, on another connection.
+func TestClosedIdleConnectionIsReplaced(t *testing.T) {
+	var seen atomic.Int32
+	server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		seen.Add(1)
+		_, _ = io.Copy(w, r.Body)
+	}))
+	defer server.Close()
+	transport := NewTransport(time.Second, time.Minute, 4)
+	var last atomic.Pointer[conn]
+	dial := transport.DialContext
+	transport.DialContext = func(ctx context.Context, network, address string) (net.Conn, error) {
+		c, err := dial(ctx, network, address)
+		if err == nil {
+			last.Store(c.(*conn))
+		}
+		return c, err
+	}
+	client := &http.Client{Transport: transport}
+	const requests = 20
+	for i := range requests {
+		request, err := NewRequest(context.Background(), http.MethodPost, server.URL, []byte("body"), nil)
+		if err != nil {
+			t.Fatal(err)
+		}
+		response, sent, err := request.Do(client)
+		if err != nil {
+			t.Fatalf("request %d: sent %v, %v", i, sent, err)
+		}
+		if data, err := ReadAll(response, 100); err != nil || string(data) != "body" {
+			t.Fatalf("request %d: %q, %v", i, data, err)
+		}
+		response.Body.Close()
+		request.Discard() // closes the connection, which is idle again by now
+	}
+	if got := seen.Load(); got != requests {
+		t.Errorf("the server saw %d requests, want %d", got, requests)
+	}
+}
+
+// Guards against a byte that is written after the verdict was given.
+func TestNoByteAfterSeal(t *testing.T) {
+	near, far := net.Pipe()
+	defer far.Close()
+	c := &conn{Conn: near}
+	c.arm(nil)
+	if started, _ := c.seal(); started {
+		t.Error("a request without a written byte counts as started")
+	}
+	if n, err := c.Write([]byte("x")); n != 0 || err == nil {
+		t.Errorf("wrote %d bytes after the seal, %v", n, err)
+	}
+}
