Test which failed first writes count as sent

The test with idle connections meets a failed first write only by chance; this one does each time. It fails if an empty write counts as sent, and if a partial one counts as not sent.

--- a/daemon/once/once_test.go
+++ b/daemon/once/once_test.go
@@ -65,3 +65,28 @@
 		t.Errorf("wrote %d bytes after the seal, %v", n, err)
 	}
 }
+
+// Guards against a failed first write that counts as sent although it wrote no byte, and
+// against the opposite for a write that failed part way.
+func TestFailedFirstWrite(t *testing.T) {
+	near, far := net.Pipe()
+	near.Close()
+	c := &conn{Conn: near}
+	c.arm(nil)
+	_, _ = c.Write([]byte("x"))
+	if started, _ := c.seal(); started {
+		t.Error("a write without a byte counts as sent")
+	}
+	far.Close()
+	near, far = net.Pipe()
+	go func() {
+		_, _ = far.Read(make([]byte, 1))
+		far.Close()
+	}()
+	c = &conn{Conn: near}
+	c.arm(nil)
+	_, _ = c.Write([]byte("xy"))
+	if started, _ := c.seal(); !started {
+		t.Error("a write of one byte counts as not sent")
+	}
+}
