Count the stand-in's output over the whole job

Cause: output offsets count over the whole job at the gateways, but the stand-in counted them within one attempt, so a caller that followed a run over an eviction would have missed lines. Change: a checkpoint holds the bytes produced; a resumed attempt starts at that offset and answers 416 before it; lines name the job, so that an attempt that starts anew produces the same bytes.

--- a/ctl/standin/handlers.go
+++ b/ctl/standin/handlers.go
@@ -169,8 +169,9 @@
 		k.advance(time.Now())
 	}
 	progress := k.progress
+	produced := k.skipped + len(k.output)
 	t.mu.Unlock()
-	saved, err := json.Marshal(Checkpoint{Progress: progress})
+	saved, err := json.Marshal(Checkpoint{Progress: progress, Output: produced})
 	if err != nil {
 		http.Error(w, err.Error(), http.StatusInternalServerError)
 		return
@@ -224,6 +225,13 @@
 		return
 	}
 	t.mu.Unlock()
+	// Offsets count over the whole job; this attempt holds the output since its checkpoint.
+	if offset < k.skipped {
+		http.Error(w, fmt.Sprintf("output is kept from offset %d", k.skipped), http.StatusRequestedRangeNotSatisfiable)
+		return
+	}
+	offset -= k.skipped
+	w.WriteHeader(http.StatusOK)
 	controller := http.NewResponseController(w)
 	for {
 		t.mu.Lock()
--- a/ctl/standin/task.go
+++ b/ctl/standin/task.go
@@ -40,6 +40,7 @@
 // Checkpoint is the content of a checkpoint of the stand-in.
 type Checkpoint struct {
 	Progress float64 `json:"progress"` // 0 to 1
+	Output   int     `json:"output"`   // bytes of output that the job has produced
 }
 
 // checkpointAnswer is the body of the answer to a checkpoint call.
@@ -63,6 +64,7 @@
 	changed  chan struct{} // closed and replaced at each change that waiters must see
 	stopping string        // outcome that a stop was requested with
 	outcome  string        // empty while it runs
+	skipped  int           // bytes of output that earlier attempts produced up to the checkpoint
 	output   []byte
 	lines    int // lines that progress has produced, including those before a checkpoint
 	done     chan struct{}
@@ -85,6 +87,7 @@
 			return nil, fmt.Errorf("checkpoint of attempt %s: %w", start.Attempt, err)
 		}
 		t.progress = saved.Progress
+		t.skipped = saved.Output
 	}
 	t.reported = t.progress
 	t.lines = int(t.progress * float64(t.plan.Lines))
@@ -107,7 +110,7 @@
 	due := int(t.progress * float64(t.plan.Lines))
 	for t.lines < due {
 		t.lines++
-		t.output = fmt.Appendf(t.output, "%s line %d\n", t.work.attempt, t.lines)
+		t.output = fmt.Appendf(t.output, "%s line %d\n", t.work.attempt.Job, t.lines)
 	}
 }
 
