--- a/core/consensus/node.go
+++ b/core/consensus/node.go
@@ -286,6 +286,7 @@
 	LogBytes int
 	Snapshot uint64 // index of the last snapshot
 	Members  Membership
+	Changing bool                  // Members is not committed yet
 	Progress map[MemberID]Progress // leader only
 }
 
@@ -295,6 +296,7 @@
 		ID: n.id, Role: n.role, Term: n.hard.Term, Leader: n.leader,
 		Commit: n.log.commit, Last: n.log.last(), LogBytes: n.log.bytes,
 		Snapshot: n.snapshot.Index, Members: n.members(),
+		Changing: n.configs[len(n.configs)-1].index > n.log.commit,
 	}
 	if n.role == RoleLeader {
 		s.Progress = map[MemberID]Progress{}
--- a/core/consensus/property_test.go
+++ b/core/consensus/property_test.go
@@ -16,8 +16,9 @@
 		s := newSim(t.Fatalf, rapid.SampledFrom([]int{1, 3, 3, 4, 5}).Draw(t, "size"))
 		// The schedule comes from a uniform source, because rapid prefers small numbers.
 		source := rand.New(rand.NewPCG(rapid.Uint64().Draw(t, "seed"), rapid.Uint64().Draw(t, "stream")))
-		for range rapid.SampledFrom([]int{300, 1000, 4000}).Draw(t, "steps") {
-			s.randomStep(source)
+		actions := randomActions(source)
+		for range rapid.SampledFrom([]int{300, 2000, 8000}).Draw(t, "steps") {
+			s.randomStep(source, actions)
 		}
 		s.checkLogs()
 		s.heal(t)
@@ -38,45 +39,85 @@
 	}
 }
 
-func (s *sim) randomStep(source *rand.Rand) {
-	action := source.IntN(1000)
-	pick := source.IntN(1 << 16)
-	n := s.nodes[pick%len(s.nodes)]
-	switch {
-	case action < 350:
-		s.deliver(pick, false)
-	case action < 500 && len(s.network) > 0:
-		s.deliver(0, false)
-	case action < 520:
-		s.deliver(pick, true)
-	case action < 550 && len(s.network) > 0:
+// action is one kind of step; weights differ between schedules, so that some are almost
+// without crashes and others consist of little else.
+type action struct {
+	weight int
+	run    func(s *sim, n *simNode, pick int)
+}
+
+func randomActions(source *rand.Rand) []action {
+	factor := func(weight int) int { return weight * []int{1, 1, 3, 10}[source.IntN(4)] / 2 }
+	return []action{
+		{factor(300), func(s *sim, n *simNode, pick int) { s.deliver(pick, false) }},
+		{factor(100), func(s *sim, n *simNode, pick int) { s.deliver(0, false) }},
+		{factor(20), func(s *sim, n *simNode, pick int) { s.deliver(pick, true) }},
+		{factor(20), func(s *sim, n *simNode, pick int) { s.drop(pick) }},
+		{factor(100), func(s *sim, n *simNode, pick int) { s.tick(n) }},
+		{factor(30), func(s *sim, n *simNode, pick int) { s.tickMany(n, pick%(3*simElection)) }},
+		{factor(150), func(s *sim, n *simNode, pick int) { s.finishWrite(n) }},
+		{factor(50), func(s *sim, n *simNode, pick int) { s.propose(n) }},
+		{factor(20), func(s *sim, n *simNode, pick int) { s.read(n) }},
+		{factor(10), func(s *sim, n *simNode, pick int) { s.admit(n) }},
+		{factor(8), func(s *sim, n *simNode, pick int) { s.compact(n) }},
+		{factor(4), func(s *sim, n *simNode, pick int) { s.restart(n, pick%6) }},
+		{factor(2), func(s *sim, n *simNode, pick int) { s.loseDisk(n) }},
+		{factor(2), func(s *sim, n *simNode, pick int) { s.transfer(n) }},
+		{factor(2), func(s *sim, n *simNode, pick int) { s.remove(n, s.nodes[pick%len(s.nodes)]) }},
+		{factor(4), func(s *sim, n *simNode, pick int) { s.cut[n.member.ID] = !s.cut[n.member.ID] }},
+		{factor(10), func(s *sim, n *simNode, pick int) { clear(s.cut) }},
+	}
+}
+
+func (s *sim) randomStep(source *rand.Rand, actions []action) {
+	total := 0
+	for _, a := range actions {
+		total += a.weight
+	}
+	left := source.IntN(total)
+	n := s.nodes[source.IntN(len(s.nodes))]
+	for _, a := range actions {
+		if left -= a.weight; left < 0 {
+			a.run(s, n, source.IntN(1<<16))
+			return
+		}
+	}
+}
+
+func (s *sim) drop(pick int) {
+	if len(s.network) > 0 {
 		i := pick % len(s.network)
 		s.network = append(s.network[:i], s.network[i+1:]...)
-	case action < 710:
+	}
+}
+
+func (s *sim) tickMany(n *simNode, count int) {
+	for range count {
 		s.tick(n)
-	case action < 850:
-		s.finishWrite(n)
-	case action < 900:
-		s.propose(n)
-	case action < 930:
-		s.read(n)
-	case action < 950:
-		s.admit(n)
-	case action < 960:
-		s.compact(n)
-	case action < 970 && n.node != nil:
-		s.crash(n, pick%6)
-	case action < 990 && n.node == nil:
+	}
+}
+
+// restart stops the process, or starts it if it is down.
+func (s *sim) restart(n *simNode, parts int) {
+	if n.node == nil {
 		s.start(n)
-	case action < 993:
-		s.loseDisk(n)
-	case action < 996 && n.node != nil:
+		return
+	}
+	s.crash(n, parts)
+}
+
+func (s *sim) transfer(n *simNode) {
+	if n.node != nil {
 		_ = n.node.Transfer("")
 		s.drive(n)
-	case n.node != nil && n.node.Members().Voters() > 2 && !s.lostVoter(n):
-		// With a voter lost, the removal of a live one can leave no quorum. So can the loss
-		// of a second voter at the moment when a group of one promotes it.
-		_ = n.node.Remove(s.nodes[(pick/7)%len(s.nodes)].member.ID)
+	}
+}
+
+// remove removes a live voter. With a voter lost, that can leave no quorum. So can the loss
+// of a second voter at the moment when a group of one promotes it.
+func (s *sim) remove(n, o *simNode) {
+	if n.node != nil && n.node.Members().Voters() > 2 && !s.lostVoter(n) {
+		_ = n.node.Remove(o.member.ID)
 		s.drive(n)
 	}
 }
@@ -105,6 +146,7 @@
 // heal lets everything work again and checks that the group makes progress, that all
 // nodes hold every commit, and that the gateways of lost disks have votes again.
 func (s *sim) heal(t *rapid.T) {
+	clear(s.cut)
 	for _, n := range s.nodes {
 		if n.node == nil {
 			s.start(n)
--- a/core/consensus/protection_test.go
+++ b/core/consensus/protection_test.go
@@ -223,3 +223,45 @@
 		t.Errorf("the leadership was not handed over: %+v", leader.node.Status())
 	}
 }
+
+// Guards against a commit of an entry of an earlier term that a later leader may still
+// replace: a quorum that holds it is not enough without an entry of the current term.
+func TestEarlierTermIsNotCommittedByCount(t *testing.T) {
+	s := newSim(t.Fatalf, 3)
+	leader := s.elect(t)
+	s.rounds(3)
+	other := s.others(leader)[0]
+	s.cut[other.member.ID] = true
+	s.cut[s.others(leader)[1].member.ID] = true
+	s.propose(leader)
+	s.finishWrite(leader)
+	index := leader.node.log.last()
+	s.crash(leader, 0)
+	s.start(leader)
+	s.network = nil
+	s.cut[other.member.ID] = false
+	for tries := 0; leader.node.Role() != RoleLeader; tries++ {
+		if tries == 1000 {
+			t.Fatal("the node with the longer log is not elected")
+		}
+		s.tick(other) // ends its patience with the earlier leadership
+		s.tick(leader)
+		s.finishWrite(leader)
+		s.finishWrite(other)
+		for len(s.network) > 0 && leader.node.Role() != RoleLeader {
+			s.deliver(0, false)
+			s.finishWrite(other)
+		}
+	}
+	s.finishWrite(leader)
+	answer := Message{Kind: MsgAppendAnswer, From: other.member.ID, To: leader.member.ID, Term: leader.node.Term(), Index: index}
+	leader.node.Step(answer)
+	if leader.node.log.commit >= index {
+		t.Error("an entry of an earlier term was committed by counting")
+	}
+	answer.Index++
+	leader.node.Step(answer)
+	if leader.node.log.commit != index+1 {
+		t.Errorf("commit is %d after a quorum holds entry %d of the current term", leader.node.log.commit, index+1)
+	}
+}
--- a/daemon/replica/members.go
+++ b/daemon/replica/members.go
@@ -18,6 +18,7 @@
 	Term      uint64             `json:"term"`
 	Leader    Leader             `json:"leader"`
 	Members   []MemberStatus     `json:"members"`
+	Changing  bool               `json:"changing"` // Members is not committed yet; a repair is not finished
 	Commit    uint64             `json:"commit"`
 	Applied   uint64             `json:"applied"`
 	Last      uint64             `json:"last"`       // last entry of the log
@@ -65,6 +66,7 @@
 	}
 	node := r.node.Status()
 	s.Term, s.Commit, s.Last = node.Term, node.Commit, node.Last
+	s.Changing = node.Changing
 	s.LogBytes, s.Snapshot = node.LogBytes, node.Snapshot
 	for _, member := range node.Members {
 		p := node.Progress[member.ID]
--- a/daemon/replica/replica_test.go
+++ b/daemon/replica/replica_test.go
@@ -208,7 +208,8 @@
 	})
 }
 
-// voters waits until the group has exactly the live controllers as voters.
+// voters waits until the group has exactly the live controllers as voters, and this
+// membership is committed. Before that a repair does not protect from another loss.
 func (c *cluster) voters() {
 	c.t.Helper()
 	c.wait("the live controllers to be the voters", func() bool {
@@ -218,13 +219,13 @@
 				live[string(ctl.replica.identity().ID)] = true
 			}
 		}
-		members := c.controllers[c.leader()].replica.Status().Members
-		for _, member := range members {
+		status := c.controllers[c.leader()].replica.Status()
+		for _, member := range status.Members {
 			if member.Learner || !live[string(member.ID)] {
 				return false
 			}
 		}
-		return len(members) == len(live)
+		return len(status.Members) == len(live) && !status.Changing
 	})
 }
 
@@ -243,8 +244,7 @@
 }
 
 // Guards against a lost commit when a disk is lost, its VM comes back with a new id, and a
-// second controller is lost as soon as the group is repaired. Commands with a payload make
-// the newcomer receive a snapshot in several parts.
+// second controller is lost as soon as the group is repaired. The newcomer needs a snapshot.
 func TestDiskLostThenSecondControllerLost(t *testing.T) {
 	c := newCluster(t, 3, func(o *Options) { o.SnapshotBytes, o.KeepBytes = 4<<10, 1 })
 	c.proposeRange(1, 120)
