--- a/daemon/replica/options.go
+++ b/daemon/replica/options.go
@@ -49,10 +49,11 @@
 }
 
 // Defaults of Options. They give a heartbeat of 50 ms and election timeouts of 300 to 600 ms.
+// With a tick of 10 ms, an idle replica took 1.7% of a core in BenchmarkIdle; with 25 ms, 1.4%.
 const (
-	DefaultTick           = 10 * time.Millisecond
-	DefaultHeartbeatTicks = 5
-	DefaultElectionTicks  = 30
+	DefaultTick           = 25 * time.Millisecond
+	DefaultHeartbeatTicks = 2
+	DefaultElectionTicks  = 12
 	DefaultSnapshotBytes  = 8 << 20
 	DefaultKeepBytes      = 2 << 20
 )
