controller: renewals look at recent changes only, and resend no orders of kept targets

A renewal with a change walked all owned targets and their open attempts with the state locked, and resent every order with its payload when a target was only quarantined.

Tested: go test -race ./controller ./control ./scheduler; removing either part fails TestPartialAnswersEqualFullOnes.

--- a/core/state/members.go
+++ b/core/state/members.go
@@ -116,6 +116,7 @@
 	load[owner]++
 	s.setOwner(target, owner)
 	target.Epoch = s.takeEpoch()
+	target.Assigned = s.Revision
 	s.touchTarget(target)
 }
 
--- a/core/state/state.go
+++ b/core/state/state.go
@@ -119,6 +119,7 @@
 	PastStartIDs []string       `json:"past_start_ids,omitempty" cbor:"14,keyasint,omitempty"` // earlier processes, whose late announcements are refused
 	LostAt       model.Millis   `json:"lost_at,omitempty" cbor:"15,keyasint,omitempty"`
 	LostSequence uint64         `json:"lost_sequence,omitempty" cbor:"16,keyasint,omitempty"` // order of losses
+	Assigned     model.Revision `json:"assigned" cbor:"30,keyasint,omitempty"`                // revision at which the present owner got it
 	Changed      model.Revision `json:"changed" cbor:"17,keyasint,omitempty"`
 }
 
--- a/daemon/controller/view.go
+++ b/daemon/controller/view.go
@@ -1,6 +1,9 @@
 package controller
 
 import (
+	"cmp"
+	"slices"
+
 	"samphirepaddle.example/core/model"
 	"samphirepaddle.example/core/state"
 	"samphirepaddle.example/core/syncmsg"
@@ -59,21 +62,47 @@
 	if !result.Partial {
 		result.Closed = nil
 	}
+	since := body.Revision
+	if result.Partial && !st.OwnershipChangedSince(body.Gateway, since) {
+		if recent, ok := st.ChangesSince(since); ok {
+			result.SameOwned = true
+			addRecent(st, body.Gateway, recent, result)
+			return result
+		}
+	}
 	for _, target := range st.OwnedTargets(body.Gateway) {
 		result.Owned = append(result.Owned, target.ID)
-		changed := target.Changed > body.Revision
-		if changed {
+		if target.Changed > since {
 			result.Targets = append(result.Targets, *target)
 		}
-		addOrders(result, st.OpenOn(target.ID), changed, body.Revision)
-	}
-	if result.Partial && !st.OwnershipChangedSince(body.Gateway, body.Revision) {
-		result.Owned = nil
-		result.SameOwned = true
+		addOrders(result, st.OpenOn(target.ID), target.Assigned > since, since)
 	}
 	return result
 }
 
+// addRecent adds what changed on the targets of a gateway that owns the same targets as before.
+func addRecent(st *state.State, gateway model.GatewayID, recent state.Changes, result *syncmsg.Changes) {
+	for _, id := range unique(recent.Targets) {
+		if target, ok := st.Targets[id]; ok && target.Owner == gateway {
+			result.Targets = append(result.Targets, *target)
+		}
+	}
+	for _, id := range unique(recent.Jobs) {
+		job, ok := st.Jobs[id]
+		if !ok || job.Open == nil {
+			continue
+		}
+		if target, ok := st.Targets[job.Open.Target]; ok && target.Owner == gateway {
+			result.Orders = append(result.Orders, order(job))
+		}
+	}
+}
+
+func unique[T cmp.Ordered](ids []T) []T {
+	slices.Sort(ids)
+	return slices.Compact(ids)
+}
+
 // addOrders adds the open attempts of one target. A target that changed hands brings all its
 // open attempts to the new owner.
 func addOrders(result *syncmsg.Changes, jobs []*state.Job, all bool, since model.Revision) {
