--- a/daemon/scheduler/scheduler_test.go
+++ b/daemon/scheduler/scheduler_test.go
@@ -3,151 +3,18 @@
 import (
 	"context"
 	"fmt"
-	"maps"
 	"math/rand/v2"
 	"strings"
-	"sync"
 	"sync/atomic"
 	"testing"
 	"time"
 
-	"github.com/rs/zerolog"
-
 	"samphirepaddle.example/core/model"
 	"samphirepaddle.example/core/state"
 	"samphirepaddle.example/core/syncmsg"
 	"samphirepaddle.example/daemon/replica"
 )
 
-// site is a log with targets whose owner reports what the state says.
-type site struct {
-	t   *testing.T
-	log replica.Log
-	s   *Scheduler
-	now model.Millis
-
-	mu       sync.Mutex
-	told     map[model.TargetID]syncmsg.TargetSummary
-	levels   map[model.GatewayID][]syncmsg.Throttle
-	usage    []syncmsg.TargetUsage
-	reported chan struct{}
-}
-
-func newSite(t *testing.T, log replica.Log, targets int) *site {
-	w := &site{t: t, log: log, now: 1_000_000, reported: make(chan struct{})}
-	w.s = New(log, w, quiet)
-	w.ok(state.Command{SubmitTicket: &state.SubmitTicket{Ticket: model.Ticket{
-		Number:  1,
-		Pools:   []model.Pool{{ID: "shops"}},
-		Tenants: []model.Tenant{{ID: "a"}, {ID: "b"}, {ID: "small", BatchQuota: model.Resources{Slots: 1}}},
-	}}})
-	w.ok(state.Command{RegisterGateway: &state.RegisterGateway{Gateway: "gw", Incarnation: "x"}})
-	for i := range targets {
-		w.join(model.TargetID(fmt.Sprintf("t%d", i)), 4)
-	}
-	return w
-}
-
-func (w *site) join(id model.TargetID, slots int32) {
-	w.ok(state.Command{JoinTarget: &state.JoinTarget{Target: id, StartID: "p", Pool: "shops", Capacity: model.Resources{Slots: slots}}})
-}
-
-// TakeSummaries returns what changed since the last call, as the controller does.
-func (w *site) TakeSummaries(uint64) map[model.TargetID]syncmsg.TargetSummary {
-	out := map[model.TargetID]syncmsg.TargetSummary{}
-	w.log.View(func(st *state.State) {
-		for _, target := range st.AllTargets() {
-			free := target.Capacity
-			for _, job := range st.OpenOn(target.ID) {
-				free = free.Sub(job.Open.Reserved)
-			}
-			summary := syncmsg.TargetSummary{Target: target.ID, Epoch: target.Epoch, Open: true, FreeBatch: free}
-			if w.told[target.ID] != summary {
-				out[target.ID] = summary
-			}
-		}
-	})
-	w.mu.Lock()
-	defer w.mu.Unlock()
-	if w.told == nil {
-		w.told = map[model.TargetID]syncmsg.TargetSummary{}
-	}
-	maps.Copy(w.told, out)
-	return out
-}
-
-func (w *site) Reported() <-chan struct{} { return w.reported }
-
-func (w *site) TakeUsage() []syncmsg.TargetUsage {
-	w.mu.Lock()
-	defer w.mu.Unlock()
-	usage := w.usage
-	w.usage = nil
-	return usage
-}
-
-func (w *site) SetThrottles(levels map[model.GatewayID][]syncmsg.Throttle) {
-	w.mu.Lock()
-	defer w.mu.Unlock()
-	w.levels = levels
-}
-
-func (w *site) ok(c state.Command) {
-	w.t.Helper()
-	if result, err := w.log.Propose(context.Background(), c); err != nil || !result.OK() {
-		w.t.Fatalf("%+v: %+v %v", c, result, err)
-	}
-}
-
-func (w *site) submit(id, tenant string, slots int32, urgent bool) {
-	w.t.Helper()
-	w.ok(state.Command{At: w.now, SubmitJob: &state.SubmitJob{Key: id, Spec: model.JobSpec{
-		ID: model.JobID(id), Tenant: model.TenantID(tenant), Pool: "shops", Class: model.ClassBatch,
-		Kind: "plan", Declared: model.Resources{Slots: slots}, Urgent: urgent, MaxAttempts: 50,
-	}}})
-}
-
-// plan decides at the time of the site and commits every decision.
-func (w *site) plan() []state.Command {
-	summaries := w.TakeSummaries(0)
-	var commands []state.Command
-	w.log.View(func(st *state.State) { commands = w.s.picture.decide(st, summaries, w.TakeUsage(), w.now) })
-	for _, c := range commands {
-		c.At = w.now
-		result, err := w.log.Propose(context.Background(), c)
-		w.s.settle(0, c, err == nil && result.OK())
-	}
-	w.now += 100
-	return commands
-}
-
-func (w *site) job(id string) state.Job {
-	var job state.Job
-	w.log.View(func(st *state.State) { job = *st.Jobs[model.JobID(id)] })
-	return job
-}
-
-// end closes every open attempt on targets that match with an outcome.
-func (w *site) end(outcome state.Outcome, match func(*state.Job) bool) {
-	var ends []state.Command
-	w.log.View(func(st *state.State) {
-		for _, target := range st.AllTargets() {
-			for _, job := range st.OpenOn(target.ID) {
-				if match(job) {
-					ends = append(ends, state.Command{At: w.now, EndAttempt: &state.EndAttempt{Attempt: job.Open.ID, Epoch: target.Epoch, Outcome: outcome}})
-				}
-			}
-		}
-	})
-	for _, c := range ends {
-		w.ok(c)
-	}
-}
-
-var quiet = zerolog.Nop()
-
-func single() *replica.Single { return replica.NewSingle("c", "") }
-
 // Guards against a job that can never run and blocks others or is not named with its reason,
 // and against one that stays marked when a larger target arrives.
 func TestNeverRunnable(t *testing.T) {
