--- a/ctl/cmd/samphirectl/main.go
+++ b/ctl/cmd/samphirectl/main.go
@@ -20,6 +20,7 @@
 	addQuarantine,
 	addHistograms,
 	addMembers,
+	addTarget,
 }
 
 func main() {
--- a/daemon/cmd/samphired/daemon.go
+++ b/daemon/cmd/samphired/daemon.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"errors"
 	"fmt"
 	"net"
 	"net/http"
@@ -42,12 +41,13 @@
 	logger   zerolog.Logger
 
 	public, peer *http.Server
-	log          replica.Log // nil unless this VM is a controller
+	log          *replica.Replica // nil unless this VM is a controller
 	controller   *controller.Service
 	scheduler    *scheduler.Scheduler
 	session      *session.Session
 	owners       *owner.Table
 	gateway      *gateway.Gateway
+	control      *control.Client
 }
 
 func newDaemon(s settings.Settings) (*daemon, error) {
@@ -64,8 +64,8 @@
 		}
 	}
 	d.buildGateway(publicMux, peerMux)
-	d.public = server(s.PublicAddr, publicMux)
-	d.peer = server(s.PeerAddr, peerMux)
+	d.public = server(s.PublicListen, d.gateway.Bound(publicMux))
+	d.peer = server(s.PeerListen, peerMux)
 	return d, nil
 }
 
@@ -80,22 +80,37 @@
 }
 
 func (d *daemon) buildController(peerMux *http.ServeMux) error {
-	d.log = replica.NewSingle(d.settings.Gateway, d.settings.PeerAddr)
+	log, err := replica.Open(d.replicaOptions())
+	if err != nil {
+		return fmt.Errorf("data_dir: %w", err)
+	}
+	d.log = log
+	peerMux.Handle(rpc.ConsensusPathPrefix, log.Handler())
 	ttl := time.Duration(d.settings.SessionTTLMs) * time.Millisecond
 	d.controller = controller.NewService(d.log, ttl, d.logger)
 	d.scheduler = scheduler.New(d.log, d.controller, d.logger)
 	d.controller.SetExplainer(d.scheduler)
+	d.controller.SetMembers(members{log})
 	peerMux.Handle(rpc.ControlPathPrefix, rpc.NewControlServer(d.controller))
 	return nil
 }
 
-func (d *daemon) buildGateway(publicMux, peerMux *http.ServeMux) {
-	transport := &http.Transport{
-		DialContext:         (&net.Dialer{Timeout: peerDialTimeout}).DialContext,
-		MaxIdleConnsPerHost: connsPerPeer,
-		IdleConnTimeout:     peerIdleTimeout,
-		DisableCompression:  true,
+func (d *daemon) replicaOptions() replica.Options {
+	options := replica.Options{
+		Gateway: d.settings.Gateway,
+		Addr:    d.settings.PeerAddr,
+		Dir:     d.settings.DataDir,
+		Client:  &http.Client{Transport: peerTransport(d.settings.PeerListen)},
+		Logger:  d.logger,
+	}
+	for _, c := range d.settings.Controllers {
+		options.Initial = append(options.Initial, replica.Controller{Gateway: c.ID, Addr: c.PeerAddr})
 	}
+	return options
+}
+
+func (d *daemon) buildGateway(publicMux, peerMux *http.ServeMux) {
+	transport := peerTransport(d.settings.PeerListen)
 	var addresses []string
 	for _, c := range d.settings.Controllers {
 		addresses = append(addresses, c.PeerAddr)
@@ -120,13 +135,16 @@
 	d.session = session.New(identity, client, d.owners, d.logger)
 	d.owners.SetLease(d.session)
 	d.gateway = gateway.New(gateway.Options{
-		Session:  d.session,
-		Owners:   d.owners,
-		Targets:  targets,
-		Control:  client,
-		Forwards: &http.Client{Transport: transport},
-		Logger:   d.logger,
+		Session:   d.session,
+		Owners:    d.owners,
+		Targets:   targets,
+		Control:   client,
+		MaxQueued: d.settings.MaxQueuedPerHost,
+		PeerIP:    peerIP(d.settings.PeerListen),
+		Logger:    d.logger,
 	})
+	d.session.OnRenewal(d.gateway.Refresh)
+	d.control = client
 	d.gateway.Register(publicMux)
 	d.gateway.RegisterPeer(peerMux)
 	operator.New(client).Register(publicMux)
@@ -134,18 +152,19 @@
 }
 
 // run serves until ctx is done, then shuts down without cutting off requests in progress.
-func (d *daemon) run(ctx context.Context) error {
-	publicListener, err := net.Listen("tcp", d.settings.PublicAddr)
+// When force is done too, it leaves at once.
+func (d *daemon) run(ctx, force context.Context) error {
+	publicListener, err := net.Listen("tcp", d.settings.PublicListen)
 	if err != nil {
-		return fmt.Errorf("public_addr: %w", err)
+		return fmt.Errorf("public_listen: %w", err)
 	}
-	peerListener, err := net.Listen("tcp", d.settings.PeerAddr)
+	peerListener, err := net.Listen("tcp", d.settings.PeerListen)
 	if err != nil {
-		return fmt.Errorf("peer_addr: %w", err)
+		return fmt.Errorf("peer_listen: %w", err)
 	}
 	failures := make(chan error, 2)
 	go func() { failures <- d.peer.Serve(peerListener) }()
-	go func() { failures <- d.public.Serve(publicListener) }()
+	go func() { failures <- d.public.Serve(limitConnections(publicListener, d.settings.MaxConnections)) }()
 	background, stop := context.WithCancel(context.Background())
 	defer stop()
 	d.startLoops(background)
@@ -156,7 +175,7 @@
 		return err
 	case <-ctx.Done():
 	}
-	return d.shutdown()
+	return d.shutdown(force)
 }
 
 func (d *daemon) startLoops(ctx context.Context) {
@@ -167,17 +186,3 @@
 	go d.session.Run(ctx)
 	go d.owners.Run(ctx)
 }
-
-func (d *daemon) shutdown() error {
-	d.logger.Info().Msg("shutting down")
-	d.gateway.Drain()
-	time.Sleep(time.Duration(d.settings.BalancerWaitMs) * time.Millisecond)
-	if err := d.public.Shutdown(context.Background()); err != nil && !errors.Is(err, http.ErrServerClosed) {
-		return err
-	}
-	time.Sleep(shutdownKeepGoing)
-	if d.log != nil {
-		return d.log.Close()
-	}
-	return nil
-}
