--- a/core/state/protection_test.go
+++ b/core/state/protection_test.go
@@ -32,7 +32,8 @@
 }
 
 // Guards against a keyed request that starts under a session that has expired: its record
-// would never end, and a second process of the gateway could run it again.
+// would never end. A request that an expired session left has an unknown outcome, and the key
+// of a request serves no other content.
 func TestBeginRequestNeedsTheSession(t *testing.T) {
 	w := newWorld(t)
 	epoch := w.s.Gateways["gw1"].Epoch
@@ -40,6 +41,10 @@
 		return Command{BeginRequest: &BeginRequest{Tenant: "andino", Key: "k", Request: request, Gateway: "gw1", Epoch: epoch}}
 	}
 	w.ok(begin("r-1"))
+	other := begin("r-3")
+	other.BeginRequest.BodyHash[0] = 1
+	w.expect(CodeConflict, other)
+	w.expect(CodeInProgress, begin("r-3"))
 	w.ok(Command{ExpireGateway: &ExpireGateway{"gw1", epoch}})
 	again := begin("r-2")
 	w.expect(CodeUnknown, again)
--- a/daemon/gateway/protection_test.go
+++ b/daemon/gateway/protection_test.go
@@ -3,6 +3,7 @@
 import (
 	"net/http"
 	"net/http/httptest"
+	"sync/atomic"
 	"testing"
 
 	"samphirepaddle.example/core/model"
@@ -40,3 +41,37 @@
 		peer.Close()
 	}
 }
+
+// Guards against "not run" for a call of which an earlier dispatch may have run.
+func TestRefusedRetryStaysUnknown(t *testing.T) {
+	var seen atomic.Int32
+	w := newWorld(t, "g1", func(w http.ResponseWriter, r *http.Request) {
+		if seen.Add(1) == 1 {
+			panic(http.ErrAbortHandler)
+		}
+		w.Header().Set(target.HeaderRequestID, r.Header.Get(target.HeaderRequestID))
+		w.Header().Set(target.HeaderRefused, "true")
+		w.WriteHeader(http.StatusServiceUnavailable)
+	})
+	w.own(t, "t1")
+	if r := mustCall(t, w, http.MethodGet, "/", "", headerDeadline, "5000"); r.verdict != "unknown" || seen.Load() < 2 {
+		t.Errorf("%+v after %d dispatches, want unknown", r, seen.Load())
+	}
+}
+
+// Guards against a new connection to a gateway that shuts down: the load balancer asks whether
+// it is ready.
+func TestDrainedGatewayIsNotReady(t *testing.T) {
+	w := newWorld(t, "g1", echo)
+	for _, want := range []int{http.StatusOK, http.StatusServiceUnavailable} {
+		response, err := http.Get(w.public.URL + "/healthz/ready")
+		if err != nil {
+			t.Fatal(err)
+		}
+		response.Body.Close()
+		if response.StatusCode != want {
+			t.Errorf("status %d, want %d", response.StatusCode, want)
+		}
+		w.gateway.Drain()
+	}
+}
--- a/daemon/target/call_test.go
+++ b/daemon/target/call_test.go
@@ -232,6 +232,13 @@
 	if verdict != model.VerdictNotRun || !errors.Is(err, ErrRefused) {
 		t.Errorf("refusal: %v, %v", verdict, err)
 	}
+	failing, _ := rawTarget(t, func(c net.Conn, r *http.Request, _ int) bool {
+		fmt.Fprintf(c, "HTTP/1.1 503 X\r\n%s: %s\r\nContent-Length: 0\r\n\r\n", HeaderRequestID, r.Header.Get(HeaderRequestID))
+		return true
+	})
+	if _, verdict, err = do(t, NewClient(1), failing, http.MethodPost, "a", []byte("x")); verdict != model.VerdictRan || err != nil {
+		t.Errorf("503 that is no refusal: %v, %v", verdict, err)
+	}
 	_, verdict, _ = do(t, NewClient(1), halfReader(t), http.MethodPost, "a", make([]byte, 64<<20))
 	if verdict != model.VerdictUnknown {
 		t.Errorf("half-written body: %v", verdict)
