--- a/daemon/controller/sessions_test.go
+++ b/daemon/controller/sessions_test.go
@@ -176,6 +176,9 @@
 		r.log.View(func(st *state.State) { status, _ = r.s.ticketStatus(st, 3) })
 		return status.Behind
 	}
+	if got := behind(); len(got) != 2 {
+		t.Fatalf("behind before any session was renewed under this leader: %v", got)
+	}
 	for _, request := range []syncmsg.Request{{Gateway: "gwa", Epoch: a}, {Gateway: "gwb", Epoch: b}} {
 		response, _, _, _ := r.sync(request)
 		if len(behind()) == 0 {
