--- a/daemon/owner/owner_test.go
+++ b/daemon/owner/owner_test.go
@@ -27,12 +27,16 @@
 type fakeProposer struct {
 	mu       sync.Mutex
 	down     bool
+	before   func() // called before a command is accepted, if set
 	commands []state.Command
 }
 
 func (p *fakeProposer) Propose(_ context.Context, c state.Command) (state.Result, error) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
+	if p.before != nil {
+		p.before()
+	}
 	if p.down {
 		return state.Result{}, errors.New("no leader")
 	}
--- a/daemon/owner/protection_test.go
+++ b/daemon/owner/protection_test.go
@@ -98,6 +98,36 @@
 	}
 }
 
+// Guards against a second run of an attempt whose process was replaced under the earlier
+// owner: that owner may have renewed the lease of the old process until the takeover.
+func TestAttemptOfEarlierProcessWaitsAtTakeover(t *testing.T) {
+	const ttl = time.Second
+	f := newFixture(t, ttl)
+	f.record.StartID = "s2"
+	begin := time.Now()
+	f.own(order(4))
+	f.run()
+	for sequence := uint64(1); len(f.proposer.ends()) == 0; sequence++ {
+		f.mustReport(sequence, func(a *model.Announcement) { a.StartID = "s2" })
+		time.Sleep(20 * time.Millisecond)
+	}
+	if passed := time.Since(begin); passed < ttl || f.proposer.ends()[0].Outcome != state.OutcomeLost {
+		t.Errorf("end %+v after %v, want lost after the lease of %v", f.proposer.ends()[0], passed, ttl)
+	}
+}
+
+// Guards against a renewal by an owner whose session ended while it committed what the target
+// reported.
+func TestRenewalNeedsTheLeaseAfterCommits(t *testing.T) {
+	f := newFixture(t, longTTL)
+	f.own()
+	f.mustReport(1, nil)
+	f.proposer.before = func() { f.lease.valid.Store(false) }
+	if _, err := f.report(2, func(a *model.Announcement) { a.State = model.TargetLeaving }); !errors.Is(err, ErrNotOwner) {
+		t.Errorf("renewal: %v", err)
+	}
+}
+
 func (p *fakeProposer) lost() bool {
 	p.mu.Lock()
 	defer p.mu.Unlock()
