--- a/test/proof_test.go
+++ b/test/proof_test.go
@@ -40,11 +40,11 @@
 }
 
 // mixedLoad sends idempotent and keyed requests through the daemons until stop is closed.
-func mixedLoad(daemons []*cluster.Daemon, stop <-chan struct{}) []record {
-	return load(12, stop, func(caller, n int) record {
+func mixedLoad(daemons []*cluster.Daemon, callers int, stop <-chan struct{}) []record {
+	return load(callers, stop, func(caller, n int) record {
 		key := fmt.Sprintf("c%d-n%d", caller, n)
 		d := daemons[caller%len(daemons)]
-		if caller%2 == 0 {
+		if caller/len(daemons)%2 == 0 {
 			answer, err := quick(d, "stock/"+key)
 			return recordOf(answer, err, key)
 		}
@@ -92,11 +92,12 @@
 
 var _ = Describe("proof", func() {
 	// Guards against an owner that was frozen longer than every lease and dispatches when it
-	// wakes, beside the next owners of its targets.
+	// wakes, beside the next owners of its targets. The targets are full, so that any request
+	// of the frozen one is beyond their capacity.
 	It("keeps a frozen owner that wakes from its former targets", func() {
 		c := startCluster(4, 3, map[string]any{"target_ttl_ms": 3000, "announce_ms": 300})
 		applyTicket(c.Daemons[0], poolTicket(1, "1"))
-		targets := startTargets(c, 4, "--service-time", "20ms")
+		targets := startTargets(c, 4, "--service-time", "200ms")
 		submitJob(c.Daemons[0], "plan", jobRequest("plan", 12*time.Second, ""))
 		on := waitRunning(c.Daemons[0], "plan", targets)
 		frozen := ownerOf(c, c.Daemons[0], on.ID)
@@ -111,7 +112,7 @@
 			}
 			time.Sleep(2 * time.Second)
 		}()
-		records := mixedLoad(c.Daemons, stop)
+		records := mixedLoad(c.Daemons, 56, stop)
 		Expect(waitPhase(others(c, frozen)[0], "plan", "finished").Attempts).To(Equal(1))
 		expectOneAtATime("plan", targets)
 		checkRecords(records, targets)
@@ -158,7 +159,7 @@
 			waitReady(c.Daemons...)
 			time.Sleep(500 * time.Millisecond)
 		}()
-		records := mixedLoad(c.Daemons, stop)
+		records := mixedLoad(c.Daemons, 12, stop)
 		expectVersion(old, "2")
 		checkRecords(records, targets)
 		expectNoViolations(targets...)
