Make a stop final in the stand-in target

Cause: the stand-in answered 404 to a stop of an attempt that it did not know, so an owner could not confirm it, and a start that was still on its way would have run afterwards; the interface page says 200 and final. Change: an unknown attempt is remembered as stopped; the answer to a stop names an end that came before it.

--- a/ctl/standin/handlers.go
+++ b/ctl/standin/handlers.go
@@ -138,20 +138,29 @@
 	return "running"
 }
 
-// find returns the task that the path names, with mu held, or answers and returns nil.
-func (t *Target) find(w http.ResponseWriter, r *http.Request) *task {
+// lock takes mu for a call about the attempt that the path names, or answers and returns false.
+func (t *Target) lock(w http.ResponseWriter, r *http.Request) (model.AttemptID, bool) {
 	number, err := strconv.ParseUint(r.PathValue("number"), 10, 32)
 	if err != nil {
 		http.Error(w, "attempt number: "+err.Error(), http.StatusBadRequest)
-		return nil
+		return model.AttemptID{}, false
 	}
 	t.mu.Lock()
 	if _, refusal := t.checkEpoch(r); refusal != "" {
 		t.mu.Unlock()
 		t.refuse(w, refusal)
+		return model.AttemptID{}, false
+	}
+	return model.AttemptID{Job: model.JobID(r.PathValue("job")), Number: uint32(number)}, true
+}
+
+// find returns the task that the path names, with mu held, or answers and returns nil.
+func (t *Target) find(w http.ResponseWriter, r *http.Request) *task {
+	id, ok := t.lock(w, r)
+	if !ok {
 		return nil
 	}
-	k, ok := t.tasks[model.AttemptID{Job: model.JobID(r.PathValue("job")), Number: uint32(number)}]
+	k, ok := t.tasks[id]
 	if !ok {
 		t.mu.Unlock()
 		http.Error(w, "no such attempt in this process", http.StatusNotFound)
@@ -199,19 +208,36 @@
 }
 
 func (t *Target) handleStop(w http.ResponseWriter, r *http.Request) {
-	k := t.find(w, r)
-	if k == nil {
+	id, ok := t.lock(w, r)
+	if !ok {
 		return
 	}
+	k, ok := t.tasks[id]
+	if !ok {
+		// The start may still be on its way; it must find that the attempt was stopped.
+		k = stoppedTask(id)
+		t.tasks[id] = k
+	}
 	k.requestStop(outcomeStopped)
 	t.mu.Unlock()
 	select {
 	case <-k.done:
-		writeJSON(w, taskState{stateOf(k)})
+		writeJSON(w, t.stopAnswer(id, k))
 	case <-r.Context().Done():
 	}
 }
 
+// stopAnswer names the attempt's own end if it came before the stop.
+func (t *Target) stopAnswer(id model.AttemptID, k *task) stopAnswer {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	answer := stopAnswer{State: stateOf(k)}
+	if ended, ok := t.ended[id]; ok {
+		answer.Ended = &ended
+	}
+	return answer
+}
+
 // handleOutput streams the output from an offset until the task ends. A task that did not
 // finish aborts the connection, so that its output is never taken for complete.
 func (t *Target) handleOutput(w http.ResponseWriter, r *http.Request) {
--- a/ctl/standin/task.go
+++ b/ctl/standin/task.go
@@ -70,6 +70,19 @@
 	done     chan struct{}
 }
 
+// stopAnswer is the body of the answer to a stop.
+type stopAnswer struct {
+	State string              `json:"state"`
+	Ended *model.EndedAttempt `json:"ended,omitempty"`
+}
+
+// stoppedTask stands for an attempt that was stopped before its start arrived.
+func stoppedTask(id model.AttemptID) *task {
+	k := &task{work: work{attempt: &id}, outcome: outcomeStopped, changed: make(chan struct{}), done: make(chan struct{})}
+	close(k.done)
+	return k
+}
+
 func newTask(w work, start TaskStart) (*task, error) {
 	t := &task{work: w, since: time.Now(), level: 1, changed: make(chan struct{}), done: make(chan struct{})}
 	if json.Unmarshal(start.Payload, &t.plan) != nil {
--- a/ctl/standin/task_test.go
+++ b/ctl/standin/task_test.go
@@ -1,6 +1,8 @@
 package standin
 
 import (
+	"net/http"
+	"strings"
 	"testing"
 	"time"
 
@@ -20,3 +22,23 @@
 		t.Fatalf("outcome %q, want %q", k.outcome, outcomeLeaseOver)
 	}
 }
+
+// Guards against a start that arrives after the stop of its attempt and runs it, and against
+// a finish that the answer to a stop hides.
+func TestStopIsFinal(t *testing.T) {
+	target := start(t, newEntryVM(t), nil)
+	if response, _, _ := call(t, target, "POST", "/samphire/v1/tasks/j/1/stop", nil); response.StatusCode != http.StatusOK {
+		t.Fatalf("stop of an unknown attempt got status %d", response.StatusCode)
+	}
+	if _, body := startTask(t, target, attempt(1), Plan{DurationMs: 10}, nil); !strings.Contains(body, outcomeStopped) {
+		t.Fatalf("start after the stop answered %q", body)
+	}
+	if stats := target.Stats(); stats.TasksStarted != 0 {
+		t.Fatalf("%d tasks started", stats.TasksStarted)
+	}
+	startTask(t, target, attempt(2), Plan{DurationMs: 1}, nil)
+	eventually(t, "finish", func() bool { return target.Stats().TasksFinished == 1 })
+	if _, body, _ := call(t, target, "POST", "/samphire/v1/tasks/j/2/stop", nil); !strings.Contains(body, `"ended":{"attempt":{"job":"j","number":2}`) {
+		t.Fatalf("stop after the finish answered %q", body)
+	}
+}
