--- a/scripts/demo.sh
+++ b/scripts/demo.sh
@@ -45,7 +45,7 @@
 echo "three daemons are ready"
 
 echo "--- ticket 1, applied at g3 until it is in force everywhere"
-./bin/samphirectl apply --gateway 127.0.0.1:7103 --wait 10s examples/ticket-1.json
+./bin/samphirectl apply --gateway 127.0.0.1:7103 --wait 10s examples/sobre-andino/ticket-1.json
 
 quick() { curl -sf -H 'Samphire-Tenant: cuenca' "127.0.0.1:7101/v1/call/pedidos/stock/envelopes"; }
 wait_for "a quick check is answered" quick
