--- a/daemon/replica/applier.go
+++ b/daemon/replica/applier.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"sync"
+	"sync/atomic"
 
 	"samphirepaddle.example/core/consensus"
 	"samphirepaddle.example/core/model"
@@ -29,8 +30,8 @@
 	term       uint64
 	members    consensus.Membership
 	sinceBytes int // applied since the last snapshot
-	lastSize   int // of the last snapshot
 	saving     chan struct{}
+	lastSize   atomic.Int64 // bytes of the last snapshot; set by the goroutine that saves it
 }
 
 // applyStep is the number of entries that are applied under one lock, so that queries do
@@ -97,7 +98,8 @@
 		return fmt.Errorf("restore snapshot %d: %w", snapshot.Index, err)
 	}
 	a.index, a.term, a.members = snapshot.Index, snapshot.Term, snapshot.Members
-	a.sinceBytes, a.lastSize = 0, len(data)
+	a.sinceBytes = 0
+	a.lastSize.Store(int64(len(data)))
 	a.r.stateMu.Lock()
 	a.r.state = restored
 	a.r.stateMu.Unlock()
@@ -168,10 +170,11 @@
 	a.r.wake()
 }
 
-// maybeSnapshot takes a snapshot when the log has grown enough. The state is encoded here,
-// without a lock because nobody else changes it, and written by another goroutine.
+// maybeSnapshot takes a snapshot when the log has grown enough. The state is captured here,
+// without a lock because nobody else changes it; another goroutine encodes and writes it, so
+// that later commands do not wait for a large state.
 func (a *applier) maybeSnapshot() {
-	if a.sinceBytes < max(a.r.opts.SnapshotBytes, a.lastSize) {
+	if a.sinceBytes < max(a.r.opts.SnapshotBytes, int(a.lastSize.Load())) {
 		return
 	}
 	select {
@@ -179,20 +182,22 @@
 	default:
 		return // the one before is still being written
 	}
-	data, err := a.r.state.Snapshot()
-	if err != nil {
-		a.r.fatal(fmt.Errorf("encode snapshot %d: %w", a.index, err))
-		return
-	}
+	capture := a.r.state.Capture()
 	snapshot := consensus.Snapshot{Index: a.index, Term: a.term, Members: a.members}
-	a.sinceBytes, a.lastSize = 0, len(data)
+	a.sinceBytes = 0
 	a.r.group.Add(1)
-	go a.save(snapshot, data)
+	go a.save(snapshot, capture)
 }
 
-func (a *applier) save(snapshot consensus.Snapshot, data []byte) {
+func (a *applier) save(snapshot consensus.Snapshot, capture *state.Capture) {
 	defer a.r.group.Done()
 	defer func() { <-a.saving }()
+	data, err := capture.Encode()
+	if err != nil {
+		a.r.fatal(fmt.Errorf("encode snapshot %d: %w", snapshot.Index, err))
+		return
+	}
+	a.lastSize.Store(int64(len(data)))
 	saved, err := a.r.store.SaveSnapshot(snapshot, data)
 	if err != nil {
 		a.r.fatal(err)
