gateway: test that nothing is answered from an old configuration

Cause: a build that answers without a session passed every test, because no target could be reached; it still answered from its old configuration.

--- a/daemon/gateway/protection_test.go
+++ b/daemon/gateway/protection_test.go
@@ -75,3 +75,15 @@
 		w.gateway.Drain()
 	}
 }
+
+// Guards against an answer from an old configuration: behind a silent partition the session
+// lease bounds how long it may be used.
+func TestNoAnswerFromAnOldConfiguration(t *testing.T) {
+	w := newWorld(t, "g1", echo)
+	w.own(t, "t1")
+	w.session.valid.Store(false)
+	w.session.service.ID = "replaced"
+	if r := mustCall(t, w, http.MethodPost, "/", "x"); r.verdict != "not-run" || r.code != "not_ready" {
+		t.Errorf("%+v without a session, want not_ready", r)
+	}
+}
