standin: a crossed answer carries the body of the other request

Cause: it carried only another id, with its own body, so the spec on misbehaving targets passed against a build without the check of the request id. Tests of ctl/standin pass.

--- a/ctl/standin/quick.go
+++ b/ctl/standin/quick.go
@@ -18,7 +18,7 @@
 type Faults struct {
 	LateMs              model.Millis `json:"late_ms"`              // quick answers are this much later than the work's end
 	Half                bool         `json:"half"`                 // quick answers are truncated
-	Crossed             bool         `json:"crossed"`              // quick answers carry the id of the request before
+	Crossed             bool         `json:"crossed"`              // quick answers are those to the request before
 	Twice               bool         `json:"twice"`                // quick answers are sent twice on the connection
 	FailTasks           bool         `json:"fail_tasks"`           // tasks fail at their end
 	Refuse              bool         `json:"refuse"`               // new work is refused
@@ -85,8 +85,8 @@
 	}
 	began := time.Now()
 	time.Sleep(t.config.ServiceTime)
-	crossed := t.endQuick(item, model.ServiceID(r.Header.Get(HeaderService)), time.Since(began))
 	answer := QuickAnswer{Target: t.config.ID, StartID: t.startID, Request: item.request, Path: r.URL.Path, Body: body}
+	crossed := t.endQuick(item, answer, model.ServiceID(r.Header.Get(HeaderService)), time.Since(began))
 	t.answer(w, answer, crossed)
 }
 
@@ -108,8 +108,8 @@
 	return item, "", nil
 }
 
-// endQuick records the end of the work and returns the id of the request before.
-func (t *Target) endQuick(item work, service model.ServiceID, took time.Duration) model.RequestID {
+// endQuick records the end of the work and returns the answer to the request before.
+func (t *Target) endQuick(item work, answer QuickAnswer, service model.ServiceID, took time.Duration) QuickAnswer {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	t.ledger.end(item, outcomeFinished)
@@ -118,21 +118,21 @@
 	if t.requests[item.request]--; t.requests[item.request] == 0 {
 		delete(t.requests, item.request)
 	}
-	crossed := t.lastID
-	if crossed == "" {
-		crossed = item.request + "-crossed"
+	crossed := t.last
+	if crossed.Request == "" {
+		crossed = answer
+		crossed.Request += "-crossed"
 	}
-	t.lastID = item.request
+	t.last = answer
 	return crossed
 }
 
 // answer sends the answer as the faults in force say.
-func (t *Target) answer(w http.ResponseWriter, answer QuickAnswer, crossed model.RequestID) {
+func (t *Target) answer(w http.ResponseWriter, answer, crossed QuickAnswer) {
 	faults := t.currentFaults()
 	time.Sleep(time.Duration(faults.LateMs) * time.Millisecond)
-	id := answer.Request
 	if faults.Crossed {
-		id = crossed
+		answer = crossed
 	}
 	data, err := json.Marshal(answer)
 	if err != nil {
@@ -140,10 +140,10 @@
 		return
 	}
 	if faults.Half || faults.Twice {
-		t.answerRaw(w, rawAnswer(id, data), faults)
+		t.answerRaw(w, rawAnswer(answer.Request, data), faults)
 		return
 	}
-	w.Header().Set(HeaderRequest, string(id))
+	w.Header().Set(HeaderRequest, string(answer.Request))
 	w.Header().Set("Content-Type", "application/json")
 	w.Write(data) // the caller may be gone; there is nothing left to do for it
 }
--- a/ctl/standin/standin_test.go
+++ b/ctl/standin/standin_test.go
@@ -336,8 +336,8 @@
 		t.Fatalf("without a fault: %q %v", body, err)
 	}
 	set(map[string]any{"crossed": true})
-	if response, _, err := quick("b"); err != nil || response.Header.Get(HeaderRequest) != "a" {
-		t.Fatalf("crossed: %v %v", response, err)
+	if response, body, err := quick("b"); err != nil || response.Header.Get(HeaderRequest) != "a" || !strings.Contains(body, `"request":"a"`) {
+		t.Fatalf("crossed: %v %q %v", response, body, err)
 	}
 	set(map[string]any{"half": true})
 	if _, _, err := quick("c"); err == nil {
--- a/ctl/standin/target.go
+++ b/ctl/standin/target.go
@@ -42,7 +42,7 @@
 	requests   map[model.RequestID]int   // quick requests in progress
 	ended      map[model.AttemptID]model.EndedAttempt
 	usage      usageLog
-	lastID     model.RequestID // of the previous quick request, for crossed answers
+	last       QuickAnswer // to the previous quick request, for crossed answers
 }
 
 // Start listens and begins to announce.
