Measure the system as one table with bounds

make bench had no script. test/cmd/bench starts nine daemons in three zones, three of them controllers, and measures latency added to a direct call, price of a key, ticket commit and in-force time, time without service after a kill, use of CPU and bytes of idle daemons at three numbers of targets, and cost per ticket and per job. The harness's relay counts bytes by source, and can stand before the public listener too.

--- a/core/state/bench_test.go
+++ b/core/state/bench_test.go
@@ -160,6 +160,15 @@
 			s.Apply(s.Revision+1, Command{SubmitJob: &SubmitJob{spec(id), string(id)}})
 			s.Apply(s.Revision+1, Command{CancelJobs: &CancelJobs{[]model.JobID{id}}})
 		},
+		"running task": func(s *State, i int) {
+			id := model.JobID(fmt.Sprintf("job-%07d", i))
+			target := model.TargetID("t000000")
+			if i == 0 {
+				s.Apply(s.Revision+1, Command{JoinTarget: &JoinTarget{Target: target, StartID: "p", Address: "10.0.0.1:9000", Pool: "shops", Capacity: model.Resources{Slots: 8}}})
+			}
+			s.Apply(s.Revision+1, Command{SubmitJob: &SubmitJob{spec(id), string(id)}})
+			s.Apply(s.Revision+1, Command{AssignAttempt: &AssignAttempt{model.AttemptID{Job: id, Number: 1}, target, s.Targets[target].Epoch, model.Resources{Slots: 1}}})
+		},
 		"request without answer": func(s *State, i int) {
 			key := fmt.Sprintf("key-%07d", i)
 			s.Apply(s.Revision+1, Command{BeginRequest: &BeginRequest{Tenant: "andino", Key: key, Request: model.RequestID(key), Gateway: "gw1", Epoch: s.Gateways["gw1"].Epoch}})
--- a/test/cluster/cluster.go
+++ b/test/cluster/cluster.go
@@ -49,6 +49,10 @@
 	Controllers int // the first daemons are controllers
 	Zones       []string
 	Settings    map[string]any // further settings of every daemon
+
+	// PublicRelays puts a relay before the listener of callers and targets too, so that the
+	// bytes on it are counted. It lengthens the path of every request.
+	PublicRelays bool
 }
 
 // Cluster is a set of running daemons and targets.
@@ -68,8 +72,13 @@
 	Public     string // address of callers, targets and operators
 	PeerListen string
 	Relay      *Relay
-	DataDir    string
-	settings   string
+
+	// PublicRelay is nil unless Options.PublicRelays is set; Public is its address then.
+	PublicRelay  *Relay
+	PublicListen string
+
+	DataDir  string
+	settings string
 }
 
 // New prepares the daemons' settings and relays without starting them.
@@ -102,15 +111,22 @@
 		return nil, err
 	}
 	d := &Daemon{
-		ID:         fmt.Sprintf("g%d", i+1),
-		IP:         ip,
-		Public:     ports[0],
-		PeerListen: ports[1],
+		ID:           fmt.Sprintf("g%d", i+1),
+		IP:           ip,
+		Public:       ports[0],
+		PublicListen: ports[0],
+		PeerListen:   ports[1],
 	}
 	d.Relay, err = NewRelay(ip+":0", d.PeerListen)
 	if err != nil {
 		return nil, err
 	}
+	if c.options.PublicRelays {
+		if d.PublicRelay, err = NewRelay(ip+":0", d.PublicListen); err != nil {
+			return nil, err
+		}
+		d.Public = d.PublicRelay.Addr()
+	}
 	d.settings = filepath.Join(c.options.Dir, d.ID+".json")
 	d.DataDir = filepath.Join(c.options.Dir, d.ID+"-data")
 	d.Process = &Process{
@@ -151,6 +167,7 @@
 		"gateway":          d.ID,
 		"zone":             c.options.Zones[i%len(c.options.Zones)],
 		"public_addr":      d.Public,
+		"public_listen":    d.PublicListen,
 		"peer_addr":        d.Relay.Addr(),
 		"peer_listen":      d.PeerListen,
 		"controllers":      controllers,
@@ -241,6 +258,9 @@
 	for _, d := range c.Daemons {
 		d.Kill()
 		d.Relay.Close()
+		if d.PublicRelay != nil {
+			d.PublicRelay.Close()
+		}
 	}
 }
 
@@ -279,6 +299,13 @@
 	return nil
 }
 
+// PID returns the id of the running process.
+func (p *Process) PID() int {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.command.Process.Pid
+}
+
 // Signal sends a signal to the process.
 func (p *Process) Signal(s syscall.Signal) {
 	p.mu.Lock()
--- a/test/cluster/relay.go
+++ b/test/cluster/relay.go
@@ -1,6 +1,7 @@
 package cluster
 
 import (
+	"maps"
 	"net"
 	"sync"
 )
@@ -15,6 +16,13 @@
 	all    bool            // every source is cut
 	conns  map[*relayed]bool
 	closed bool
+	bytes  map[string]Bytes // by source IP address
+}
+
+// Bytes counts what a relay passed on for one source. Headers of TCP and IP are not included.
+type Bytes struct {
+	FromSource int64
+	ToSource   int64
 }
 
 // relayed is one connection through the relay. While it is cut, bytes are read and dropped in
@@ -30,7 +38,7 @@
 	if err != nil {
 		return nil, err
 	}
-	r := &Relay{listener: listener, target: target, cut: map[string]bool{}, conns: map[*relayed]bool{}}
+	r := &Relay{listener: listener, target: target, cut: map[string]bool{}, conns: map[*relayed]bool{}, bytes: map[string]Bytes{}}
 	go r.accept()
 	return r, nil
 }
@@ -66,6 +74,13 @@
 	r.all = false
 }
 
+// Bytes returns what was passed on so far, by source IP address.
+func (r *Relay) Bytes() map[string]Bytes {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return maps.Clone(r.bytes)
+}
+
 // Close stops the relay and closes its connections.
 func (r *Relay) Close() {
 	_ = r.listener.Close()
@@ -100,8 +115,8 @@
 		return
 	}
 	var both sync.WaitGroup
-	both.Go(func() { r.copy(c, backend, client) })
-	both.Go(func() { r.copy(c, client, backend) })
+	both.Go(func() { r.copy(c, backend, client, Bytes{FromSource: 1}) })
+	both.Go(func() { r.copy(c, client, backend, Bytes{ToSource: 1}) })
 	both.Wait()
 	r.remove(c)
 }
@@ -123,6 +138,16 @@
 	delete(r.conns, c)
 }
 
+// count adds n bytes in the direction that unit names.
+func (r *Relay) count(source string, unit Bytes, n int) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	sum := r.bytes[source]
+	sum.FromSource += unit.FromSource * int64(n)
+	sum.ToSource += unit.ToSource * int64(n)
+	r.bytes[source] = sum
+}
+
 func (r *Relay) isCut(source string) bool {
 	r.mu.Lock()
 	defer r.mu.Unlock()
@@ -132,7 +157,7 @@
 // copyBytes is the size of the relay's buffer.
 const copyBytes = 32 << 10
 
-func (r *Relay) copy(c *relayed, to, from net.Conn) {
+func (r *Relay) copy(c *relayed, to, from net.Conn, unit Bytes) {
 	buffer := make([]byte, copyBytes)
 	for {
 		n, err := from.Read(buffer)
@@ -140,6 +165,7 @@
 			if _, failure := to.Write(buffer[:n]); failure != nil {
 				break
 			}
+			r.count(c.source, unit, n)
 		}
 		if err != nil {
 			break
--- /dev/null
+++ b/test/cmd/bench/main.go
@@ -0,0 +1,113 @@
+// Command bench measures the system on loopback: nine daemons in three availability zones,
+// three of them controllers, and stand-in targets. It prints one table and exits with 1 when
+// a bound is missed. Bounds are stated goals, or ratios between two figures of the same run.
+package main
+
+import (
+	"flag"
+	"fmt"
+	"os"
+	"strings"
+	"time"
+
+	"samphirepaddle.example/test/cluster"
+)
+
+func main() {
+	only := flag.String("points", "", "comma-separated points to run; empty for all")
+	flag.Parse()
+	missed, err := run(*only)
+	if err != nil {
+		fmt.Fprintln(os.Stderr, "bench:", err)
+		os.Exit(2)
+	}
+	if missed > 0 {
+		fmt.Printf("%d bounds are missed\n", missed)
+		os.Exit(1)
+	}
+}
+
+// group is a set of points that share a cluster.
+type group struct {
+	name    string
+	options cluster.Options
+	points  []point
+}
+
+type point struct {
+	name    string
+	measure func(*rig, *table) error
+}
+
+func groups() []group {
+	base := cluster.Options{Daemons: daemons, Controllers: controllers}
+	counted := base
+	counted.PublicRelays = true
+	return []group{
+		{"requests and failures", base, []point{
+			{"requests", measureRequests},
+			{"tickets", measureTickets},
+			{"kills", measureKills},
+		}},
+		{"use of CPU and bytes", counted, []point{
+			{"idle", measureIdle},
+			{"ticket-use", measureTicketUse},
+			{"starts", measureStarts},
+		}},
+	}
+}
+
+func run(only string) (int, error) {
+	began := time.Now()
+	before := loadAverage()
+	dir, err := os.MkdirTemp("", "samphire-bench-bin-")
+	if err != nil {
+		return 0, err
+	}
+	defer os.RemoveAll(dir)
+	binaries, err := cluster.Build(dir)
+	if err != nil {
+		return 0, err
+	}
+	t := &table{}
+	for _, g := range groups() {
+		if err := g.run(binaries, only, t); err != nil {
+			return 0, err
+		}
+	}
+	if selected(only, "packages") {
+		measurePackages(t)
+	}
+	missed := t.print(os.Stdout)
+	fmt.Printf("run time %.0f s, load average %s before and %s after\n", time.Since(began).Seconds(), before, loadAverage())
+	return missed, nil
+}
+
+func selected(only, name string) bool {
+	return only == "" || strings.Contains(","+only+",", ","+name+",")
+}
+
+func (g group) run(binaries cluster.Binaries, only string, t *table) error {
+	var points []point
+	for _, p := range g.points {
+		if selected(only, p.name) {
+			points = append(points, p)
+		}
+	}
+	if len(points) == 0 {
+		return nil
+	}
+	r, err := startRig(binaries, g.options)
+	if err != nil {
+		return fmt.Errorf("%s: %w", g.name, err)
+	}
+	defer r.close()
+	for _, p := range points {
+		began := time.Now()
+		if err := p.measure(r, t); err != nil {
+			t.failed(p.name, err)
+		}
+		fmt.Fprintf(os.Stderr, "%s took %.1f s\n", p.name, time.Since(began).Seconds())
+	}
+	return nil
+}
--- /dev/null
+++ b/test/cmd/bench/requests.go
@@ -0,0 +1,283 @@
+package main
+
+import (
+	"fmt"
+	"net/http"
+	"strconv"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"samphirepaddle.example/core/model"
+	"samphirepaddle.example/test/cluster"
+)
+
+// Load of the request points. Half of all slots are in use at any time.
+const (
+	quickTargets  = 6 // of nine gateways, three own no target and forward every request
+	slotsPerUnit  = 8
+	serviceTime   = "5ms"
+	repeats       = 3
+	sliceCount    = 2 // each repeat alternates this often between the paths
+	sliceTime     = 700 * time.Millisecond
+	keyedTime     = time.Second
+	openTime      = 2 * time.Second // until every target has announced itself under its epoch
+	addedGoal     = 1.0             // ms, p99 on the local path
+	forwardFactor = 10              // regression bound: added by a forward against added locally
+	cpuFactor     = 4               // regression bound: CPU of a forwarded request against a local one
+	keyedFactor   = 100             // regression bound: p50 with key against without; one commit with three syncs
+)
+
+// send issues one request and reports whether it was answered with 200.
+type send func() bool
+
+// paths holds one sender per caller and path. All paths lead to the same targets.
+type paths struct {
+	direct, local, forward []send
+}
+
+// measureRequests measures latency, CPU per request and the price of a key.
+func measureRequests(r *rig, t *table) error {
+	owners, err := r.startQuick()
+	if err != nil {
+		return err
+	}
+	p := r.paths(owners)
+	if len(p.local) == 0 || len(p.forward) == 0 {
+		return fmt.Errorf("every gateway owns a target, so no request is forwarded")
+	}
+	r.measureLatency(t, p)
+	r.measureKeys(t, owners)
+	return nil
+}
+
+// startQuick declares the service and starts its targets, once for each cluster.
+func (r *rig) startQuick() (map[string]owned, error) {
+	if r.quick != nil {
+		return r.quick, nil
+	}
+	ticket := poolTicket("pedidos")
+	ticket.Tenants = tenantTicket("cuenca").Tenants
+	if err := r.apply(r.Daemons[0], ticket); err != nil {
+		return nil, err
+	}
+	for i := range quickTargets {
+		if err := r.startTarget(fmt.Sprintf("t%d", i+1), "pedidos", i); err != nil {
+			return nil, err
+		}
+	}
+	owners, err := r.owners(r.Daemons[0], quickTargets)
+	if err != nil {
+		return nil, err
+	}
+	time.Sleep(openTime)
+	r.quick = owners
+	return owners, nil
+}
+
+func (r *rig) startTarget(id, pool string, place int) error {
+	_, err := r.StartTarget(id, zones[place%len(zones)], fmt.Sprintf("r%d", place/2), pool, r.Daemons,
+		"--slots", strconv.Itoa(slotsPerUnit), "--connections", "64", "--cpu-millis", "64000", "--memory-mib", "250000",
+		"--service-time", serviceTime)
+	return err
+}
+
+func (r *rig) paths(owners map[string]owned) paths {
+	var p paths
+	owning := map[string]bool{}
+	for _, target := range owners {
+		owning[target.Owner] = true
+		for range slotsPerUnit / 2 {
+			p.direct = append(p.direct, r.directSender(target))
+			p.local = append(p.local, r.gatewaySender(r.daemon(target.Owner)))
+		}
+	}
+	var rest []*cluster.Daemon
+	for _, d := range r.Daemons {
+		if !owning[d.ID] {
+			rest = append(rest, d)
+		}
+	}
+	for i := 0; len(rest) > 0 && i < len(p.local); i++ {
+		p.forward = append(p.forward, r.gatewaySender(rest[i%len(rest)]))
+	}
+	return p
+}
+
+// requestNumber gives every direct request its own id.
+var requestNumber atomic.Int64
+
+// directSender calls a target as its owner would.
+func (r *rig) directSender(target owned) send {
+	return func() bool {
+		header := http.Header{}
+		header.Set("Samphire-Epoch", strconv.FormatUint(target.Epoch, 10))
+		header.Set("Samphire-Request-Id", fmt.Sprintf("direct-%d", requestNumber.Add(1)))
+		header.Set("Samphire-Tenant", "cuenca")
+		status, _, err := r.do(http.MethodGet, "http://"+target.Addr+"/stock/envelopes", nil, header)
+		return err == nil && status == http.StatusOK
+	}
+}
+
+func (r *rig) gatewaySender(d *cluster.Daemon) send {
+	return r.serviceSender(d, "pedidos")
+}
+
+func (r *rig) serviceSender(d *cluster.Daemon, service model.ServiceID) send {
+	url := "http://" + d.Public + "/v1/call/" + string(service) + "/stock/envelopes"
+	return func() bool {
+		header := http.Header{}
+		header.Set("Samphire-Tenant", "cuenca")
+		status, _, err := r.do(http.MethodGet, url, nil, header)
+		return err == nil && status == http.StatusOK
+	}
+}
+
+// series is what one path has measured.
+type series struct {
+	milliseconds []float64
+	failed       int
+	cpu          float64 // seconds of all daemons
+}
+
+func (s *series) add(other series) {
+	s.milliseconds = append(s.milliseconds, other.milliseconds...)
+	s.failed += other.failed
+	s.cpu += other.cpu
+}
+
+// run lets every sender send one request after the other for a time.
+func (r *rig) run(senders []send, d time.Duration) series {
+	before := takeSample(r.Cluster)
+	end := time.Now().Add(d)
+	var mu sync.Mutex
+	var all series
+	var wait sync.WaitGroup
+	for _, sender := range senders {
+		wait.Go(func() {
+			own := drive(sender, end)
+			mu.Lock()
+			defer mu.Unlock()
+			all.add(own)
+		})
+	}
+	wait.Wait()
+	change, _ := takeSample(r.Cluster).since(before)
+	for _, u := range change {
+		all.cpu += u.cpu
+	}
+	return all
+}
+
+func drive(sender send, end time.Time) series {
+	var own series
+	for time.Now().Before(end) {
+		began := time.Now()
+		if !sender() {
+			own.failed++
+			continue
+		}
+		own.milliseconds = append(own.milliseconds, float64(time.Since(began).Microseconds())/1000)
+	}
+	return own
+}
+
+// quantiles are the points of the latency distribution in the table.
+var quantiles = []struct {
+	name string
+	at   float64
+}{{"p50", 0.5}, {"p99", 0.99}, {"p99.9", 0.999}}
+
+func (r *rig) measureLatency(t *table, p paths) {
+	for _, senders := range [][]send{p.direct, p.local, p.forward} {
+		r.run(senders, sliceTime/2) // opens the connections
+	}
+	added := map[string][]float64{}
+	var all [3]series
+	for range repeats {
+		var one [3]series
+		for range sliceCount {
+			for i, senders := range [][]send{p.direct, p.local, p.forward} {
+				one[i].add(r.run(senders, sliceTime))
+			}
+		}
+		for _, q := range quantiles {
+			direct := quantile(one[0].milliseconds, q.at)
+			added["local "+q.name] = append(added["local "+q.name], quantile(one[1].milliseconds, q.at)-direct)
+			added["forward "+q.name] = append(added["forward "+q.name], quantile(one[2].milliseconds, q.at)-direct)
+		}
+		for i := range one {
+			all[i].add(one[i])
+		}
+	}
+	r.printLatency(t, added, all)
+}
+
+func (r *rig) printLatency(t *table, added map[string][]float64, all [3]series) {
+	for i, name := range []string{"direct", "local", "forward"} {
+		ms := all[i].milliseconds
+		t.limit("failed requests, "+name, float64(all[i].failed), 0, "requests", fromGoal, fmt.Sprintf("of %d", all[i].failed+len(ms)))
+		t.figure("latency "+name, "p50 %.2f p99 %.2f p99.9 %.2f ms, %d requests, load average %s",
+			quantile(ms, 0.5), quantile(ms, 0.99), quantile(ms, 0.999), len(ms), loadAverage())
+	}
+	for _, q := range quantiles {
+		values := added["local "+q.name]
+		if q.name == "p99" {
+			t.limit("added, local path, p99", median(values), addedGoal, "ms", fromGoal, spread(values))
+			continue
+		}
+		t.figure("added, local path, "+q.name, "%.3g ms %s", median(values), spread(values))
+	}
+	for _, q := range quantiles {
+		values := added["forward "+q.name]
+		t.figure("added, one forward, "+q.name, "%.3g ms %s", median(values), spread(values))
+	}
+	ratio := median(added["forward p50"]) / median(added["local p50"])
+	t.limit("added p50, forward / local", ratio, forwardFactor, "x", fromRegression, "")
+	local := all[1].cpu / float64(len(all[1].milliseconds))
+	forward := all[2].cpu / float64(len(all[2].milliseconds))
+	t.figure("quick requests per core, local", "%.0f/s (%.0f us of all daemons' CPU each)", 1/local, local*1e6)
+	t.figure("quick requests per core, forward", "%.0f/s (%.0f us of all daemons' CPU each)", 1/forward, forward*1e6)
+	t.limit("CPU per request, forward / local", forward/local, cpuFactor, "x", fromRegression, "")
+}
+
+// measureKeys compares non-idempotent requests with a key and without.
+func (r *rig) measureKeys(t *table, owners map[string]owned) {
+	var with, without []send
+	for _, target := range owners {
+		for range slotsPerUnit / 2 {
+			with = append(with, r.shipSender(r.daemon(target.Owner), true))
+			without = append(without, r.shipSender(r.daemon(target.Owner), false))
+		}
+	}
+	var keyed, plain series
+	for range repeats {
+		plain.add(r.run(without, keyedTime))
+		keyed.add(r.run(with, keyedTime))
+	}
+	for _, name := range []string{"without key", "with key"} {
+		s := plain
+		if name == "with key" {
+			s = keyed
+		}
+		n := float64(len(s.milliseconds))
+		t.figure("non-idempotent "+name, "p50 %.2f p99 %.2f ms, %.0f us CPU each, %.0f/s, %d failed",
+			quantile(s.milliseconds, 0.5), quantile(s.milliseconds, 0.99), s.cpu/n*1e6, n/(keyedTime.Seconds()*repeats), s.failed)
+	}
+	ratio := median(keyed.milliseconds) / median(plain.milliseconds)
+	t.limit("p50 with key / without", ratio, keyedFactor, "x", fromRegression, "")
+}
+
+func (r *rig) shipSender(d *cluster.Daemon, keyed bool) send {
+	url := "http://" + d.Public + "/v1/call/pedidos/ship/pallet"
+	return func() bool {
+		header := http.Header{}
+		header.Set("Samphire-Tenant", "cuenca")
+		header.Set("Samphire-Idempotent", "false")
+		if keyed {
+			header.Set("Idempotency-Key", fmt.Sprintf("pallet-%d", requestNumber.Add(1)))
+		}
+		status, _, err := r.do(http.MethodPost, url, []byte("pallet"), header)
+		return err == nil && status == http.StatusOK
+	}
+}
--- /dev/null
+++ b/test/cmd/bench/rig.go
@@ -0,0 +1,225 @@
+package main
+
+import (
+	"bytes"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"net/http"
+	"os"
+	"time"
+
+	"samphirepaddle.example/core/model"
+	"samphirepaddle.example/test/cluster"
+)
+
+// Size of the cluster: three availability zones with three daemons each.
+const (
+	daemons     = 9
+	controllers = 3
+)
+
+var zones = []string{"sierra-quito", "sierra-ambato", "sierra-cuenca"}
+
+// patience ends a wait for something that does not come; it is no bound on the system.
+const patience = 20 * time.Second
+
+// rig is a running cluster with the client that loads it.
+type rig struct {
+	*cluster.Cluster
+	client  *http.Client
+	dir     string
+	tickets uint64           // number of the last ticket
+	quick   map[string]owned // targets of the quick service, nil before they are started
+}
+
+func startRig(binaries cluster.Binaries, options cluster.Options) (*rig, error) {
+	dir, err := os.MkdirTemp("", "samphire-bench-")
+	if err != nil {
+		return nil, err
+	}
+	options.Binaries = binaries
+	options.Dir = dir
+	options.Zones = zones
+	c, err := cluster.New(options)
+	if err != nil {
+		return nil, err
+	}
+	r := &rig{Cluster: c, dir: dir, client: &http.Client{
+		Timeout:   patience,
+		Transport: &http.Transport{MaxIdleConnsPerHost: 256, DisableCompression: true},
+	}}
+	if err := c.Start(); err != nil {
+		r.close()
+		return nil, err
+	}
+	for _, d := range c.Daemons {
+		if err := r.waitReady(d); err != nil {
+			r.close()
+			return nil, err
+		}
+	}
+	return r, nil
+}
+
+func (r *rig) close() {
+	r.Close()
+	_ = os.RemoveAll(r.dir)
+}
+
+func (r *rig) waitReady(d *cluster.Daemon) error {
+	return cluster.WaitFor(patience, func() error {
+		return r.getJSON(d, "/healthz/ready", nil)
+	})
+}
+
+// do sends one request and reads the whole answer.
+func (r *rig) do(method, url string, body []byte, header http.Header) (int, []byte, error) {
+	request, err := http.NewRequest(method, url, bytes.NewReader(body))
+	if err != nil {
+		return 0, nil, err
+	}
+	if header != nil {
+		request.Header = header
+	}
+	response, err := r.client.Do(request)
+	if err != nil {
+		return 0, nil, err
+	}
+	defer response.Body.Close()
+	data, err := io.ReadAll(response.Body)
+	return response.StatusCode, data, err
+}
+
+func (r *rig) getJSON(d *cluster.Daemon, path string, v any) error {
+	status, data, err := r.do(http.MethodGet, "http://"+d.Public+path, nil, nil)
+	if err != nil {
+		return err
+	}
+	if status != http.StatusOK {
+		return fmt.Errorf("%s%s: status %d: %s", d.ID, path, status, data)
+	}
+	if v == nil {
+		return nil
+	}
+	return json.Unmarshal(data, v)
+}
+
+// submit sends the ticket with the next number until it is accepted.
+func (r *rig) submit(d *cluster.Daemon, ticket model.Ticket) error {
+	r.tickets++
+	ticket.Number = r.tickets
+	ticket.Author = "bench"
+	body, err := json.Marshal(ticket)
+	if err != nil {
+		return err
+	}
+	return cluster.WaitFor(patience, func() error {
+		status, data, err := r.do(http.MethodPost, "http://"+d.Public+"/v1/tickets", body, nil)
+		if err == nil && status != http.StatusOK {
+			err = fmt.Errorf("ticket %d: status %d: %s", ticket.Number, status, data)
+		}
+		return err
+	})
+}
+
+// waitInForce waits until the last ticket is in force.
+func (r *rig) waitInForce(d *cluster.Daemon) error {
+	return cluster.WaitFor(patience, func() error {
+		var answer struct {
+			InForce bool `json:"in_force"`
+		}
+		err := r.getJSON(d, fmt.Sprintf("/v1/tickets/%d?wait_ms=5000", r.tickets), &answer)
+		if err == nil && !answer.InForce {
+			err = errors.New("the ticket is not in force")
+		}
+		return err
+	})
+}
+
+func (r *rig) apply(d *cluster.Daemon, ticket model.Ticket) error {
+	if err := r.submit(d, ticket); err != nil {
+		return err
+	}
+	return r.waitInForce(d)
+}
+
+// poolTicket declares a pool with a service of the same name.
+func poolTicket(name string) model.Ticket {
+	return model.Ticket{
+		Pools: []model.Pool{{ID: model.PoolID(name), Weights: model.Weights{TailLatency: 3, Throughput: 2, Evictions: 1}}},
+		Services: []model.Service{{
+			ID:          model.ServiceID(name),
+			Pool:        model.PoolID(name),
+			Quick:       model.Resources{Slots: 1, Connections: 1, CPUMillis: 500, MemoryMiB: 256},
+			KeptSlots:   2,
+			DeadlineMs:  2000,
+			QueueLength: 200,
+			Version:     "1",
+		}},
+	}
+}
+
+// leader returns the daemon that leads the controllers.
+func (r *rig) leader(asked *cluster.Daemon) (*cluster.Daemon, error) {
+	var found *cluster.Daemon
+	err := cluster.WaitFor(patience, func() error {
+		var answer []struct {
+			ID   string `json:"id"`
+			Role string `json:"role"`
+		}
+		if err := r.getJSON(asked, "/v1/members", &answer); err != nil {
+			return err
+		}
+		for _, m := range answer {
+			if m.Role == "leader" {
+				found = r.daemon(m.ID)
+				return nil
+			}
+		}
+		return errors.New("no leader")
+	})
+	return found, err
+}
+
+func (r *rig) daemon(id string) *cluster.Daemon {
+	for _, d := range r.Daemons {
+		if d.ID == id {
+			return d
+		}
+	}
+	return nil
+}
+
+// owned is the part of the status of a target that the points read.
+type owned struct {
+	ID    string `json:"id"`
+	Owner string `json:"owner"`
+	Epoch uint64 `json:"epoch"`
+	Addr  string `json:"address"`
+}
+
+// owners waits until n targets have an owner that answers their announcements.
+func (r *rig) owners(asked *cluster.Daemon, n int) (map[string]owned, error) {
+	found := map[string]owned{}
+	err := cluster.WaitFor(patience, func() error {
+		var status struct {
+			Targets []owned `json:"targets"`
+		}
+		if err := r.getJSON(asked, "/v1/status", &status); err != nil {
+			return err
+		}
+		clear(found)
+		for _, t := range status.Targets {
+			if t.Owner != "" && t.Epoch > 0 {
+				found[t.ID] = t
+			}
+		}
+		if len(found) < n {
+			return fmt.Errorf("%d of %d targets have an owner", len(found), n)
+		}
+		return nil
+	})
+	return found, err
+}
