Let regular heartbeats confirm renewals that wait for news

Each renewal of a session, four a second for each gateway, caused a heartbeat round of its own at its end, beside the 20 regular ones a second. A renewal that waits is now confirmed by the next regular heartbeat after its arrival, while it waits; one with news at once still causes a round. The lease counts from the gateway's send time as before.

--- a/core/consensus/election.go
+++ b/core/consensus/election.go
@@ -158,7 +158,7 @@
 	}
 	n.elapsed = 0
 	n.unblockPeers()
-	n.broadcastHeartbeat()
+	n.sendHeartbeat()
 	n.repairMembership()
 }
 
--- a/core/consensus/harness_test.go
+++ b/core/consensus/harness_test.go
@@ -317,7 +317,11 @@
 		return
 	}
 	s.nextRead++
-	if n.node.Read(s.nextRead) == nil {
+	ask := n.node.Read
+	if s.nextRead%2 == 0 {
+		ask = n.node.ReadAtHeartbeat
+	}
+	if ask(s.nextRead) == nil {
 		s.reads[s.nextRead] = simRead{n.member.ID, s.maxCommit}
 		s.drive(n)
 	}
--- a/core/consensus/protection_test.go
+++ b/core/consensus/protection_test.go
@@ -223,3 +223,34 @@
 		t.Errorf("the leadership was not handed over: %+v", leader.node.Status())
 	}
 }
+
+// Guards against a lazy read that costs a heartbeat of its own, and against one that is
+// never served or served to a leader that a quorum no longer answers.
+func TestReadAtHeartbeat(t *testing.T) {
+	s := newSim(t.Fatalf, 3)
+	leader := s.elect(t)
+	s.rounds(5)
+	ask := func() {
+		s.nextRead++
+		if err := leader.node.ReadAtHeartbeat(s.nextRead); err != nil {
+			t.Fatal(err)
+		}
+		s.reads[s.nextRead] = simRead{leader.member.ID, s.maxCommit}
+		s.drive(leader)
+	}
+	waiting := len(s.network)
+	ask()
+	if len(s.network) != waiting {
+		t.Fatal("the read has sent a message")
+	}
+	s.rounds(3)
+	if s.served != 1 {
+		t.Fatalf("%d reads were served", s.served)
+	}
+	s.cut[leader.member.ID] = true
+	ask()
+	s.rounds(3)
+	if s.served != 1 {
+		t.Fatal("a read was served without a quorum")
+	}
+}
--- a/daemon/controller/service.go
+++ b/daemon/controller/service.go
@@ -71,8 +71,8 @@
 	}
 	s.sessions.report(leader.Term, body)
 	s.usage.take(body)
-	s.waitForNews(ctx, body)
-	response, err := s.answer(ctx, leader.Term, body)
+	confirmed := s.waitForNews(ctx, body)
+	response, err := s.answer(ctx, leader.Term, body, confirmed)
 	if err != nil {
 		return nil, s.wrap(err)
 	}
@@ -83,7 +83,26 @@
 	return &rpc.SyncResponse{Body: data}, nil
 }
 
-func (s *Service) waitForNews(ctx context.Context, body syncmsg.Request) {
+// waitForNews reports whether a heartbeat confirmed the leadership while it waited.
+func (s *Service) waitForNews(ctx context.Context, body syncmsg.Request) (confirmed bool) {
+	if s.hasNews(body) {
+		return false
+	}
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	answer := make(chan bool, 1)
+	go func() {
+		answer <- s.log.ReadAtHeartbeat(ctx, func(*state.State) {}) == nil
+	}()
+	s.sleepUntilNews(ctx, body)
+	select {
+	case confirmed = <-answer:
+	default:
+	}
+	return confirmed
+}
+
+func (s *Service) sleepUntilNews(ctx context.Context, body syncmsg.Request) {
 	timer := time.NewTimer(time.Duration(min(body.WaitMs, maxSyncWaitMs)) * time.Millisecond)
 	defer timer.Stop()
 	for {
@@ -109,11 +128,13 @@
 
 // answer grants the lease only under a leadership that a quorum confirmed after the call
 // began: a deposed leader must not extend sessions that its successor lets expire. The view
-// is read together with that confirmation, so a lease never comes with an older view.
-func (s *Service) answer(ctx context.Context, term uint64, body syncmsg.Request) (syncmsg.Response, error) {
+// is read with or after that confirmation, so a lease never comes with an older view.
+func (s *Service) answer(ctx context.Context, term uint64, body syncmsg.Request, confirmed bool) (syncmsg.Response, error) {
 	var response syncmsg.Response
-	err := s.log.Read(ctx, func(st *state.State) { response = syncView(st, body) })
-	if err != nil {
+	query := func(st *state.State) { response = syncView(st, body) }
+	if confirmed {
+		s.log.View(query)
+	} else if err := s.log.Read(ctx, query); err != nil {
 		return syncmsg.Response{}, err
 	}
 	if leader := s.log.Leader(); !leader.Self || leader.Term != term {
--- a/daemon/replica/log.go
+++ b/daemon/replica/log.go
@@ -36,6 +36,10 @@
 	// called. It returns ErrNotLeader on other controllers. query must not keep references.
 	Read(ctx context.Context, query func(*state.State)) error
 
+	// ReadAtHeartbeat is Read without a message of its own: it waits for the next heartbeat
+	// to confirm the leadership.
+	ReadAtHeartbeat(ctx context.Context, query func(*state.State)) error
+
 	// View calls query with the local state, which may be behind.
 	View(query func(*state.State))
 
--- a/daemon/replica/replica.go
+++ b/daemon/replica/replica.go
@@ -403,7 +403,20 @@
 
 // Read calls query with a state that includes every command committed before Read was called.
 func (r *Replica) Read(ctx context.Context, query func(*state.State)) error {
-	index, err := r.readIndex(ctx)
+	return r.read(ctx, (*consensus.Node).Read, query)
+}
+
+// ReadAtHeartbeat calls query as Read does, but waits for the next heartbeat instead of
+// causing one.
+func (r *Replica) ReadAtHeartbeat(ctx context.Context, query func(*state.State)) error {
+	return r.read(ctx, (*consensus.Node).ReadAtHeartbeat, query)
+}
+
+// ask is the call by which a read enters the node.
+type ask func(n *consensus.Node, id uint64) error
+
+func (r *Replica) read(ctx context.Context, ask ask, query func(*state.State)) error {
+	index, err := r.readIndex(ctx, ask)
 	if err != nil {
 		return err
 	}
@@ -417,11 +430,11 @@
 // Confirm returns when a quorum has confirmed, after the call began, that this controller
 // is the leader.
 func (r *Replica) Confirm(ctx context.Context) error {
-	_, err := r.readIndex(ctx)
+	_, err := r.readIndex(ctx, (*consensus.Node).Read)
 	return err
 }
 
-func (r *Replica) readIndex(ctx context.Context) (uint64, error) {
+func (r *Replica) readIndex(ctx context.Context, ask ask) (uint64, error) {
 	select {
 	case r.readSlots <- struct{}{}:
 		defer func() { <-r.readSlots }()
@@ -431,7 +444,7 @@
 		return 0, ErrClosed
 	}
 	answer := make(chan readOutcome, 1)
-	if !r.post(func() { r.beginRead(answer) }) {
+	if !r.post(func() { r.beginRead(ask, answer) }) {
 		return 0, ErrClosed
 	}
 	select {
@@ -445,13 +458,13 @@
 }
 
 // beginRead runs in the loop.
-func (r *Replica) beginRead(answer chan<- readOutcome) {
+func (r *Replica) beginRead(ask ask, answer chan<- readOutcome) {
 	if r.node == nil {
 		answer <- readOutcome{err: ErrNotLeader}
 		return
 	}
 	r.nextRead++
-	if err := r.node.Read(r.nextRead); err != nil {
+	if err := ask(r.node, r.nextRead); err != nil {
 		answer <- readOutcome{err: ErrNotLeader}
 		return
 	}
--- a/daemon/replica/single.go
+++ b/daemon/replica/single.go
@@ -40,6 +40,11 @@
 	return nil
 }
 
+// ReadAtHeartbeat calls query with the state.
+func (s *Single) ReadAtHeartbeat(ctx context.Context, query func(*state.State)) error {
+	return s.Read(ctx, query)
+}
+
 // View calls query with the state.
 func (s *Single) View(query func(*state.State)) {
 	s.mu.Lock()
