--- a/daemon/cmd/samphired/daemon_test.go
+++ b/daemon/cmd/samphired/daemon_test.go
@@ -10,6 +10,7 @@
 	"net/http"
 	"net/http/httptest"
 	"strings"
+	"sync"
 	"testing"
 	"time"
 
@@ -155,6 +156,9 @@
 		}
 	}))
 	defer server.Close()
+	var answered sync.Once
+	answer := func() { answered.Do(func() { close(release) }) }
+	defer answer() // before the server is closed, which waits for its handlers
 	public, stop, _, ended := startDaemon(t)
 	setUp(t, public, server.Listener.Addr().String())
 	if status, _, _ := post(public, "/v1/call/s/slow", "x", "Samphire-Tenant", "shop", "Samphire-Deadline-Ms", "100"); status != http.StatusGatewayTimeout {
@@ -171,10 +175,10 @@
 	})
 	select {
 	case err := <-ended:
-		t.Errorf("the daemon left before the target answered: %v", err)
+		t.Fatalf("the daemon left before the target answered: %v", err)
 	case <-time.After(1500 * time.Millisecond):
 	}
-	close(release)
+	answer()
 	if err := <-ended; err != nil {
 		t.Errorf("shutdown: %v", err)
 	}
