Hold an announcement until a dead owner is replaced

After a kill of an owner its targets announced themselves to other gateways, were refused until the session had ended, and came back up to a second later; the stand-in also waited a second where the answer asks for the next announcement at once (next_ms 0). A gateway now holds an announcement whose owner does not answer until the owner's session is over and another gateway has the target; the stand-in follows next_ms.

--- a/ctl/standin/announce.go
+++ b/ctl/standin/announce.go
@@ -18,13 +18,14 @@
 const (
 	announceTimeout = 2 * time.Second
 	maxAnswerBytes  = 4 << 20
+	minAnnounceGap  = 5 * time.Millisecond // an answer may ask for the next one at once
 )
 
 func (t *Target) announceLoop(ctx context.Context) {
 	for turn := 0; ctx.Err() == nil; turn++ {
 		next := t.config.AnnounceEvery
-		if answer, ok := t.announceOnce(ctx, turn); ok && answer.NextMs > 0 {
-			next = time.Duration(answer.NextMs) * time.Millisecond
+		if answer, ok := t.announceOnce(ctx, turn); ok {
+			next = max(minAnnounceGap, time.Duration(answer.NextMs)*time.Millisecond)
 		}
 		select {
 		case <-ctx.Done():
--- a/daemon/gateway/announce.go
+++ b/daemon/gateway/announce.go
@@ -4,12 +4,14 @@
 	"context"
 	"errors"
 	"net/http"
+	"slices"
 	"time"
 
 	"github.com/twitchtv/twirp"
 
 	"samphirepaddle.example/core/model"
 	"samphirepaddle.example/core/state"
+	"samphirepaddle.example/core/syncmsg"
 	"samphirepaddle.example/daemon/owner"
 	"samphirepaddle.example/daemon/rpc"
 )
@@ -17,8 +19,13 @@
 // maxAnnouncement bounds the body of an announcement.
 const maxAnnouncement = 4 << 20 // bytes
 
-// announceTimeout bounds an announcement; the target announces again about once a second.
-const announceTimeout = 2 * time.Second
+const (
+	// announceTimeout bounds an announcement. It is longer than the 1.7 s in which the session
+	// of a killed owner ends, and shorter than the 2 s for which targets wait.
+	announceTimeout = 1900 * time.Millisecond
+	// ownerPoll is the interval at which a held announcement looks for a new owner.
+	ownerPoll = 20 * time.Millisecond
+)
 
 // announce takes an announcement of any target and passes it to the target's owner.
 func (g *Gateway) announce(w http.ResponseWriter, r *http.Request) {
@@ -58,16 +65,66 @@
 	return nil
 }
 
+// announceAnywhere answers the announcement here or at the owner. If the owner does not answer,
+// the announcement is held until the owner's session is over and another gateway has the target:
+// the target would otherwise announce itself up to a second after that, and stay unused.
 func (g *Gateway) announceAnywhere(ctx context.Context, a model.Announcement) (model.AnnouncementAnswer, error) {
-	answer, err := g.owners.Announce(ctx, a)
+	held := false
+	for {
+		answer, at, err := g.announceOnce(ctx, a)
+		if err == nil || errors.Is(err, owner.ErrSuperseded) {
+			return answer, err
+		}
+		dead := unreachable(at, err)
+		if !held && !dead {
+			return answer, err
+		}
+		held = true
+		if !g.waitForOwner(ctx, at, dead) {
+			return answer, err
+		}
+	}
+}
+
+// announceOnce also returns the peer address of the owner that it called, if any.
+func (g *Gateway) announceOnce(ctx context.Context, a model.Announcement) (answer model.AnnouncementAnswer, at string, err error) {
+	answer, err = g.owners.Announce(ctx, a)
 	if !errors.Is(err, owner.ErrNotOwner) {
-		return answer, err
+		return answer, "", err
 	}
-	address, err := g.ownerAddress(ctx, a)
+	at, err = g.ownerAddress(ctx, a)
 	if err != nil {
-		return model.AnnouncementAnswer{}, err
+		return model.AnnouncementAnswer{}, "", err
+	}
+	answer, err = g.announceAt(ctx, at, a)
+	return answer, at, err
+}
+
+// unreachable reports whether the owner at the address gave no answer of its own.
+func unreachable(at string, err error) bool {
+	var answered twirp.Error
+	return at != "" && !(errors.As(err, &answered) && answered.Code() == twirp.FailedPrecondition)
+}
+
+// waitForOwner waits one interval, and while a dead owner counts as live. It reports false if
+// ctx ends first.
+func (g *Gateway) waitForOwner(ctx context.Context, at string, dead bool) bool {
+	ticker := time.NewTicker(ownerPoll)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return false
+		case <-ticker.C:
+		}
+		if !dead || !g.isPeer(at) {
+			return true
+		}
 	}
-	return g.announceAt(ctx, address, a)
+}
+
+func (g *Gateway) isPeer(address string) bool {
+	return slices.ContainsFunc(g.session.Peers(), func(p syncmsg.Peer) bool { return p.PeerAddr == address })
 }
 
 // ownerAddress finds the owner's peer address; an unknown target is recorded first.
--- a/daemon/gateway/peer_test.go
+++ b/daemon/gateway/peer_test.go
@@ -78,6 +78,33 @@
 	}
 }
 
+// Guards against a target that stays unused for up to a second after another gateway has taken
+// it over from a killed owner, because its announcement was refused meanwhile.
+func TestAnnouncementIsHeldUntilADeadOwnerIsReplaced(t *testing.T) {
+	w := newWorld(t, "g1", echo)
+	dead := httptest.NewServer(nil)
+	dead.Close()
+	w.control.owners["t1"] = address(dead)
+	w.session.peers = []syncmsg.Peer{{ID: "g2", PeerAddr: address(dead)}}
+	answers := make(chan error, 1)
+	go func() {
+		_, err := w.gateway.announceAnywhere(context.Background(), model.Announcement{
+			Target: "t1", StartID: "s1", Sequence: 2, Address: address(w.target), Pool: "p", State: model.TargetReady,
+		})
+		answers <- err
+	}()
+	select {
+	case err := <-answers:
+		t.Fatalf("answered while the dead owner counts as live: %v", err)
+	case <-time.After(3 * ownerPoll):
+	}
+	w.own(t, "t1")
+	w.see()
+	if err := <-answers; err != nil {
+		t.Fatal(err)
+	}
+}
+
 // outputs serves the output of attempts: attempt 1 breaks off at an eviction if cut is set.
 func outputs(parts map[string]string, cut *atomic.Bool) http.HandlerFunc {
 	return func(w http.ResponseWriter, r *http.Request) {
