Offer a refused forward to another peer before waiting

A peer's summary may be 250 ms old. A forward that the peer refused for lack of room waited at the first gateway for up to the recheck interval of 100 ms.

--- a/daemon/gateway/forward.go
+++ b/daemon/gateway/forward.go
@@ -41,9 +41,25 @@
 	return &http.Client{Transport: transport}
 }
 
-// forward passes the call to the peer with more free slots of two chosen at random. done is
-// false if the peer refused it for its own state, so that the call may wait here.
+// maxRefusals bounds the peers that one call is offered to before it waits here.
+const maxRefusals = 3
+
+// forward offers the call to peers until one takes it. done is false if all refused it for
+// their own state, so that the call may wait here. A refused call ran nowhere, and waiting
+// for news of a peer's room takes up to the recheck interval.
 func (g *Gateway) forward(ctx context.Context, c *call) (out outcome, done bool) {
+	for range maxRefusals {
+		out, done = g.offer(ctx, c)
+		if done || out.status == 0 {
+			return out, done
+		}
+	}
+	return out, false
+}
+
+// offer passes the call to the peer with more free slots of two chosen at random. The outcome
+// is empty if no peer is believed to have room.
+func (g *Gateway) offer(ctx context.Context, c *call) (out outcome, done bool) {
 	peer, ok := g.peers.choose(g.session.Peers(), c.service.Pool)
 	if !ok {
 		return outcome{}, false
