--- a/test/cmd/bench/main.go
+++ b/test/cmd/bench/main.go
@@ -43,6 +43,7 @@
 	base := cluster.Options{Daemons: daemons, Controllers: controllers}
 	counted := base
 	counted.PublicRelays = true
+	small := cluster.Options{Daemons: controllers, Controllers: controllers}
 	return []group{
 		{"requests and failures", base, []point{
 			{"requests", measureRequests},
@@ -54,6 +55,7 @@
 			{"ticket-use", measureTicketUse},
 			{"starts", measureStarts},
 		}},
+		{"three daemons", small, []point{{"small", measureSmall}}},
 	}
 }
 
--- a/test/cmd/bench/use.go
+++ b/test/cmd/bench/use.go
@@ -168,6 +168,30 @@
 	}
 }
 
+// measureSmall gives a second number of gateways for the idle use of controllers.
+func measureSmall(r *rig, t *table) error {
+	time.Sleep(settleTime / 2)
+	leader, err := r.leader(r.Daemons[0])
+	if err != nil {
+		return err
+	}
+	cpu, sent := map[role][]float64{}, map[role][]float64{}
+	for range idleRepeats {
+		before := takeSample(r.Cluster)
+		time.Sleep(idleTime)
+		change, seconds := takeSample(r.Cluster).since(before)
+		for of, u := range r.byRole(change, leader) {
+			cpu[of] = append(cpu[of], u.cpu/seconds*100)
+			sent[of] = append(sent[of], u.sent()/seconds)
+		}
+	}
+	for _, of := range []role{roleLeader, roleFollower} {
+		t.figure(fmt.Sprintf("idle %s, 3 daemons without targets", of), "%.3g%% of a core %s, %.4g B/s sent %s",
+			median(cpu[of]), spread(cpu[of]), median(sent[of]), spread(sent[of]))
+	}
+	return nil
+}
+
 // perEvent prints what one event costs each role beyond the idle use.
 func (r *rig) perEvent(t *table, name string, events float64, idle, busy map[role]usage, idleSeconds, busySeconds float64) map[role]float64 {
 	cpu := map[role]float64{}
