Bound the throttle history of a task and expose the room of quick work

Cause: a task that runs for weeks and is throttled often kept every level change, and a gateway could not tell how many slots batch work leaves to quick requests.

Change: slowdown.Model drops levels that were replaced before the history begins; reserve.Table has LeftByBatch.

Tested: go test ./... in core; TestOldThrottlesAreForgotten checks the bound and the share.

--- a/core/reserve/table.go
+++ b/core/reserve/table.go
@@ -108,6 +108,9 @@
 	return t.capacity.Sub(t.batch).Sub(kept.Max(quick))
 }
 
+// LeftByBatch returns what batch work leaves to quick requests, busy or free.
+func (t *Table) LeftByBatch() model.Resources { return t.capacity.Sub(t.batch) }
+
 // Used returns the sum of all reservations.
 func (t *Table) Used() model.Resources {
 	return t.used
--- a/core/slowdown/history.go
+++ b/core/slowdown/history.go
@@ -41,6 +41,14 @@
 	return sum / float64(to-from)
 }
 
+// forgetLevels drops the levels that were replaced before the given time; a task of weeks may
+// be throttled often.
+func (r *taskRecord) forgetLevels(before model.Millis) {
+	for len(r.levels) > 1 && r.levels[1].at < before {
+		r.levels = slices.Delete(r.levels, 0, 1)
+	}
+}
+
 func (r *taskRecord) level() float64 {
 	return r.levels[len(r.levels)-1].level
 }
@@ -102,6 +110,7 @@
 	}
 	if i := h.find(attempt); i >= 0 {
 		r := h.running[i]
+		r.forgetLevels(at - m.cfg.HistoryMs)
 		r.levels = append(r.levels, levelChange{at: at, level: min(max(level, 0), 1)})
 	}
 }
