--- a/daemon/once/once_test.go
+++ b/daemon/once/once_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"io"
 	"net"
 	"net/http"
@@ -20,7 +21,7 @@
 		_, _ = io.Copy(w, r.Body)
 	}))
 	defer server.Close()
-	transport := NewTransport(time.Second, time.Minute, 4)
+	transport := NewTransport(&net.Dialer{Timeout: time.Second}, time.Minute, 4)
 	var last atomic.Pointer[conn]
 	dial := transport.DialContext
 	transport.DialContext = func(ctx context.Context, network, address string) (net.Conn, error) {
@@ -52,17 +53,19 @@
 	}
 }
 
-// Guards against a byte that is written after the verdict was given.
-func TestNoByteAfterSeal(t *testing.T) {
+// Guards against a request that is written after its caller was told that it was not sent.
+func TestSealedRequestIsNotWritten(t *testing.T) {
 	near, far := net.Pipe()
+	defer near.Close()
 	defer far.Close()
 	c := &conn{Conn: near}
 	c.arm(nil)
-	if started, _ := c.seal(); started {
-		t.Error("a request without a written byte counts as started")
+	if started, refused := c.seal(); started || refused {
+		t.Fatalf("before any byte: started %v, refused %v", started, refused)
 	}
-	if n, err := c.Write([]byte("x")); n != 0 || err == nil {
-		t.Errorf("wrote %d bytes after the seal, %v", n, err)
+	near.Close() // so that a write that is let through fails instead of blocking
+	if n, err := c.Write([]byte("x")); n != 0 || !errors.Is(err, errSealed) {
+		t.Errorf("write of %d bytes after the request was given up: %v", n, err)
 	}
 }
 
