owner: carry out throttles and pass usage reports to the leader

Cause: the leader decided throttles and put them into the answers to renewals, but the session dropped them, and no gateway sent the usage reports from which they are decided.

Change: the session passes throttles to the owner and usage reports to the leader. The owner sends the level to the target, repeats a failed call with a pause of its own, and raises the level when the leader does not list the attempt any more. An attempt of an earlier epoch gets its level again, because the earlier owner may have throttled it. Throttle calls come after all other calls about attempts. An Observer gets running tasks and reports without any lock of the table held.

Tested: go test -race on owner, session, once, gateway, controller, scheduler, cmd.

Conclusion: a decided throttle reaches the target; reports of failed renewals are lost.

--- a/daemon/owner/announce.go
+++ b/daemon/owner/announce.go
@@ -33,6 +33,9 @@
 	t.recordLeaving(ctx, o, a)
 	t.proposeEnds(ctx, o, a)
 	answer, freed, err := t.answer(o, a)
+	if err == nil {
+		t.observe(o)
+	}
 	if freed {
 		t.onRoom(a.Pool)
 	}
@@ -248,6 +251,7 @@
 		answer.NextMs = 0 // the target reports again at once under the new epoch
 		return answer, false, nil
 	}
+	o.usage = append(o.usage, a.Usage[:min(len(a.Usage), maxUsagePerAnnouncement)]...)
 	wasOpen := o.takesWork()
 	freed = o.releaseGone(a)
 	answer.Stop = o.reconcile(a)
--- a/daemon/owner/attempts.go
+++ b/daemon/owner/attempts.go
@@ -156,17 +156,24 @@
 			busy++
 		}
 	}
-	var due []*attempt
+	var due, throttles []*attempt
 	for _, a := range o.attempts {
-		if busy >= busyPerTarget {
-			break
-		}
-		if a.busy || a.ended || now.Before(a.notBefore) || o.nextStep(a, now) == stepNone {
+		if a.busy || a.ended || now.Before(a.notBefore) {
 			continue
 		}
+		switch o.nextStep(a, now) {
+		case stepNone:
+		case stepThrottle:
+			throttles = append(throttles, a)
+		default:
+			due = append(due, a)
+		}
+	}
+	// Throttles come last, so that they cannot keep a start or an eviction waiting.
+	due = append(due, throttles...)
+	due = due[:min(len(due), max(0, busyPerTarget-busy))]
+	for _, a := range due {
 		a.busy = true
-		busy++
-		due = append(due, a)
 	}
 	return due
 }
@@ -189,6 +196,7 @@
 	stepStop  // stop it after a cancellation
 	stepEvict // checkpoint and stop
 	stepGone  // the target does not list it any more
+	stepThrottle
 )
 
 // nextStep decides what an attempt needs. The caller holds o.mu.
@@ -209,6 +217,8 @@
 		return stepStart
 	case order.Attempt.Evicting != "":
 		return stepEvict
+	case a.needsThrottle(now):
+		return stepThrottle
 	}
 	return stepNone
 }
@@ -249,6 +259,8 @@
 		err = t.stop(ctx, o, a, state.EndAttempt{Outcome: state.OutcomeLost, Message: "the target does not list it any more"})
 	case stepEvict:
 		err = t.evict(ctx, o, a)
+	case stepThrottle:
+		t.throttle(ctx, o, a)
 	}
 	if err == nil {
 		err = t.commitEnd(ctx, o, a)
@@ -257,6 +269,9 @@
 		t.options.Logger.Warn().Err(err).Stringer("attempt", id).Msg("call about attempt failed; it is repeated")
 	}
 	o.finish(a, err)
+	if step != stepNone {
+		t.observe(o)
+	}
 }
 
 // finish ends a call about an attempt; a failed one is repeated after a growing pause.
--- a/daemon/owner/owner.go
+++ b/daemon/owner/owner.go
@@ -1,7 +1,8 @@
 // Package owner keeps the targets that this gateway owns: their reservations, leases and
 // attempts.
 //
-// Lock order: Table.mu before owned.mu. Neither is held during a network call.
+// Lock order: Table.mu before owned.mu. Neither is held during a network call or a call of an
+// Observer.
 package owner
 
 import (
@@ -52,9 +53,12 @@
 	kick     chan struct{} // wakes the loop before its next tick
 	working  atomic.Int64  // calls that are queued or in progress
 	needs    atomic.Pointer[map[model.PoolID]quickNeeds]
+	observer Observer // the picker if it learns, else nil
+	usage    usageQueue
 
 	mu       sync.RWMutex
-	revision model.Revision // of the configuration
+	revision model.Revision              // of the configuration
+	levels   map[model.AttemptID]float64 // of the throttled attempts
 	owned    map[model.TargetID]*owned
 	pools    map[model.PoolID][]*owned
 }
@@ -83,6 +87,8 @@
 	retired   map[string]time.Time  // earlier start ids, with the end of their lease
 	oldOver   time.Time             // when the leases of all earlier processes are over
 	summary   syncmsg.TargetSummary // last one reported to the leader
+	usage     []model.UsageReport   // reported and not passed on yet
+	version   uint64                // of the last observation
 }
 
 // attempt is an open attempt on an owned target.
@@ -98,6 +104,11 @@
 	checkpoint []byte
 	end        *state.EndAttempt // decided end that is to be committed
 	ended      bool              // its end is committed
+
+	level            float64   // part of full speed at which it should run
+	applied          float64   // level that the target confirmed, or unknownLevel
+	throttleAt       time.Time // a failed throttle is repeated no earlier
+	throttleFailures int
 }
 
 // NewTable returns an empty table. SetLease must be called before use.
@@ -105,12 +116,14 @@
 	if options.Picker == nil {
 		options.Picker = MostFree{}
 	}
+	observer, _ := options.Picker.(Observer)
 	return &Table{
-		options: options,
-		onRoom:  func(model.PoolID) {},
-		jobs:    make(chan job, jobBacklog),
-		kick:    make(chan struct{}, 1),
-		owned:   map[model.TargetID]*owned{},
+		options:  options,
+		observer: observer,
+		onRoom:   func(model.PoolID) {},
+		jobs:     make(chan job, jobBacklog),
+		kick:     make(chan struct{}, 1),
+		owned:    map[model.TargetID]*owned{},
 	}
 }
 
@@ -123,6 +136,7 @@
 
 // Reset drops everything that an earlier session owned.
 func (t *Table) Reset() {
+	defer t.keep() // after t.mu is released
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	for _, o := range t.owned {
@@ -141,6 +155,9 @@
 
 // Apply takes the targets and orders of the session.
 func (t *Table) Apply(changes *syncmsg.Changes, config state.Config) {
+	if changes != nil {
+		defer t.keep() // after t.mu is released
+	}
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	if t.revision != config.Revision || t.needs.Load() == nil {
@@ -238,7 +255,7 @@
 	}
 	for _, order := range changes.Orders {
 		if o, ok := t.owned[order.Attempt.Target]; ok {
-			o.takeOrder(order)
+			o.takeOrder(order, t.levelOf(order.Attempt.ID))
 		}
 	}
 }
@@ -268,14 +285,14 @@
 	return freed
 }
 
-func (o *owned) takeOrder(order syncmsg.Order) {
+func (o *owned) takeOrder(order syncmsg.Order, level float64) {
 	o.mu.Lock()
 	defer o.mu.Unlock()
 	if known, ok := o.attempts[order.Attempt.ID]; ok {
 		known.order = order
 		return
 	}
-	o.attempts[order.Attempt.ID] = &attempt{order: order}
+	o.attempts[order.Attempt.ID] = o.newAttempt(order, level)
 }
 
 func (t *Table) get(id model.TargetID) *owned {
--- a/daemon/owner/owner_test.go
+++ b/daemon/owner/owner_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"io"
 	"net/http"
 	"net/http/httptest"
 	"strings"
@@ -60,14 +61,19 @@
 	mu    sync.Mutex
 	calls map[string]int
 	fail  map[string]int
-	body  string // of every answer
+	body  string            // of every answer
+	sent  map[string]string // last body of an action that was answered
 }
 
 func (f *fakeTarget) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	action := r.URL.Path[strings.LastIndex(r.URL.Path, "/")+1:]
+	body, _ := io.ReadAll(r.Body)
 	f.mu.Lock()
 	f.calls[action]++
 	fail := f.fail[action] >= f.calls[action]
+	if !fail {
+		f.sent[action] = string(body)
+	}
 	f.mu.Unlock()
 	if fail {
 		panic(http.ErrAbortHandler)
@@ -106,7 +112,7 @@
 func newFixture(t *testing.T, ttl time.Duration) *fixture {
 	f := &fixture{
 		t: t, lease: &fakeLease{}, proposer: &fakeProposer{},
-		target: &fakeTarget{calls: map[string]int{}, fail: map[string]int{}, body: `{"checkpoint":"Y3A="}`},
+		target: &fakeTarget{calls: map[string]int{}, fail: map[string]int{}, sent: map[string]string{}, body: `{"checkpoint":"Y3A="}`},
 	}
 	server := httptest.NewServer(f.target)
 	t.Cleanup(server.Close)
--- a/daemon/owner/summary.go
+++ b/daemon/owner/summary.go
@@ -63,6 +63,8 @@
 type quickNeeds struct {
 	kept    model.Resources // what batch work must leave free
 	largest model.Resources // the greatest size of a quick request
+
+	services []model.ServiceID
 }
 
 // keptOn returns what batch work must leave free on the targets of a pool. It may be called
@@ -91,6 +93,7 @@
 		n := needs[service.Pool]
 		n.kept = n.kept.Add(times(service.Quick, service.KeptSlots))
 		n.largest = n.largest.Max(service.Quick)
+		n.services = append(n.services, service.ID)
 		needs[service.Pool] = n
 	}
 	return needs
--- a/daemon/session/session.go
+++ b/daemon/session/session.go
@@ -33,6 +33,10 @@
 	Apply(changes *syncmsg.Changes, config state.Config)
 	// Summaries returns the summaries that changed since the last call, or all of them.
 	Summaries(all bool) []syncmsg.TargetSummary
+	// SetThrottles takes the levels of all throttled attempts on the owned targets.
+	SetThrottles(throttles syncmsg.Throttles)
+	// TakeUsage returns the targets' usage reports since the last call.
+	TakeUsage() []syncmsg.TargetUsage
 	// Reset drops everything that an earlier session owned.
 	Reset()
 }
@@ -196,6 +200,7 @@
 		WaitMs:   syncWaitMs,
 		All:      s.sendAll,
 		Targets:  s.owned.Summaries(s.sendAll),
+		Usage:    s.owned.TakeUsage(),
 	}
 	if s.revision == 0 {
 		request.WaitMs = 0
@@ -221,6 +226,9 @@
 func (s *Session) take(sent time.Time, response syncmsg.Response) {
 	config := s.nextConfig(response)
 	s.owned.Apply(response.Changes, config)
+	if response.Throttles != nil {
+		s.owned.SetThrottles(*response.Throttles)
+	}
 	s.revision = response.Revision
 	s.sendAll = response.SendAll
 	ttl := time.Duration(response.LeaseMs) * time.Millisecond
