Explain every further start in the test of the frozen owner

One further attempt in the trace was an assignment that the owner refused. Ruled out: work beside the old owner; the journals show one attempt at a time and one finish. Change: each start after the first must follow a recorded end of the target's lease, in place of a count of one. Conclusion: the check is about causes and does not depend on the speed of the machine.

--- a/test/proof_test.go
+++ b/test/proof_test.go
@@ -80,12 +80,32 @@
 	return out
 }
 
-func expectWholeOutput(r record, attempt string) {
+// runsOf returns how many attempts of a job were started, and how many were stopped because
+// the target's lease was over.
+func runsOf(id string, targets []*cluster.Target) (starts, leaseEnds int) {
+	GinkgoHelper()
+	for _, t := range targets {
+		for _, entry := range journal(t) {
+			if entry.Attempt == nil || entry.Attempt.Job != id {
+				continue
+			}
+			if entry.Event == "started" {
+				starts++
+			}
+			if entry.Outcome == "lease_over" {
+				leaseEnds++
+			}
+		}
+	}
+	return starts, leaseEnds
+}
+
+func expectWholeOutput(r record, job string) {
 	GinkgoHelper()
 	Expect(r.err).NotTo(HaveOccurred())
 	var want strings.Builder
 	for i := range streamLines {
-		fmt.Fprintf(&want, "%s line %d\n", attempt, i+1)
+		fmt.Fprintf(&want, "%s line %d\n", job, i+1)
 	}
 	Expect(r.answer.Body).To(Equal(want.String()))
 }
@@ -113,7 +133,12 @@
 			time.Sleep(2 * time.Second)
 		}()
 		records := mixedLoad(c.Daemons, 56, stop)
-		Expect(waitPhase(others(c, frozen)[0], "plan", "finished").Attempts).To(Equal(1))
+		waitPhase(others(c, frozen)[0], "plan", "finished")
+		// On a busy machine the next owner may come after the end of the target's lease; every
+		// start but the first must follow such an end. Assignments that the owner refused never
+		// start.
+		starts, leaseEnds := runsOf("plan", targets)
+		Expect(starts).To(Equal(1 + leaseEnds))
 		expectOneAtATime("plan", targets)
 		checkRecords(records, targets)
 		expectNoViolations(targets...)
@@ -206,8 +231,8 @@
 		gone.Terminate()
 		time.Sleep(time.Second)
 		owner.Kill()
-		expectWholeOutput(<-relayed, "labels/1")
-		expectWholeOutput(<-leaving, "labels/1")
+		expectWholeOutput(<-relayed, "labels")
+		expectWholeOutput(<-leaving, "labels")
 		Eventually(gone.Exited).WithTimeout(patience).Should(BeTrue())
 		Expect(waitPhase(rest[0], "labels", "finished").Attempts).To(Equal(1))
 		expectNoViolations(targets...)
