Let the weights of a pool reach the placement

Cause: the placer had one set of weights, which the daemon never set, so both sites placed by tail latency alone; only the response read the weights of the pool. Change: weights per pool, set from the configuration. Checked: a test in which a pool that weighs tail latency takes the fuller target with fast quick work, and one that weighs evictions the emptier one; with one set of weights both take the same. Conclusion: placement and response now decide by the same ticket.

--- a/core/placement/place.go
+++ b/core/placement/place.go
@@ -122,15 +122,23 @@
 }
 
 func (p *Placer) cost(job Job, c candidate) float64 {
-	tail := p.tailShare() * (c.predicted - 1)
+	tail := p.tailShare(job.Pool) * (c.predicted - 1)
 	spread := spreadCost * p.spread(job.Kind, c.target)
 	balance := balanceCost * usedShare(c.target, job.Size)
 	return tail + spread + balance
 }
 
-// tailShare is the weight of the tail latency among the three weights of the site.
-func (p *Placer) tailShare() float64 {
-	w := p.cfg.Weights
+// SetWeights sets the weights of one pool in place of those of the site.
+func (p *Placer) SetWeights(pool model.PoolID, w model.Weights) {
+	p.weights[pool] = w
+}
+
+// tailShare is the weight of the tail latency among the three weights of the pool.
+func (p *Placer) tailShare(pool model.PoolID) float64 {
+	w, ok := p.weights[pool]
+	if !ok {
+		w = p.cfg.Weights
+	}
 	sum := w.TailLatency + w.Throughput + w.Evictions
 	if sum <= 0 {
 		return 1
--- a/core/placement/placement_test.go
+++ b/core/placement/placement_test.go
@@ -8,6 +8,7 @@
 
 	"samphirepaddle.example/core/model"
 	"samphirepaddle.example/core/placement"
+	"samphirepaddle.example/core/slowdown"
 )
 
 var capacity = model.Resources{Slots: 8, Connections: 64, CPUMillis: 16_000, MemoryMiB: 60 << 10}
@@ -126,3 +127,39 @@
 		t.Fatalf("err = %v, want a quota error", err)
 	}
 }
+
+// noisyTarget predicts a slowdown on one target only.
+type noisyTarget model.TargetID
+
+func (n noisyTarget) PredictFull(target model.TargetID, _ model.ServiceID, _ float64) slowdown.Estimate {
+	if target == model.TargetID(n) {
+		return slowdown.Estimate{Mean: 1.3}
+	}
+	return slowdown.Estimate{Mean: 1}
+}
+
+func (noisyTarget) Added(model.ServiceID, string, float64) slowdown.Estimate {
+	return slowdown.Estimate{Mean: 0.01}
+}
+
+// Guards against pools whose weights do not reach the placement: a pool that weighs tail
+// latency avoids a target with slow quick work, one that does not prefers it for its room.
+func TestWeightsOfThePoolDecide(t *testing.T) {
+	choose := func(w model.Weights) model.TargetID {
+		p := placement.New(placement.Config{Seed: 1, Predictor: noisyTarget("quiet-but-slow")})
+		p.SetWeights("pool", w)
+		for _, id := range []model.TargetID{"quiet-but-slow", "half-full"} {
+			p.SetTarget(placement.TargetInfo{ID: id, Pool: "pool", Zone: "z", Rack: model.Rack(id), Capacity: capacity})
+			p.SetLoads(id, []placement.QuickLoad{{Service: "checks", Load: 0.1}})
+		}
+		half := job(1, model.Resources{Slots: 3})
+		p.Track("half-full", placement.Task{Attempt: half.Attempt, Size: half.Size, Bound: true})
+		return place(t, p, job(2, model.Resources{Slots: 1})).Target
+	}
+	if got := choose(model.Weights{TailLatency: 1}); got != "half-full" {
+		t.Errorf("a pool that weighs tail latency chose %s", got)
+	}
+	if got := choose(model.Weights{Evictions: 1}); got != "quiet-but-slow" {
+		t.Errorf("a pool that does not weigh tail latency chose %s", got)
+	}
+}
--- a/core/placement/target.go
+++ b/core/placement/target.go
@@ -123,6 +123,7 @@
 	pools   map[model.PoolID]*pool
 	racks   map[rackKey]int
 	zones   map[zoneKey]int
+	weights map[model.PoolID]model.Weights
 	found   []candidate // candidates of the present decision, reused
 }
 
@@ -141,6 +142,7 @@
 		pools:   map[model.PoolID]*pool{},
 		racks:   map[rackKey]int{},
 		zones:   map[zoneKey]int{},
+		weights: map[model.PoolID]model.Weights{},
 	}
 }
 
--- a/daemon/scheduler/picture.go
+++ b/daemon/scheduler/picture.go
@@ -20,6 +20,9 @@
 		for _, tenant := range st.Config.Tenants {
 			p.tenants.SetTenant(tenant)
 		}
+		for id, pool := range st.Config.Pools {
+			p.placer.SetWeights(id, pool.Weights)
+		}
 		for id := range p.known {
 			p.dirty[id] = true
 		}
