--- a/test/batch_test.go
+++ b/test/batch_test.go
@@ -120,13 +120,13 @@
 	// Guards against a job that is started a second time, or lost, when the owner of its
 	// target or the leader dies while it runs.
 	It("finishes a job in one attempt while daemons are killed", func() {
-		c := startCluster(5, 3, nil)
+		c := startCluster(9, 3, nil)
 		applyTicket(c.Daemons[0], poolTicket(1, "1"))
 		targets := startTargets(c, 4)
 		const jobs = 12
 		for i := range jobs {
 			id := fmt.Sprintf("plan-%d", i)
-			submitJob(c.Daemons[i%5], id, jobRequest(id, 8*time.Second, ""))
+			submitJob(c.Daemons[i%9], id, jobRequest(id, 8*time.Second, ""))
 		}
 		for i := range jobs {
 			waitRunning(c.Daemons[0], fmt.Sprintf("plan-%d", i), targets)
--- a/test/requests_test.go
+++ b/test/requests_test.go
@@ -189,7 +189,7 @@
 	// Guards against answers that reach another caller, truncated answers that look complete,
 	// and "not run" told about work that ran, while targets answer late, half, crossed or twice.
 	It("gives every caller its own whole answer while targets misbehave", func() {
-		c := startCluster(5, 3, nil)
+		c := startCluster(9, 3, nil)
 		applyTicket(c.Daemons[0], poolTicket(1, "1"))
 		targets := startTargets(c, 4, "--service-time", "5ms")
 		waitServed(c.Daemons[0])
@@ -208,10 +208,10 @@
 		records := load(12, stop, func(caller, n int) record {
 			key := fmt.Sprintf("c%d-n%d", caller, n)
 			if caller%2 == 0 {
-				answer, err := quick(c.Daemons[caller%5], "stock/"+key)
+				answer, err := quick(c.Daemons[caller%9], "stock/"+key)
 				return recordOf(answer, err, key)
 			}
-			answer, err := ship(c.Daemons[caller%5], key)
+			answer, err := ship(c.Daemons[caller%9], key)
 			return recordOf(answer, err, key)
 		})
 		checkRecords(records, targets)
@@ -221,7 +221,7 @@
 	// Guards against a second run of a keyed request that callers resend through other
 	// gateways while gateways are killed, frozen and cut off.
 	It("runs keyed requests at most once while daemons fail", func() {
-		c := startCluster(6, 3, nil)
+		c := startCluster(9, 3, nil)
 		applyTicket(c.Daemons[0], poolTicket(1, "1"))
 		targets := startTargets(c, 6, "--service-time", "10ms")
 		waitServed(c.Daemons[0])
@@ -236,7 +236,7 @@
 			key := fmt.Sprintf("pallet-%d", keys.Add(1))
 			var last record
 			for try := range 4 {
-				answer, err := ship(c.Daemons[(caller+try)%6], key)
+				answer, err := ship(c.Daemons[(caller+try)%9], key)
 				last = recordOf(answer, err, key)
 				if err == nil && answer.Status == http.StatusOK {
 					break
@@ -251,9 +251,9 @@
 
 	// Guards against requests that a shutdown cuts off.
 	It("cuts off no request in progress in a graceful shutdown", func() {
-		c := startCluster(5, 3, nil)
+		c := startCluster(9, 3, nil)
 		applyTicket(c.Daemons[0], poolTicket(1, "1"))
-		targets := startTargets(c, 5, "--service-time", "400ms")
+		targets := startTargets(c, 9, "--service-time", "400ms")
 		for _, d := range c.Daemons {
 			waitServed(d)
 		}
--- a/test/tickets_test.go
+++ b/test/tickets_test.go
@@ -40,7 +40,7 @@
 var _ = Describe("tickets", func() {
 	// Guards against an accepted ticket that is lost when the leader dies right after its answer.
 	It("keeps an accepted ticket when the leader is killed", func() {
-		c := startCluster(5, 3, nil)
+		c := startCluster(9, 3, nil)
 		applyTicket(c.Daemons[0], poolTicket(1, "1"))
 		for number := uint64(2); number <= 4; number++ {
 			answer, err := submitTicket(c.Daemons[4], poolTicket(number, fmt.Sprint(number)))
@@ -59,7 +59,7 @@
 	// Guards against two winners when operators race with one number, and against a loser
 	// that is not told who won.
 	It("has one winner when operators race with one number", func() {
-		c := startCluster(5, 3, nil)
+		c := startCluster(9, 3, nil)
 		applyTicket(c.Daemons[0], poolTicket(1, "1"))
 		const racers = 10
 		answers := make([]ticketAnswer, racers)
@@ -70,7 +70,7 @@
 				ticket := poolTicket(2, fmt.Sprintf("racer-%d", i))
 				ticket.Author = fmt.Sprintf("operator-%d", i)
 				Eventually(func() error {
-					answer, err := submitTicket(c.Daemons[i%5], ticket)
+					answer, err := submitTicket(c.Daemons[i%9], ticket)
 					answers[i] = answer
 					return err
 				}).WithTimeout(patience).Should(Succeed())
@@ -97,7 +97,7 @@
 	// Guards against a ticket that never comes into force while a gateway is behind a silent
 	// partition, and against that gateway serving the old configuration.
 	It("comes into force under a cut while the cut gateway stops serving", func() {
-		c := startCluster(5, 3, nil)
+		c := startCluster(9, 3, nil)
 		applyTicket(c.Daemons[0], poolTicket(1, "1"))
 		cut := c.Daemons[4]
 		c.CutBoth(cut)
@@ -110,7 +110,7 @@
 
 	// Guards against a deposed leader behind a one-way cut that goes on answering.
 	It("elects another leader when the leader's messages are lost", func() {
-		c := startCluster(5, 3, nil)
+		c := startCluster(9, 3, nil)
 		applyTicket(c.Daemons[0], poolTicket(1, "1"))
 		old := leader(c, c.Daemons[4])
 		c.CutFrom(old)
