Test commits of earlier terms, and let every fault of a target meet traffic

Cause: a build that commits an entry of an earlier term by its copies passed every test. In the spec on misbehaving targets, requests lost to the first fault kept all room until two reports, so the later faults met no request; a build without the check of the request id passed. The new consensus test fails without its rule.

--- a/core/consensus/protection_test.go
+++ b/core/consensus/protection_test.go
@@ -223,3 +223,25 @@
 		t.Errorf("the leadership was not handed over: %+v", leader.node.Status())
 	}
 }
+
+// Guards against a commit of an entry of an earlier term by counting its copies: a quorum
+// that holds it does not keep another leader from replacing it.
+func TestEntryOfEarlierTermIsNotCommittedAlone(t *testing.T) {
+	s := newSim(t.Fatalf, 3)
+	leader := s.elect(t)
+	n := leader.node
+	before := n.log.commit
+	s.propose(leader)
+	s.finishWrite(leader)
+	if n.log.last() == before {
+		t.Fatal("there is no uncommitted entry")
+	}
+	n.hard.Term++ // the same node leads again in a later term
+	for _, p := range n.peers {
+		p.match = n.log.last()
+	}
+	n.advanceCommit()
+	if n.log.commit != before {
+		t.Errorf("commit moved from %d to %d without an entry of the present term", before, n.log.commit)
+	}
+}
--- a/test/requests_test.go
+++ b/test/requests_test.go
@@ -189,7 +189,8 @@
 	// Guards against answers that reach another caller, truncated answers that look complete,
 	// and "not run" told about work that ran, while targets answer late, half, crossed or twice.
 	It("gives every caller its own whole answer while targets misbehave", func() {
-		c := startCluster(5, 3, nil)
+		// Frequent reports free the room of lost requests, so that every fault meets traffic.
+		c := startCluster(5, 3, map[string]any{"announce_ms": 100})
 		applyTicket(c.Daemons[0], poolTicket(1, "1"))
 		targets := startTargets(c, 4, "--service-time", "5ms")
 		waitServed(c.Daemons[0])
