test: the frozen owner sleeps beyond the session lease only, then beyond all leases

Cause: a freeze beyond the target's lease made the owner give the target up by itself, so the spec passed against builds without lease checks and epochs. Against a build without the session checks, without the end of an expired session and with a target that takes any epoch it fails with 14 requests beyond the capacity of one target.

--- a/test/proof_test.go
+++ b/test/proof_test.go
@@ -95,7 +95,7 @@
 	// wakes, beside the next owners of its targets. The targets are full, so that any request
 	// of the frozen one is beyond their capacity.
 	It("keeps a frozen owner that wakes from its former targets", func() {
-		c := startCluster(4, 3, map[string]any{"target_ttl_ms": 3000, "announce_ms": 300})
+		c := startCluster(4, 3, map[string]any{"target_ttl_ms": 6000, "announce_ms": 200})
 		applyTicket(c.Daemons[0], poolTicket(1, "1"))
 		targets := startTargets(c, 4, "--service-time", "200ms")
 		submitJob(c.Daemons[0], "plan", jobRequest("plan", 12*time.Second, ""))
@@ -104,13 +104,14 @@
 		stop := make(chan struct{})
 		go func() {
 			defer close(stop)
-			for range 2 {
-				time.Sleep(500 * time.Millisecond)
+			// Beyond the session lease only, then beyond the targets' leases too.
+			for _, frozenFor := range []time.Duration{3 * time.Second, 7 * time.Second} {
+				time.Sleep(time.Second)
 				frozen.Freeze()
-				time.Sleep(4500 * time.Millisecond)
+				time.Sleep(frozenFor)
 				frozen.Thaw()
 			}
-			time.Sleep(2 * time.Second)
+			time.Sleep(time.Second)
 		}()
 		records := mixedLoad(c.Daemons, 56, stop)
 		Expect(waitPhase(others(c, frozen)[0], "plan", "finished").Attempts).To(Equal(1))
