owner: pick the target of a quick request by predicted slowdown

Cause: MostFree sends requests beside noisy neighbours, although core/routing and core/slowdown can predict the slowdown of each target.

Change: Predictive learns from running tasks and usage reports and publishes predictions per target; Pick reads them without a lock. samphired uses it. Before the first learned latency it is MostFree. Kinds, services, targets and tasks are bounded. A target without a usable report for 30 s gets one request that measures it.

Tested: go test -race on owner, gateway, cmd. On scratch copies the tests fail with reports attributed to their arrival, without the measuring request, with a target without prediction counted as 0 or 10 times the mean, without the MostFree case, and with a lock in Pick.

The effect on tail latency in the daemon is not measured.

--- a/daemon/cmd/samphired/daemon.go
+++ b/daemon/cmd/samphired/daemon.go
@@ -124,6 +124,7 @@
 		AnnounceEvery: time.Duration(d.settings.AnnounceMs) * time.Millisecond,
 		Targets:       targets,
 		Proposer:      client,
+		Picker:        owner.NewPredictive(),
 		Logger:        d.logger,
 	})
 	identity := session.Identity{
--- a/daemon/owner/picker.go
+++ b/daemon/owner/picker.go
@@ -8,6 +8,7 @@
 	Zone   model.Zone
 	Rack   model.Rack
 	Free   model.Resources
+	Slots  int32 // slots that batch work leaves to quick requests, busy or free
 }
 
 // Picker chooses among the targets that have room. Pick is called once per quick request
--- /dev/null
+++ b/daemon/owner/predictive.go
@@ -0,0 +1,311 @@
+package owner
+
+import (
+	"sync"
+	"sync/atomic"
+
+	"samphirepaddle.example/core/model"
+	"samphirepaddle.example/core/routing"
+	"samphirepaddle.example/core/slowdown"
+)
+
+const (
+	// caution is the number of standard deviations added to a predicted slowdown, as measured
+	// in docs/decisions/admission-routing.md.
+	caution = 2
+	// probeEvery is the time without a usable report after which a target gets one request
+	// that measures it. A target that no request reaches sends no reports, so without it a
+	// wrong prediction would keep requests away for as long as the target's tasks run.
+	probeEvery = model.Millis(30_000)
+	// maxKinds bounds the task kinds that the model learns apart; tenants choose them freely.
+	maxKinds = 512
+	// maxServices bounds the services that the model learns; a later service is routed as by
+	// MostFree.
+	maxServices = 256
+	otherKind   = "other kinds"
+)
+
+// Predictive picks the target with the least predicted time in the system. A service without
+// a learned latency is routed as by MostFree.
+//
+// Lock order: mu is taken after no other lock and none is taken under it. Pick takes no lock.
+type Predictive struct {
+	fallback  MostFree
+	forecasts atomic.Pointer[map[model.TargetID]*forecast]
+
+	mu       sync.Mutex
+	model    *slowdown.Model
+	targets  map[model.TargetID]*learned
+	kinds    map[string]bool
+	services map[model.ServiceID]float64 // the latest load of each learned service
+}
+
+// forecast holds the predictions for one target. Each list replaces the one before as a whole.
+type forecast struct {
+	services atomic.Pointer[[]prediction]
+}
+
+type prediction struct {
+	service  model.ServiceID
+	slowdown float64
+	probe    *atomic.Bool // set while a request is due that measures the target
+}
+
+// learned is what the model was told about one target.
+type learned struct {
+	epoch    model.Epoch
+	version  uint64
+	tasks    map[model.AttemptID]float64 // running tasks and their levels
+	services map[model.ServiceID]*measured
+	forecast *forecast
+}
+
+// measured is the state of the reports of one service on one target.
+type measured struct {
+	reported bool
+	load     float64
+	at       model.Millis // of the last report that was used, or of the last probe
+	probe    atomic.Bool
+}
+
+// NewPredictive returns a picker that knows no targets.
+func NewPredictive() *Predictive {
+	p := &Predictive{
+		model:    slowdown.New(slowdown.Config{}),
+		targets:  map[model.TargetID]*learned{},
+		kinds:    map[string]bool{},
+		services: map[model.ServiceID]float64{},
+	}
+	p.publish()
+	return p
+}
+
+// Pick returns the candidate with the least predicted time. A candidate without a prediction
+// counts as the mean of the others, so that it is neither starved nor preferred.
+func (p *Predictive) Pick(service model.Service, candidates []Candidate) int {
+	forecasts := *p.forecasts.Load()
+	s := scores.Get().(*scoring)
+	defer scores.Put(s)
+	s.values = s.values[:0]
+	sum, count := 0.0, 0
+	for i := range candidates {
+		value := 0.0
+		if known := forecasts[candidates[i].Target].find(service.ID); known != nil {
+			if known.probe.Load() && known.probe.CompareAndSwap(true, false) {
+				return i
+			}
+			value = known.slowdown
+			sum += value
+			count++
+		}
+		s.values = append(s.values, value)
+	}
+	if count == 0 {
+		return p.fallback.Pick(service, candidates)
+	}
+	return s.best(candidates, sum/float64(count))
+}
+
+// scoring is the scratch memory of one Pick.
+type scoring struct{ values []float64 }
+
+var scores = sync.Pool{New: func() any { return &scoring{} }}
+
+// best returns the candidate of the least cost; of equal ones, that with the most free slots.
+func (s *scoring) best(candidates []Candidate, mean float64) int {
+	best, bestCost := 0, 0.0
+	for i := range candidates {
+		c := &candidates[i]
+		value := s.values[i]
+		if value == 0 {
+			value = mean
+		}
+		slots := max(c.Slots, c.Free.Slots, 1)
+		cost := value * queueFactor(slots, slots-c.Free.Slots)
+		if i == 0 || cost < bestCost || cost == bestCost && c.Free.Slots > candidates[best].Free.Slots {
+			best, bestCost = i, cost
+		}
+	}
+	return best
+}
+
+// maxTabled is the number of slots up to which queue factors are computed once. The powers in
+// routing.Cost would take most of the time of a Pick.
+const maxTabled = 64
+
+var queueFactors = func() (table [maxTabled + 1][maxTabled + 1]float64) {
+	for slots := 1; slots <= maxTabled; slots++ {
+		for busy := 0; busy <= slots; busy++ {
+			table[slots][busy] = computeQueueFactor(int32(slots), int32(busy))
+		}
+	}
+	return table
+}()
+
+// queueFactor returns the part of routing.Cost that does not depend on the slowdown.
+func queueFactor(slots, busy int32) float64 {
+	if slots > maxTabled {
+		return computeQueueFactor(slots, busy)
+	}
+	return queueFactors[slots][busy]
+}
+
+func computeQueueFactor(slots, busy int32) float64 {
+	return routing.Cost(routing.Candidate{Slots: float64(slots), Busy: float64(busy), Slowdown: 1})
+}
+
+func (f *forecast) find(service model.ServiceID) *prediction {
+	if f == nil {
+		return nil
+	}
+	list := f.services.Load()
+	if list == nil {
+		return nil
+	}
+	for i := range *list {
+		if (*list)[i].service == service {
+			return &(*list)[i]
+		}
+	}
+	return nil
+}
+
+// Keep sets the targets that the gateway owns. Every other one is forgotten.
+func (p *Predictive) Keep(targets []model.TargetID) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	keep := make(map[model.TargetID]bool, len(targets))
+	changed := false
+	for _, id := range targets {
+		keep[id] = true
+		if p.targets[id] == nil {
+			p.targets[id] = &learned{
+				tasks:    map[model.AttemptID]float64{},
+				services: map[model.ServiceID]*measured{},
+				forecast: &forecast{},
+			}
+			changed = true
+		}
+	}
+	for id := range p.targets {
+		if !keep[id] {
+			delete(p.targets, id)
+			p.model.RemoveTarget(id)
+			changed = true
+		}
+	}
+	if changed {
+		p.publish()
+	}
+}
+
+// publish makes the set of targets visible to Pick. The caller holds p.mu.
+func (p *Predictive) publish() {
+	forecasts := make(map[model.TargetID]*forecast, len(p.targets))
+	for id, l := range p.targets {
+		forecasts[id] = l.forecast
+	}
+	p.forecasts.Store(&forecasts)
+}
+
+// Observe takes the tasks that run on a target and its new usage reports, and renews the
+// predictions for it.
+func (p *Predictive) Observe(o Observation) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	l := p.targets[o.Target]
+	if l == nil {
+		return
+	}
+	p.model.SetTarget(o.Target, o.Slots)
+	if o.Epoch > l.epoch || o.Epoch == l.epoch && o.Version > l.version {
+		l.epoch, l.version = o.Epoch, o.Version
+		p.setTasks(l, o)
+	}
+	for _, report := range o.Usage {
+		p.learn(l, o, report)
+	}
+	p.predict(l, o)
+}
+
+// setTasks tells the model what differs from the tasks that it knows.
+func (p *Predictive) setTasks(l *learned, o Observation) {
+	running := make(map[model.AttemptID]bool, len(o.Tasks))
+	for _, task := range o.Tasks {
+		running[task.Attempt] = true
+		level, known := l.tasks[task.Attempt]
+		if !known {
+			level = 1
+			p.model.TaskStarted(o.Target, task.Attempt, p.kind(task.Kind), task.Started)
+		}
+		if task.Level != level {
+			p.model.TaskThrottled(o.Target, task.Attempt, task.Level, o.Now)
+		}
+		l.tasks[task.Attempt] = task.Level
+	}
+	for id := range l.tasks {
+		if !running[id] {
+			delete(l.tasks, id)
+			p.model.TaskStopped(o.Target, id, o.Now)
+		}
+	}
+}
+
+func (p *Predictive) kind(kind string) string {
+	if !p.kinds[kind] {
+		if len(p.kinds) >= maxKinds {
+			return otherKind
+		}
+		p.kinds[kind] = true
+	}
+	return kind
+}
+
+func (p *Predictive) learn(l *learned, o Observation, report model.UsageReport) {
+	_, known := p.services[report.Service]
+	if !known && len(p.services) >= maxServices {
+		return
+	}
+	seen := p.model.Observe(o.Target, report, o.Now)
+	if seen.Reason == slowdown.ReasonCollected {
+		p.services[report.Service] = 0 // counts towards maxServices
+	}
+	if seen.Reason != slowdown.ReasonUsed {
+		return
+	}
+	p.services[report.Service] = seen.Load
+	m := l.service(report.Service, o.Now)
+	m.reported, m.load, m.at = true, seen.Load, o.Now
+	m.probe.Store(false)
+}
+
+func (l *learned) service(id model.ServiceID, now model.Millis) *measured {
+	m := l.services[id]
+	if m == nil {
+		m = &measured{at: now}
+		l.services[id] = m
+	}
+	return m
+}
+
+// predict renews the predictions for a target. Without a report of its own, the load is that
+// of the latest report about another target.
+func (p *Predictive) predict(l *learned, o Observation) {
+	var list []prediction
+	for id, load := range p.services {
+		if p.model.BaseLatencyUs(id, load) == 0 {
+			continue
+		}
+		m := l.service(id, o.Now)
+		if m.reported {
+			load = m.load
+		}
+		if o.Now-m.at >= probeEvery {
+			m.at = o.Now
+			m.probe.Store(true)
+		}
+		estimate := p.model.Predict(o.Target, id, load)
+		list = append(list, prediction{id, estimate.Upper(caution), &m.probe})
+	}
+	l.forecast.services.Store(&list)
+}
--- a/daemon/owner/quick.go
+++ b/daemon/owner/quick.go
@@ -74,7 +74,13 @@
 	if !service.Quick.Fits(free) {
 		return Candidate{}, false
 	}
-	return Candidate{Target: o.record.ID, Zone: o.record.Zone, Rack: o.record.Rack, Free: free}, true
+	return Candidate{
+		Target: o.record.ID,
+		Zone:   o.record.Zone,
+		Rack:   o.record.Rack,
+		Free:   free,
+		Slots:  o.table.LeftByBatch().Slots,
+	}, true
 }
 
 func (o *owned) reserveQuick(t *Table, service model.Service, request model.RequestID) *Grant {
