Leave two unused headers out of messages between controllers

Heartbeats and their answers are most of what an idle controller sends, each as one HTTP request with a response. User-Agent and Date took 69 bytes of each exchange.

The bench polls for the end of the jobs every 200 ms now; polls every 20 ms added about 2.9 KB to the bytes of each job.

--- a/daemon/replica/transport.go
+++ b/daemon/replica/transport.go
@@ -197,7 +197,7 @@
 	if ln.key.entries {
 		timeout = entriesTimeout
 	}
-	ctx, cancel := context.WithTimeout(l.ctx, timeout)
+	ctx, cancel := context.WithTimeout(withoutUserAgent(l.ctx), timeout)
 	defer cancel()
 	// A failed call is a lost message; consensus sends again what still matters.
 	if _, err := ln.client.Step(ctx, &rpc.StepRequest{Messages: data}); err != nil && l.ctx.Err() == nil {
@@ -209,6 +209,16 @@
 	return true
 }
 
+// withoutUserAgent leaves the header out of twirp calls: heartbeats are most of what an idle
+// controller sends, and 32 bytes of each would name the same client.
+func withoutUserAgent(ctx context.Context) context.Context {
+	lean, err := twirp.WithHTTPRequestHeaders(ctx, http.Header{"User-Agent": {""}})
+	if err != nil {
+		return ctx // twirp reserves the header
+	}
+	return lean
+}
+
 // fill reads the snapshot data that the messages announce.
 func (l *lanes) fill(messages []consensus.Message) []consensus.Message {
 	filled := make([]consensus.Message, 0, len(messages))
@@ -238,6 +248,7 @@
 	server := rpc.NewConsensusServer(r)
 	return http.HandlerFunc(func(w http.ResponseWriter, req *http.Request) {
 		req.Body = http.MaxBytesReader(w, req.Body, maxRequestBytes)
+		w.Header()["Date"] = nil // 37 bytes that no controller reads
 		server.ServeHTTP(w, req)
 	})
 }
--- a/test/cmd/bench/use.go
+++ b/test/cmd/bench/use.go
@@ -18,15 +18,18 @@
 
 // Points of the idle daemon and the limits on control overhead per daemon.
 const (
-	idleRepeats  = 3
-	idleTime     = 4 * time.Second
-	settleTime   = 4 * time.Second
-	cpuGoal      = 1.2     // % of a core
-	bytesGoal    = 11_000. // B/s
-	memoryGoal   = 128.    // MB
-	useTickets   = 300
-	startedJobs  = 4000
-	jobCallers   = 32
+	idleRepeats = 3
+	idleTime    = 4 * time.Second
+	settleTime  = 4 * time.Second
+	cpuGoal     = 1.2     // % of a core
+	bytesGoal   = 11_000. // B/s
+	memoryGoal  = 128.    // MB
+	useTickets  = 300
+	startedJobs = 4000
+	jobCallers  = 32
+	// statusPause keeps the polls out of the figures: the status names every target, and
+	// polls every 20 ms added 2.9 KB to the bytes of each job.
+	statusPause  = 200 * time.Millisecond
 	jobRunTime   = model.Millis(50)
 	startsFactor = 20 // regression bound: leader's CPU against a follower's per start
 )
@@ -304,6 +307,7 @@
 			Queued int `json:"queued_jobs"`
 			Open   int `json:"open_attempts"`
 		}
+		time.Sleep(statusPause)
 		if err := r.getJSON(r.Daemons[0], "/v1/status", &status); err != nil {
 			return err
 		}
