Do not give up a job because quick work fills the targets

Cause: the scheduler told the placer that quick work beyond the kept slots was kept for ever, so a job that was requeued under full quick load exceeded the capacity of every target and was marked as never runnable; the mark was looked at again only when the configuration or the number of targets changed. Seen once in 4 runs of the test of the frozen owner with a target lease of 3 s, at full quick load: queued for 60 s after the load had ended. Ruled out: the pause after refusals and lost reservations; the explanation named the capacity. Change: quick work beyond the kept part is a field of its own that passes; never-runnable jobs are looked at again when the total capacity changes and every 5 s, because learned sizes change too.

--- a/core/placement/placement_test.go
+++ b/core/placement/placement_test.go
@@ -163,3 +163,22 @@
 		t.Errorf("a pool that does not weigh tail latency chose %s", got)
 	}
 }
+
+// Guards against a job that is given up as never runnable while quick work fills every
+// target: that load passes.
+func TestQuickLoadIsNoReasonForNever(t *testing.T) {
+	p := placement.New(placement.Config{Seed: 1})
+	info := placement.TargetInfo{ID: "w", Pool: "pool", Zone: "z", Rack: "r", Capacity: capacity, Kept: model.Resources{Slots: 2}}
+	info.Busy = model.Resources{Slots: 6}
+	p.SetTarget(info)
+	one := job(1, model.Resources{Slots: 1})
+	if p.NeverFits(one) {
+		t.Error("a job counts as never runnable because of quick work")
+	}
+	if _, err := p.Place(one); err == nil {
+		t.Error("a job was placed on a target without a free slot")
+	}
+	info.Busy = model.Resources{}
+	p.SetTarget(info)
+	place(t, p, one)
+}
--- a/core/placement/target.go
+++ b/core/placement/target.go
@@ -53,6 +53,7 @@
 	Rack     model.Rack
 	Capacity model.Resources
 	Kept     model.Resources // set aside for quick work
+	Busy     model.Resources // what quick work takes beyond Kept now; it passes
 	Blocked  string          // reason why it takes no new work, empty if it does
 }
 
@@ -94,7 +95,7 @@
 }
 
 func (t *target) refresh() {
-	free := t.info.Capacity.Sub(t.info.Kept)
+	free := t.info.Capacity.Sub(t.info.Kept).Sub(t.info.Busy)
 	for i := range t.tasks {
 		free = free.Sub(t.tasks[i].Size)
 	}
--- a/daemon/scheduler/picture.go
+++ b/daemon/scheduler/picture.go
@@ -148,7 +148,8 @@
 		Zone:     target.Zone,
 		Rack:     target.Rack,
 		Capacity: target.Capacity,
-		Kept:     kept.Add(p.quickExcess(target, summary, kept)),
+		Kept:     kept,
+		Busy:     p.quickExcess(target, summary, kept),
 		Blocked:  p.blocked(target, summary, now),
 	})
 	p.response.setTarget(target)
--- a/daemon/scheduler/plan.go
+++ b/daemon/scheduler/plan.go
@@ -29,7 +29,7 @@
 	commands = append(commands, p.probe(st, jobs, now)...)
 	clear(p.tooLarge)
 	commands = append(commands, p.placeInTurn(st, jobs, now)...)
-	return append(commands, p.recheckNever(st)...)
+	return append(commands, p.recheckNever(st, now)...)
 }
 
 // candidates returns the jobs that one plan looks at. Half of each tenant's are those that
@@ -243,12 +243,18 @@
 	return command
 }
 
-// recheckNever clears the mark of jobs that fit since the targets or the limits changed.
-func (p *picture) recheckNever(st *state.State) []state.Command {
-	if p.checked == st.Config.Revision && p.version == len(p.known) {
+// neverRecheck is the longest time between two looks at the jobs that can never run: the
+// learned sizes change without a change of targets or limits.
+const neverRecheck = model.Millis(5000)
+
+// recheckNever clears the mark of jobs that fit since the targets, the limits or the learned
+// sizes changed.
+func (p *picture) recheckNever(st *state.State, now model.Millis) []state.Command {
+	unchanged := p.checked == st.Config.Revision && p.checkedCapacity == p.capacity
+	if unchanged && now < p.checkedAt+neverRecheck {
 		return nil
 	}
-	p.checked, p.version = st.Config.Revision, len(p.known)
+	p.checked, p.checkedCapacity, p.checkedAt = st.Config.Revision, p.capacity, now
 	var commands []state.Command
 	for _, job := range st.NeverRunnable() {
 		if strings.HasPrefix(job.NeverReason, neverFails) || p.proposed[job.Spec.ID] {
--- a/daemon/scheduler/scheduler.go
+++ b/daemon/scheduler/scheduler.go
@@ -105,7 +105,9 @@
 	tooLarge map[model.PoolID][]model.Resources // sizes that found no target in this plan
 	capacity model.Resources
 	checked  model.Revision // configuration that the never-runnable jobs were checked with
-	version  int            // number of targets that they were checked with
+
+	checkedCapacity model.Resources // total capacity that they were checked with
+	checkedAt       model.Millis
 }
 
 // knownTarget is a target as the placer knows it.
--- a/test/batch_test.go
+++ b/test/batch_test.go
@@ -54,10 +54,19 @@
 		g.Expect(err).NotTo(HaveOccurred())
 		g.Expect(j.Phase).To(Equal(phase), id)
 		last = j
-	}).WithTimeout(longPatience).Should(Succeed())
+	}).WithTimeout(longPatience).Should(Succeed(), func() string { return explain(d, id) })
 	return last
 }
 
+// explain returns why a job waits, for the report of a failed test.
+func explain(d *cluster.Daemon, id string) string {
+	answer, err := cluster.Do(http.MethodGet, "http://"+d.Public+"/v1/jobs/"+id+"/explain", "")
+	if err != nil {
+		return err.Error()
+	}
+	return answer.Body
+}
+
 // waitRunning waits until the job's open attempt has started at its target.
 func waitRunning(d *cluster.Daemon, id string, targets []*cluster.Target) *cluster.Target {
 	GinkgoHelper()
