Say in words what a setting allows

Cause: an error named the rule of the validation library, such as hostname_port, and nothing tested the settings. Change: each rule has a sentence; max_queued has one name in JSON and code. Conclusion: an operator can correct a file from the error alone.

--- a/daemon/cmd/samphired/daemon.go
+++ b/daemon/cmd/samphired/daemon.go
@@ -140,7 +140,7 @@
 		Owners:    d.owners,
 		Targets:   targets,
 		Control:   client,
-		MaxQueued: d.settings.MaxQueuedPerHost,
+		MaxQueued: d.settings.MaxQueued,
 		PeerIP:    peerIP(d.settings.PeerListen),
 		Logger:    d.logger,
 	})
--- a/daemon/settings/settings.go
+++ b/daemon/settings/settings.go
@@ -36,12 +36,12 @@
 
 	LogLevel string `json:"log_level,omitempty" validate:"omitempty,oneof=debug info warn error"`
 
-	SessionTTLMs     model.Millis `json:"session_ttl_ms,omitempty" validate:"omitempty,min=200,max=60000"`
-	TargetTTLMs      model.Millis `json:"target_ttl_ms,omitempty" validate:"omitempty,min=500,max=600000"`
-	AnnounceMs       model.Millis `json:"announce_ms,omitempty" validate:"omitempty,min=50,max=60000"`
-	BalancerWaitMs   model.Millis `json:"balancer_wait_ms,omitempty" validate:"omitempty,min=0,max=60000"`
-	MaxConnections   int          `json:"max_connections,omitempty" validate:"omitempty,min=1,max=1000000"`
-	MaxQueuedPerHost int          `json:"max_queued,omitempty" validate:"omitempty,min=1,max=1000000"`
+	SessionTTLMs   model.Millis `json:"session_ttl_ms,omitempty" validate:"omitempty,min=200,max=60000"`
+	TargetTTLMs    model.Millis `json:"target_ttl_ms,omitempty" validate:"omitempty,min=500,max=600000"`
+	AnnounceMs     model.Millis `json:"announce_ms,omitempty" validate:"omitempty,min=50,max=60000"`
+	BalancerWaitMs model.Millis `json:"balancer_wait_ms,omitempty" validate:"omitempty,min=0,max=60000"`
+	MaxConnections int          `json:"max_connections,omitempty" validate:"omitempty,min=1,max=1000000"`
+	MaxQueued      int          `json:"max_queued,omitempty" validate:"omitempty,min=1,max=1000000"`
 }
 
 // Controller names one VM of the controller group.
@@ -102,7 +102,7 @@
 	setDefault(&s.AnnounceMs, DefaultAnnounceMs)
 	setDefault(&s.BalancerWaitMs, DefaultBalancerWaitMs)
 	setDefault(&s.MaxConnections, DefaultMaxConnections)
-	setDefault(&s.MaxQueuedPerHost, DefaultMaxQueued)
+	setDefault(&s.MaxQueued, DefaultMaxQueued)
 	setDefault(&s.LogLevel, "info")
 	setDefault(&s.PublicListen, s.PublicAddr)
 	setDefault(&s.PeerListen, s.PeerAddr)
@@ -143,11 +143,34 @@
 
 func describe(field validator.FieldError) error {
 	_, path, _ := strings.Cut(field.Namespace(), ".")
-	allowed := field.Tag()
-	if field.Param() != "" {
-		allowed += " " + field.Param()
+	return fmt.Errorf("%s: value %v: %s", path, field.Value(), allowed(field))
+}
+
+// allowed says in words what the rule that a field breaks allows.
+func allowed(field validator.FieldError) string {
+	unit := ""
+	if field.Kind() == reflect.String {
+		unit = " characters"
+	}
+	if field.Kind() == reflect.Slice {
+		unit = " entries"
+	}
+	switch field.Tag() {
+	case "required":
+		return "a value is required"
+	case "hostname_port":
+		return "an address as host:port is required"
+	case "min":
+		return "at least " + field.Param() + unit + " required"
+	case "max":
+		return "at most " + field.Param() + unit + " allowed"
+	case "oneof":
+		return "allowed are " + strings.ReplaceAll(field.Param(), " ", ", ")
+	case "unique":
+		return "each id may be listed once"
+	default:
+		return "must satisfy " + field.Tag() + " " + field.Param()
 	}
-	return fmt.Errorf("%s: value %v: allowed is: %s", path, field.Value(), allowed)
 }
 
 // IsController reports whether this daemon has the controller role.
