Call an uncommitted membership changing

Cause: the replica's status says changing; the members query had a second word for it. Change: one word in the query, the command line and the test. Conclusion: one term for one thing.

--- a/ctl/cmd/samphirectl/members.go
+++ b/ctl/cmd/samphirectl/members.go
@@ -11,9 +11,9 @@
 	command.Action(func(*kingpin.ParseContext) error {
 		var members []controller.Member
 		return c.show("/v1/members", &members, func(t *table) {
-			t.row("CONTROLLER", "ADDRESS", "ROLE", "MATCH", "PENDING")
+			t.row("CONTROLLER", "ADDRESS", "ROLE", "MATCH", "CHANGING")
 			for _, m := range members {
-				t.row(m.ID, m.PeerAddr, m.Role, m.Match, m.Pending)
+				t.row(m.ID, m.PeerAddr, m.Role, m.Match, m.Changing)
 			}
 		})
 	})
--- a/daemon/cmd/samphired/members.go
+++ b/daemon/cmd/samphired/members.go
@@ -21,7 +21,7 @@
 			PeerAddr: member.Addr,
 			Role:     role(member),
 			Match:    member.Match,
-			Pending:  status.Changing,
+			Changing: status.Changing,
 		})
 	}
 	return list
--- a/daemon/controller/operators.go
+++ b/daemon/controller/operators.go
@@ -258,7 +258,7 @@
 	PeerAddr string          `json:"peer_addr"`
 	Role     string          `json:"role"` // leader, voter, learner
 	Match    uint64          `json:"match,omitempty"`
-	Pending  bool            `json:"pending,omitempty"` // the membership that lists it is not committed yet
+	Changing bool            `json:"changing,omitempty"` // the membership that lists it is not committed yet
 }
 
 // Members answers the controllers with their roles; the replica implements it.
--- a/test/tickets_test.go
+++ b/test/tickets_test.go
@@ -160,7 +160,7 @@
 			g.Expect(after).To(HaveLen(3))
 			g.Expect(after["g2"]).NotTo(Equal(before["g2"]), "the lost disk's id still votes")
 			g.Expect(members(c.Daemons[3])).To(HaveLen(3))
-			g.Expect(members(c.Daemons[3])).To(HaveEach(HaveField("Pending", false)))
+			g.Expect(members(c.Daemons[3])).To(HaveEach(HaveField("Changing", false)))
 		}).WithTimeout(longPatience).Should(Succeed())
 		second := c.Daemons[0]
 		second.Kill()
@@ -171,10 +171,10 @@
 
 // member is the part of a controller's membership that the tests read.
 type member struct {
-	ID      string `json:"id"`
-	DataID  string `json:"data_id"`
-	Role    string `json:"role"`
-	Pending bool   `json:"pending"`
+	ID       string `json:"id"`
+	DataID   string `json:"data_id"`
+	Role     string `json:"role"`
+	Changing bool   `json:"changing"`
 }
 
 func members(d *cluster.Daemon) []member {
