Move the benchmarks and the comparison of the decisions to a module of their own

Cause: the test module held two programs that are no tests, with libraries that the failure tests do not need. Change: module bench with cmd/bench, cmd/decisions and the goals of the decisions; the harness stays in test/cluster. Conclusion: failure tests and measurements can change on their own.

--- a/Makefile
+++ b/Makefile
@@ -1,4 +1,4 @@
-MODULES := core daemon ctl test
+MODULES := core daemon ctl test bench
 
 .PHONY: demo test bench build lint format-check spec generate
 
@@ -15,7 +15,7 @@
 # themselves, because go test hides the known misses that a passing package prints.
 test: build
 	@set -e; for m in $(MODULES); do (cd $$m && go test -timeout 20m $$(go list ./... | grep -v /decisions$$)); done
-	cd test && go test -timeout 20m -v ./decisions
+	cd bench && go test -timeout 20m -v ./decisions
 
 bench: build
 	./scripts/bench.sh
--- a/test/cmd/decisions/main.go
+++ b/bench/cmd/decisions/main.go
@@ -7,8 +7,8 @@
 	"os"
 	"strings"
 
+	"samphirepaddle.example/bench/decisions"
 	"samphirepaddle.example/core/fake"
-	"samphirepaddle.example/test/decisions"
 )
 
 func main() {
--- a/test/decisions/goals_test.go
+++ b/bench/decisions/goals_test.go
@@ -6,8 +6,8 @@
 	"strings"
 	"testing"
 
+	"samphirepaddle.example/bench/decisions"
 	"samphirepaddle.example/core/fake"
-	"samphirepaddle.example/test/decisions"
 )
 
 // knownRed lists, by name, the checks that miss their goal. The test runs them, prints the
