--- a/ctl/cmd/samphirectl/main.go
+++ b/ctl/cmd/samphirectl/main.go
@@ -21,6 +21,7 @@
 	addHistograms,
 	addMembers,
 	addTarget,
+	addLoad,
 }
 
 func main() {
