Leave payload and checkpoint out of the job that callers read

Cause: the answer held up to 4 MiB of payload and 1 MiB of checkpoint, and a caller that follows a job's output makes the gateway read it again every few seconds; it also showed an internal hash.

--- a/daemon/controller/queries.go
+++ b/daemon/controller/queries.go
@@ -51,12 +51,28 @@
 	return &rpc.ReadResponse{Body: body}, nil
 }
 
+// jobView is a job as callers see it. The hash is of use to the state only; the empty field
+// of the same name hides it.
+type jobView struct {
+	state.Job
+	SpecHash *struct{} `json:"spec_hash,omitempty"`
+}
+
+// queryJob answers a job without its payload and checkpoint, which may take megabytes and are
+// read again and again by callers that follow the job's output.
 func queryJob(_ *Service, st *state.State, arguments []byte) ([]byte, error) {
 	var id model.JobID
 	if err := model.Decode(arguments, &id); err != nil {
 		return nil, err
 	}
-	return json.Marshal(st.Jobs[id])
+	job, ok := st.Jobs[id]
+	if !ok {
+		return []byte("null"), nil
+	}
+	view := jobView{Job: *job}
+	view.Spec.Payload = nil
+	view.Checkpoint = nil
+	return json.Marshal(view)
 }
 
 // queryOwner answers the peer address of a target's owner as plain text, empty if none.
--- /dev/null
+++ b/daemon/controller/queries_test.go
@@ -0,0 +1,43 @@
+package controller
+
+import (
+	"strings"
+	"testing"
+
+	"samphirepaddle.example/core/model"
+	"samphirepaddle.example/core/state"
+)
+
+// Guards against payloads of megabytes in answers that callers read again and again, and
+// against a missing job that looks like an empty one.
+func TestJobViewLeavesOutWhatIsLarge(t *testing.T) {
+	st := state.New()
+	st.Jobs["plan"] = &state.Job{
+		Spec:       model.JobSpec{ID: "plan", Payload: []byte("payload")},
+		Phase:      state.JobQueued,
+		Checkpoint: []byte("checkpoint"),
+	}
+	ask := func(id model.JobID) string {
+		arguments, err := model.Encode(id)
+		if err != nil {
+			t.Fatal(err)
+		}
+		body, err := queryJob(nil, st, arguments)
+		if err != nil {
+			t.Fatal(err)
+		}
+		return string(body)
+	}
+	body := ask("plan")
+	for _, part := range []string{`"checkpoint"`, `"spec_hash"`, `"payload":"`} {
+		if strings.Contains(body, part) {
+			t.Errorf("the answer holds %s: %s", part, body)
+		}
+	}
+	if !strings.Contains(body, `"phase":"queued"`) || ask("other") != "null" {
+		t.Errorf("answers %s and %s", body, ask("other"))
+	}
+	if string(st.Jobs["plan"].Spec.Payload) != "payload" {
+		t.Error("the query changed the state")
+	}
+}
