Type the errors of the settings file

Cause: the convention names errorx for errors and nothing used it; a missing file and a wrong one had the same type. Checked: tests of both types; the daemon's tests.

--- a/daemon/settings/settings.go
+++ b/daemon/settings/settings.go
@@ -12,10 +12,18 @@
 	"strings"
 
 	"github.com/go-playground/validator/v10"
+	"github.com/joomcode/errorx"
 
 	"samphirepaddle.example/core/model"
 )
 
+// Types of the errors of this package.
+var (
+	namespace     = errorx.NewNamespace("settings")
+	ErrUnreadable = namespace.NewType("unreadable") // the file cannot be read
+	ErrInvalid    = namespace.NewType("invalid")    // the content breaks a rule
+)
+
 // maxFileBytes bounds the settings file.
 const maxFileBytes = 1 << 20
 
@@ -64,19 +72,19 @@
 func Load(path string) (Settings, error) {
 	file, err := os.Open(path)
 	if err != nil {
-		return Settings{}, fmt.Errorf("settings: %w", err)
+		return Settings{}, ErrUnreadable.Wrap(err, "open")
 	}
 	defer file.Close()
 	data, err := io.ReadAll(io.LimitReader(file, maxFileBytes+1))
 	if err != nil {
-		return Settings{}, fmt.Errorf("settings %s: %w", path, err)
+		return Settings{}, ErrUnreadable.Wrap(err, "%s", path)
 	}
 	if len(data) > maxFileBytes {
-		return Settings{}, fmt.Errorf("settings %s: the file is larger than %d bytes", path, maxFileBytes)
+		return Settings{}, ErrInvalid.New("%s: the file is larger than %d bytes", path, maxFileBytes)
 	}
 	s, err := Parse(data)
 	if err != nil {
-		return Settings{}, fmt.Errorf("settings %s: %w", path, err)
+		return Settings{}, ErrInvalid.Wrap(err, "%s", path)
 	}
 	return s, nil
 }
--- a/daemon/settings/settings_test.go
+++ b/daemon/settings/settings_test.go
@@ -1,8 +1,12 @@
 package settings
 
 import (
+	"os"
+	"path/filepath"
 	"strings"
 	"testing"
+
+	"github.com/joomcode/errorx"
 )
 
 const valid = `{"gateway":"g1","zone":"z","public_addr":"127.0.0.1:1","peer_addr":"127.0.0.1:2",
@@ -39,3 +43,17 @@
 		}
 	}
 }
+
+// Guards against a missing file that looks like a wrong one.
+func TestErrorTypes(t *testing.T) {
+	path := filepath.Join(t.TempDir(), "settings.json")
+	if _, err := Load(path); !errorx.IsOfType(err, ErrUnreadable) {
+		t.Errorf("missing file: %v", err)
+	}
+	if err := os.WriteFile(path, []byte("{}"), 0o600); err != nil {
+		t.Fatal(err)
+	}
+	if _, err := Load(path); !errorx.IsOfType(err, ErrInvalid) || !strings.Contains(err.Error(), "gateway: value : a value is required") {
+		t.Errorf("empty settings: %v", err)
+	}
+}
