--- a/daemon/fleet/client.go
+++ b/daemon/fleet/client.go
@@ -77,6 +77,23 @@
 	return bootclock.Since(c.contact)
 }
 
+// LeaderAddr returns the address of the leader that answered last, or an empty string.
+func (c *Client) LeaderAddr() string {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if !c.connected {
+		return ""
+	}
+	return c.leader
+}
+
+// MemberAddrs returns the addresses of the controllers as they named them.
+func (c *Client) MemberAddrs() []string {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return slices.Clone(c.known)
+}
+
 // Submit hands in a workflow.
 func (c *Client) Submit(ctx context.Context, s workflow.Submission) (JobAnswer, error) {
 	return call[JobAnswer](ctx, c, opSubmit, s)
--- a/daemon/fleet/fleet_test.go
+++ b/daemon/fleet/fleet_test.go
@@ -363,3 +363,34 @@
 		t.Errorf("the call ended with %v", err)
 	}
 }
+
+// namedControllers is a directory that names a leader and members.
+type namedControllers struct{ leader, member string }
+
+func (n namedControllers) LeaderAddr() string { return n.leader }
+func (n namedControllers) MemberAddrs() []string {
+	if n.member == "" {
+		return nil
+	}
+	return []string{n.member}
+}
+
+// Guards against a client that does not find the leader when its only seed is a daemon that
+// cannot lead.
+func TestClientFindsTheLeaderThroughARelay(t *testing.T) {
+	r := newRig(t)
+	leader := httptest.NewServer(Handler(r.engine, namedControllers{}, zerolog.Nop()))
+	defer leader.Close()
+	addr := leader.Listener.Addr().String()
+	for name, directory := range map[string]namedControllers{"leader": {leader: addr}, "member": {member: addr}} {
+		relay := httptest.NewServer(RedirectHandler(directory))
+		client := NewClient([]string{relay.Listener.Addr().String()}, &http.Transport{}, zerolog.Nop())
+		ctx, cancel := context.WithTimeout(context.Background(), time.Minute)
+		r.until("the leader answers through the relay that names it as "+name, func() bool { return client.Ping(ctx) == nil })
+		if got := client.LeaderAddr(); got != addr {
+			t.Errorf("the client names %q as the leader, want %q", got, addr)
+		}
+		cancel()
+		relay.Close()
+	}
+}
--- a/daemon/fleet/rpc.go
+++ b/daemon/fleet/rpc.go
@@ -103,6 +103,16 @@
 	})
 }
 
+// RedirectHandler answers every operation with the addresses of the directory, on a daemon
+// that cannot lead.
+func RedirectHandler(d Directory) http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+		w.Header()["Date"] = nil
+		w.Header().Set(headerMembers, strings.Join(d.MemberAddrs(), ","))
+		writeError(w, d, ErrNotLeading)
+	})
+}
+
 func writeError(w http.ResponseWriter, d Directory, err error) {
 	switch {
 	case errors.Is(err, ErrNotLeading):
--- a/daemon/fleetd/controller.go
+++ b/daemon/fleetd/controller.go
@@ -44,8 +44,8 @@
 func (d *Daemon) buildController(adapter Adapter) ([]net.Listener, error) {
 	s := d.settings
 	options := replica.Options{
-		Gateway: model.GatewayID(s.ControlListen), Addr: s.ControlListen, Dir: s.DataDir,
-		Client: &http.Client{Transport: transport(connsToController)}, Logger: d.logger,
+		Gateway: model.GatewayID(s.ControlAddr), Addr: s.ControlAddr, Dir: s.DataDir,
+		Client: &http.Client{Transport: d.transport(connsToController)}, Logger: d.logger,
 		NeverFound: !s.MayFound, OpenMembership: true, MaxVoters: 2*max(1, s.ToleratedVMs) + 1,
 		Tick: groupTick, HeartbeatTicks: heartbeatTicks, ElectionTicks: electionTicks,
 		SnapshotBytes: snapshotBytes, KeepBytes: keepBytes,
@@ -61,7 +61,7 @@
 	counts := fleet.NewMetrics()
 	node.engine = fleet.NewEngine(fleet.Options{
 		Metrics: counts,
-		Log:     log, Workers: adapter.Workers(transport(connsToWorker), d.logger), Logger: d.logger,
+		Log:     log, Workers: adapter.Workers(d.transport(connsToWorker), d.logger), Logger: d.logger,
 		LeaderLease: leaderLease, WorkerLease: time.Duration(s.WorkerLeaseMs) * time.Millisecond,
 	})
 	d.node = node
--- a/daemon/fleetd/daemon.go
+++ b/daemon/fleetd/daemon.go
@@ -69,7 +69,7 @@
 		debug.SetMemoryLimit(int64(float64(s.MemoryMiB<<20) * memoryShare))
 	}
 	d := &Daemon{settings: s, path: path, logger: logger}
-	d.client = fleet.NewClient(s.Controllers, transport(connsToController), logger)
+	d.client = fleet.NewClient(s.Controllers, d.transport(connsToController), logger)
 	listeners, err := d.build(adapter)
 	if err != nil {
 		logger.Error().Err(err).Msg("not started")
@@ -79,8 +79,11 @@
 }
 
 func (d *Daemon) build(adapter Adapter) ([]net.Listener, error) {
-	if d.settings.Role == settings.RoleController {
+	switch d.settings.Role {
+	case settings.RoleController:
 		return d.buildController(adapter)
+	case settings.RoleRelay:
+		return d.buildRelay(adapter)
 	}
 	return d.buildGateway(adapter)
 }
@@ -92,6 +95,15 @@
 	return d.listen(map[string]http.Handler{d.settings.CallersListen: callers, d.settings.ReadyListen: ready})
 }
 
+// buildRelay serves workers and operators, who may be sent to any VM of a zone, on a VM that
+// cannot keep a log.
+func (d *Daemon) buildRelay(adapter Adapter) ([]net.Listener, error) {
+	mux := http.NewServeMux()
+	mux.Handle(fleet.PathPrefix, fleet.RedirectHandler(d.client))
+	adapter.RegisterControl(mux, d.client, d.client.LeaderAddr, d.logger)
+	return d.listen(map[string]http.Handler{d.settings.ControlListen: mux})
+}
+
 // readyFor is how long a gateway reports ready after the last answer of a leader. It exceeds
 // a change of leader, because a gateway out of rotation helps nobody then.
 const readyFor = 4 * time.Second
--- a/daemon/fleetd/transport.go
+++ b/daemon/fleetd/transport.go
@@ -19,9 +19,14 @@
 	keepAliveMax = 2                 // unanswered probes after which it is closed
 )
 
-func dialer() *net.Dialer {
+// dialer opens connections from the source address, or from any if it is empty.
+func dialer(source string) *net.Dialer {
+	var local net.Addr
+	if ip := net.ParseIP(source); ip != nil {
+		local = &net.TCPAddr{IP: ip}
+	}
 	return &net.Dialer{
-		Timeout: dialTimeout,
+		Timeout: dialTimeout, LocalAddr: local,
 		KeepAliveConfig: net.KeepAliveConfig{
 			Enable: true, Idle: keepAlive, Interval: keepAlive, Count: keepAliveMax,
 		},
@@ -39,9 +44,9 @@
 }
 
 // transport returns a transport with at most perHost connections to one address.
-func transport(perHost int) *http.Transport {
+func (d *Daemon) transport(perHost int) *http.Transport {
 	return &http.Transport{
-		DialContext:         dialer().DialContext,
+		DialContext:         dialer(d.settings.SourceIP).DialContext,
 		MaxConnsPerHost:     perHost,
 		MaxIdleConnsPerHost: perHost,
 		IdleConnTimeout:     idleConns,
--- a/daemon/settings/fleet.go
+++ b/daemon/settings/fleet.go
@@ -15,18 +15,22 @@
 const (
 	RoleGateway    FleetRole = "gateway"    // takes requests of callers and passes them to the leader
 	RoleController FleetRole = "controller" // keeps the state; the leader runs the workflows
+	RoleRelay      FleetRole = "relay"      // takes calls of workers and operators like a controller, on a VM without a disk
 )
 
 // Fleet is the content of the settings file of a daemon that runs workflows on a platform.
 type Fleet struct {
 	ID          string     `json:"id" validate:"required,max=128"`
-	Role        FleetRole  `json:"role" validate:"required,oneof=gateway controller"`
+	Role        FleetRole  `json:"role" validate:"required,oneof=gateway controller relay"`
 	Zone        model.Zone `json:"zone" validate:"required,max=128"`
 	Controllers []string   `json:"controllers" validate:"required,min=1,max=16,dive,hostname_port"` // where some controllers are
 
 	CallersListen string `json:"callers_listen,omitempty" validate:"omitempty,hostname_port"` // gateways
 	ReadyListen   string `json:"ready_listen,omitempty" validate:"omitempty,hostname_port"`   // gateways
-	ControlListen string `json:"control_listen,omitempty" validate:"omitempty,hostname_port"` // controllers
+	ControlListen string `json:"control_listen,omitempty" validate:"omitempty,hostname_port"` // controllers and relays
+
+	ControlAddr string `json:"control_addr,omitempty" validate:"omitempty,hostname_port"` // where others reach control_listen, if it differs
+	SourceIP    string `json:"source_ip,omitempty" validate:"omitempty,ip"`               // from which connections are opened; any if empty
 
 	DataDir      string `json:"data_dir,omitempty"`                                       // controllers
 	MayFound     bool   `json:"may_found,omitempty"`                                      // true only when the whole system starts for the first time
@@ -67,6 +71,7 @@
 	if err := decodeStrict(data, &s); err != nil {
 		return Fleet{}, err
 	}
+	setDefault(&s.ControlAddr, s.ControlListen)
 	setDefault(&s.WorkerLeaseMs, DefaultWorkerLeaseMs)
 	setDefault(&s.DrainMs, DefaultDrainMs)
 	setDefault(&s.LogLevel, "info")
@@ -84,6 +89,8 @@
 		required["callers_listen"], required["ready_listen"] = s.CallersListen, s.ReadyListen
 	case RoleController:
 		required["control_listen"], required["data_dir"] = s.ControlListen, s.DataDir
+	case RoleRelay:
+		required["control_listen"] = s.ControlListen
 	}
 	for name, value := range required {
 		if value == "" {
--- a/daemon/settings/fleet_test.go
+++ b/daemon/settings/fleet_test.go
@@ -8,13 +8,15 @@
 const validController = `{"id":"vm-1","role":"controller","zone":"z","controllers":["10.0.0.1:80"],` +
 	`"control_listen":"10.0.0.1:80","data_dir":"/data"}`
 
+const validRelay = `{"id":"vm-4","role":"relay","zone":"z","controllers":["10.0.0.1:80"],"control_listen":"10.0.0.1:80"}`
+
 const validGateway = `{"id":"vm-1","role":"gateway","zone":"z","controllers":["10.0.0.1:80"],` +
 	`"callers_listen":"10.0.0.1:81","ready_listen":"10.0.0.1:82"}`
 
 // Guards against defaults that are lost, and against a controller that may found a group
 // although nobody said so.
 func TestFleetDefaults(t *testing.T) {
-	for _, text := range []string{validController, validGateway} {
+	for _, text := range []string{validController, validGateway, validRelay} {
 		s, err := ParseFleet([]byte(text))
 		if err != nil {
 			t.Fatal(err)
@@ -25,14 +27,31 @@
 	}
 }
 
+// Guards against a controller that names another address than the one that its settings give.
+func TestFleetControlAddr(t *testing.T) {
+	for text, want := range map[string]string{
+		validController: "10.0.0.1:80",
+		strings.Replace(validController, `"zone":"z"`, `"zone":"z","control_addr":"10.0.0.9:81"`, 1): "10.0.0.9:81",
+	} {
+		s, err := ParseFleet([]byte(text))
+		if err != nil || s.ControlAddr != want {
+			t.Errorf("control_addr %q, error %v, want %q", s.ControlAddr, err, want)
+		}
+	}
+}
+
 // Guards against settings that cannot work, and against errors that do not name the field.
 func TestFleetErrors(t *testing.T) {
 	for _, c := range []struct{ text, from, to, want string }{
-		{validController, `"controller"`, `"leader"`, "role: value leader: allowed are gateway, controller"},
+		{validController, `"controller"`, `"leader"`, "role: value leader: allowed are gateway, controller, relay"},
 		{validController, `"data_dir":"/data"`, `"data_dir":""`, "data_dir"},
+		{validController, `"control_listen":"10.0.0.1:80",`, ``, "control_listen"},
+		{validRelay, `"control_listen":"10.0.0.1:80"`, `"log_level":"info"`, "control_listen"},
 		{validController, `,"data_dir":"/data"`, `,"data_dir":"/data","worker_lease_ms":5`, "worker_lease_ms: value 5: at least 1000 required"},
 		{validController, `["10.0.0.1:80"]`, `[]`, "controllers"},
 		{validController, `["10.0.0.1:80"]`, `["10.0.0.1"]`, "controllers[0]"},
+		{validController, `"zone":"z"`, `"zone":"z","source_ip":"here"`, "source_ip"},
+		{validController, `"zone":"z"`, `"zone":"z","control_addr":"10.0.0.1"`, "control_addr"},
 		{validGateway, `,"ready_listen":"10.0.0.1:82"`, ``, "ready_listen"},
 		{validGateway, `"id"`, `"idd"`, `unknown field "idd"`},
 		{validGateway, `82"}`, `82"} {}`, "unexpected content after the JSON object"},
