Settle a start without an answer on a worker that has nothing to tell

Cause: such a start is settled by a stop that was answered and a list asked for after it. The stop was repeated every 500 ms and each answer moved that moment on, while the lists of an idle worker take a second: no list was ever new enough, and the attempt stayed open for ever.

Change: the first answered stop counts.

--- a/daemon/fleet/fakeworker_test.go
+++ b/daemon/fleet/fakeworker_test.go
@@ -26,6 +26,8 @@
 	ends    []Ended
 	last    uint64
 
+	tail    int64                       // figure of every run
+	waits   bool                        // holds without an end take as long as they may
 	silent  bool                        // answers nothing
 	lateFor func(workflow.Attempt) bool // starts that get no answer and are carried out by runLate
 	late    []StartCall                 // carried out by runLate
@@ -178,11 +180,16 @@
 	if err := w.admit(call.Token); err != nil {
 		return Listing{}, err
 	}
+	if w.waits && len(w.ends) == 0 {
+		w.mu.Unlock()
+		time.Sleep(time.Duration(call.Wait) * time.Millisecond)
+		w.mu.Lock()
+	}
 	w.until = max(w.until, call.Until)
 	w.ends = slices.DeleteFunc(w.ends, func(e Ended) bool { return e.Number <= call.Through })
 	listing := Listing{Clock: w.clock(), Born: w.worker.Life.Born, Ended: slices.Clone(w.ends)}
 	for a := range w.running {
-		listing.Running = append(listing.Running, Running{Attempt: a, Checkpoint: "listed", Percent: int(w.clock()/10) % 100})
+		listing.Running = append(listing.Running, Running{Attempt: a, Checkpoint: "listed", Percent: int(w.clock()/10) % 100, Figure: w.tail})
 	}
 	return listing, nil
 }
--- a/daemon/fleet/fleet_test.go
+++ b/daemon/fleet/fleet_test.go
@@ -168,6 +168,26 @@
 	}
 }
 
+// Guards against a start without an answer that stays open for ever on a worker with nothing
+// else to tell: its lists take longer than the pause between two stops.
+func TestUnansweredStartOnIdleWorkerIsSettled(t *testing.T) {
+	r := newRig(t)
+	a := r.workers.add("a", 1)
+	a.waits = true
+	first := true
+	a.lateFor = func(workflow.Attempt) bool {
+		was := first
+		first = false
+		return was
+	}
+	r.report(a)
+	r.submit("j", oneTask)
+	r.until("the task runs as its second attempt", func() bool {
+		runs := a.runs()
+		return len(runs) == 1 && runs[0].Number == 2
+	})
+}
+
 // Guards against a task that is started elsewhere before the lease of a silent worker is
 // over, and against one that never is.
 func TestSilentWorkerLosesItsTasksAfterItsLease(t *testing.T) {
--- a/daemon/fleet/orders.go
+++ b/daemon/fleet/orders.go
@@ -100,8 +100,8 @@
 		defer l.mu.Unlock()
 		answered := bootclock.Now()
 		s.sawClock(clock, answered)
-		if err == nil {
-			o.stoppedAt = answered
+		if err == nil && o.stoppedAt == 0 {
+			o.stoppedAt = answered // a repetition must not make the list that settles the attempt look old
 		}
 		s.changed = true
 		l.logger.Debug().Err(err).Str("task", a.Task.String()).Uint32("attempt", a.Number).Str("worker", string(s.life.Worker)).Msg("stop")
