Stop fillers that stay paused, and expect serving tasks to use what they do

Serving tasks were expected to use 0.6 of their reservation, they use 0.42 on average.

Change: a filler with checkpoints that was paused for a second is stopped and goes on from its checkpoint where it presses on nobody. Serving tasks are expected to use 0.4.

--- a/core/dispatch/plan_test.go
+++ b/core/dispatch/plan_test.go
@@ -199,3 +199,23 @@
 		t.Error("the largest job was never served")
 	}
 }
+
+// Guards against a move that loses work or gains nothing: only a filler that can go on from a
+// checkpoint is worth moving, and only after a pause that exceeds its restart.
+func TestWorthMoving(t *testing.T) {
+	filler := workflow.StepSpec{UsesSpareCPU: true, Checkpoints: true}
+	loses := workflow.StepSpec{UsesSpareCPU: true}
+	reserved := workflow.StepSpec{Checkpoints: true}
+	for _, c := range []struct {
+		step   workflow.StepSpec
+		paused model.Millis
+		want   bool
+	}{
+		{filler, pausedTooLong + 1, true}, {filler, pausedTooLong, false},
+		{loses, 100 * pausedTooLong, false}, {reserved, 100 * pausedTooLong, false},
+	} {
+		if got := WorthMoving(&c.step, c.paused); got != c.want {
+			t.Errorf("%+v paused for %d ms: %v, want %v", c.step, c.paused, got, c.want)
+		}
+	}
+}
--- a/core/dispatch/room.go
+++ b/core/dispatch/room.go
@@ -9,7 +9,7 @@
 // Shares of a reserved core that its task is expected to use, for the estimate of what is
 // left to tasks that use spare capacity.
 const (
-	servingUse = 0.6 // the load of serving tasks swings; measured means lie near 0.42 of the reservation
+	servingUse = 0.4 // the load of serving tasks swings; measured means lie near 0.42 of the reservation
 	otherUse   = 1.0
 )
 
--- a/daemon/fleet/fleet_test.go
+++ b/daemon/fleet/fleet_test.go
@@ -279,6 +279,25 @@
 	r.until("the next task runs", func() bool { return len(b.runs()) == 2 })
 }
 
+// Guards against a filler that stands still beside a serving task for as long as it presses on
+// it, and holds its place meanwhile.
+func TestPausedFillerMoves(t *testing.T) {
+	r := newRig(t)
+	a := r.workers.add("a", 1)
+	r.report(a)
+	r.submit("serves", workflow.StepSpec{Count: 1, CPUMillis: 1000, LongRunning: true, Image: "s", TailTargetMs: 20})
+	r.until("the serving task runs", func() bool { return len(a.runs()) == 1 })
+	r.submit("fills", workflow.StepSpec{Count: 1, CPUMillis: 1000, UsesSpareCPU: true, Checkpoints: true, Image: "f"})
+	r.until("the filler runs beside it", func() bool { return len(a.runs()) == 2 })
+	a.set(func() { a.tail = 50 })
+	b := r.workers.add("b", 1)
+	r.report(b)
+	r.until("the filler has moved", func() bool { return len(a.runs()) == 1 && len(b.runs()) == 1 })
+	if moved := b.runs()[0]; moved.Task.Job != "fills" || b.running[moved] != "saved" {
+		t.Errorf("attempt %v runs on the other worker from checkpoint %q", moved, b.running[moved])
+	}
+}
+
 // Guards against tasks of a worker that has started again under its id: they are gone, and a
 // start of its former life must not run there.
 func TestRestartedWorkerKnowsNothing(t *testing.T) {
--- a/daemon/fleet/orders.go
+++ b/daemon/fleet/orders.go
@@ -127,6 +127,7 @@
 		if err == nil {
 			s.changed = true
 			o.pace = order.Percent
+			o.pacedAt = bootclock.Now()
 			o.percentAt = bootclock.Now()
 		}
 		l.logger.Debug().Err(err).Str("task", order.Attempt.Task.String()).Str("worker", string(s.life.Worker)).
--- a/daemon/fleet/reconcile.go
+++ b/daemon/fleet/reconcile.go
@@ -3,6 +3,8 @@
 import (
 	"time"
 
+	"samphirepaddle.example/core/dispatch"
+	"samphirepaddle.example/core/model"
 	"samphirepaddle.example/core/workflow"
 	"samphirepaddle.example/daemon/bootclock"
 )
@@ -158,6 +160,8 @@
 		o.evict = "the worker is leaving"
 	case w != nil && w.Draining && s.drainUntil != 0 && s.drainUntil.Sub(now) < leaveMargin:
 		o.evict = "the worker is about to end"
+	case o.pace == 0 && !o.pacing && dispatch.WorthMoving(a.Step, model.Millis(now.Sub(o.pacedAt).Milliseconds())):
+		o.evict = "paused for the sake of serving tasks"
 	case stalled(a, o, s, now):
 		o.evict = "no progress"
 		s.quarantine.stalled(now)
--- a/daemon/fleet/session.go
+++ b/daemon/fleet/session.go
@@ -36,6 +36,7 @@
 	stoppedAt   bootclock.Time // when a stop was answered
 	pace        int            // last one that was answered
 	pacing      bool           // a call is in progress
+	pacedAt     bootclock.Time // when pace was answered
 	evict       string         // reason to stop it although its job goes on
 	firstListed bootclock.Time
 	percent     int
