--- a/core/dispatch/move.go
+++ b/core/dispatch/move.go
@@ -8,7 +8,7 @@
 // pausedTooLong is how long a task may stand still for the sake of a serving one before it is
 // stopped: the swing of a serving task's load takes ten seconds, a restart from a checkpoint
 // 0.3 to 0.6 s.
-const pausedTooLong = model.Millis(1000)
+const pausedTooLong = model.Millis(500)
 
 // WorthMoving reports whether a paused task is better off waiting: it continues from its
 // checkpoint where it presses on nobody, and leaves its place to a task that does not press.
