Log why tasks wait

Change: the planner returns what keeps each step waiting, on the worker where it came furthest: no worker, label, room, tasks a worker, pressure, spare capacity, reserve. The reserve for short tasks is taken only once a worker has been found.

--- a/core/dispatch/plan.go
+++ b/core/dispatch/plan.go
@@ -6,8 +6,9 @@
 )
 
 // Plan returns the assignments of one pass: queues in order of urgency, and for each waiting
-// task the worker with the best score among those that have room.
-func Plan(p *Picture, memory *Memory) []workflow.Assignment {
+// task the worker with the best score among those that have room. waits tells of each step
+// whose tasks did not all find a place what kept the first one.
+func Plan(p *Picture, memory *Memory) (assign []workflow.Assignment, waits []Wait) {
 	pass := &pass{now: p.Now, pressure: memory.Pressure, patience: patience(p), budget: memory.Reserve.budget(p)}
 	for _, w := range p.Workers {
 		if w.Usable {
@@ -17,7 +18,7 @@
 	for _, queue := range ordered(p) {
 		pass.place(queue)
 	}
-	return pass.assignments
+	return pass.assignments, pass.waits
 }
 
 // pass is one run of Plan.
@@ -29,6 +30,7 @@
 	usable      []*Worker
 	rooms       []*room // of the usable workers, from the first task on
 	assignments []workflow.Assignment
+	waits       []Wait
 }
 
 // waiting is the tasks of one step that may start.
@@ -71,11 +73,12 @@
 	}
 	for _, t := range w.tasks {
 		key := workflow.TaskKey{Job: q.Job.ID, Occurrence: q.Occurrence, Step: w.step, Index: t.index}
-		if !p.withinBudget(q.Job, spec, t.task) {
-			return
+		best, reason := p.best(q.Job, spec, key, t.task, starved)
+		if best != nil && !p.withinBudget(q.Job, spec, t.task) {
+			best, reason = nil, WaitReserve
 		}
-		best := p.best(q.Job, spec, key, t.task, starved)
 		if best == nil {
+			p.waits = append(p.waits, Wait{q.Job.ID, q.Occurrence, w.step, reason})
 			if spec.Gang {
 				p.undo(first, spec)
 			}
@@ -170,21 +173,26 @@
 	return p.now-since > p.patience
 }
 
-// best returns the worker with room that scores highest, or nil.
-func (p *pass) best(job *workflow.Job, spec *workflow.StepSpec, key workflow.TaskKey, task workflow.Task, starved bool) *room {
-	var best *room
+// best returns the worker with room that scores highest, or nil and what is in the way.
+func (p *pass) best(job *workflow.Job, spec *workflow.StepSpec, key workflow.TaskKey, task workflow.Task, starved bool) (best *room, reason WaitReason) {
 	bestScore := 0.0
 	for _, r := range p.rooms {
-		if !allowed(r, job, spec, key) {
+		if r.worker.Service != job.Service {
+			continue
+		}
+		if obstacle, ok := allowed(r, spec, key); !ok {
+			reason = max(reason, obstacle)
 			continue
 		}
 		cost := 0.0
 		if spec.UsesSpareCPU {
 			var bearable bool
 			if cost, bearable = r.pressureOf(p.pressure, spec); !bearable && !starved {
+				reason = max(reason, WaitPresses)
 				continue
 			}
 			if r.spare < spec.CPUMillis && !starved {
+				reason = max(reason, WaitSpare)
 				continue
 			}
 		}
@@ -193,19 +201,20 @@
 			best, bestScore = r, score
 		}
 	}
-	return best
+	return best, reason
 }
 
 // allowed is the filter: what the step requires and what the worker has free.
-func allowed(r *room, job *workflow.Job, spec *workflow.StepSpec, key workflow.TaskKey) bool {
-	w := r.worker
-	if w.Service != job.Service || !r.fits(spec) {
-		return false
-	}
-	if spec.RequiredLabel != "" && !w.HasLabel(spec.RequiredLabel) {
-		return false
+func allowed(r *room, spec *workflow.StepSpec, key workflow.TaskKey) (obstacle WaitReason, ok bool) {
+	switch {
+	case spec.RequiredLabel != "" && !r.worker.HasLabel(spec.RequiredLabel):
+		return WaitLabel, false
+	case !r.fits(spec):
+		return WaitRoom, false
+	case spec.MaxPerWorker != 0 && r.tasksOf(keyOf(key)) >= spec.MaxPerWorker:
+		return WaitMost, false
 	}
-	return spec.MaxPerWorker == 0 || r.tasksOf(keyOf(key)) < spec.MaxPerWorker
+	return 0, true
 }
 
 // pressureOf returns how much a filler would press on the serving tasks of the worker, and
--- a/core/dispatch/plan_test.go
+++ b/core/dispatch/plan_test.go
@@ -64,7 +64,7 @@
 		{"memory", workflow.StepSpec{Count: 5, CPUMillis: 1, MemoryMiB: 300}, 3},
 		{"accelerators", workflow.StepSpec{Count: 5, Accelerators: 1}, 0},
 	} {
-		got := Plan(picture([]*Worker{w}, testJob("j", 0, c.step)), NewMemory())
+		got, _ := Plan(picture([]*Worker{w}, testJob("j", 0, c.step)), NewMemory())
 		if len(got) != c.want {
 			t.Errorf("%s: %d tasks were placed, %d fit", c.name, len(got), c.want)
 		}
@@ -75,23 +75,23 @@
 func TestRequirements(t *testing.T) {
 	workers := []*Worker{testWorker("a", 8000, 8000, "x", "r1"), testWorker("b", 8000, 8000, "y", "r2"), testWorker("c", 8000, 8000, "y", "r3")}
 	workers[2].Usable = false
-	label := Plan(picture(workers, testJob("j", 0, workflow.StepSpec{Count: 2, CPUMillis: 100, RequiredLabel: "y"})), NewMemory())
+	label, _ := Plan(picture(workers, testJob("j", 0, workflow.StepSpec{Count: 2, CPUMillis: 100, RequiredLabel: "y"})), NewMemory())
 	for _, id := range placed(label, "j") {
 		if id != "b" {
 			t.Errorf("a task that requires label y was placed on %s", id)
 		}
 	}
-	spread := Plan(picture(workers, testJob("j", 0, workflow.StepSpec{Count: 4, CPUMillis: 100, MaxPerWorker: 1})), NewMemory())
+	spread, _ := Plan(picture(workers, testJob("j", 0, workflow.StepSpec{Count: 4, CPUMillis: 100, MaxPerWorker: 1})), NewMemory())
 	if got := placed(spread, "j"); len(got) != 2 || got[0] == got[1] {
 		t.Errorf("with at most one task a worker, the tasks went to %v", got)
 	}
-	near := Plan(picture(workers, testJob("j", 0, workflow.StepSpec{Count: 1, CPUMillis: 100, DataRack: "r2"})), NewMemory())
+	near, _ := Plan(picture(workers, testJob("j", 0, workflow.StepSpec{Count: 1, CPUMillis: 100, DataRack: "r2"})), NewMemory())
 	if got := placed(near, "j"); len(got) != 1 || got[0] != "b" {
 		t.Errorf("the task whose data is in r2 went to %v", got)
 	}
 	other := testJob("j", 0, workflow.StepSpec{Count: 1, CPUMillis: 100})
 	other.Service = "other"
-	if got := Plan(picture(workers, other), NewMemory()); len(got) != 0 {
+	if got, _ := Plan(picture(workers, other), NewMemory()); len(got) != 0 {
 		t.Errorf("a task was placed on the workers of another service: %v", got)
 	}
 }
@@ -104,7 +104,7 @@
 	fitting := testJob("fits", 0, workflow.StepSpec{Count: 4, CPUMillis: 1000, Gang: true})
 	fitting.Runs = map[int]*workflow.Run{0: {Steps: []workflow.StepRun{{Tasks: make([]workflow.Task, 4)}}}}
 	fitting.Runs[0].Steps[0].Tasks[2].Attempt = 6
-	got := Plan(picture(workers, tooWide, fitting), NewMemory())
+	got, _ := Plan(picture(workers, tooWide, fitting), NewMemory())
 	if len(placed(got, "wide")) != 0 || len(placed(got, "fits")) != 4 {
 		t.Fatalf("placed: %v", got)
 	}
@@ -121,7 +121,8 @@
 	job := testJob("j", 0, workflow.StepSpec{Count: 1, CPUMillis: 1000})
 	failed := workflow.Task{Attempt: 1, Failures: 1, Life: workers[0].Life}
 	job.Runs = map[int]*workflow.Run{0: {Steps: []workflow.StepRun{{Tasks: []workflow.Task{failed}}}}}
-	if got := placed(Plan(picture(workers, job), NewMemory()), "j"); len(got) != 1 || got[0] != "b" {
+	assigned, _ := Plan(picture(workers, job), NewMemory())
+	if got := placed(assigned, "j"); len(got) != 1 || got[0] != "b" {
 		t.Errorf("the task went to %v", got)
 	}
 }
@@ -132,7 +133,7 @@
 	lasting := workflow.StepSpec{Count: 20, CPUMillis: 1000, LongRunning: true}
 	workers := []*Worker{testWorker("a", 10_000, 100), testWorker("b", 10_000, 100)}
 	first := testJob("lasting", 0, lasting)
-	got := Plan(picture(workers, first), NewMemory())
+	got, _ := Plan(picture(workers, first), NewMemory())
 	if free := 20 - len(got); free < 1 || free > 3 {
 		t.Errorf("first starts left %d of 20 cores, want 5 to 15 %%", free)
 	}
@@ -141,7 +142,7 @@
 	for i := range back.Runs[0].Steps[0].Tasks {
 		back.Runs[0].Steps[0].Tasks[i].Attempt = 1
 	}
-	if got := Plan(picture(workers, back), NewMemory()); len(got) != 20 {
+	if got, _ := Plan(picture(workers, back), NewMemory()); len(got) != 20 {
 		t.Errorf("%d of 20 long-running tasks came back", len(got))
 	}
 }
@@ -181,7 +182,8 @@
 				}
 				p.Queues = append(p.Queues, Queue{Job: &pending})
 			}
-			for _, a := range Plan(p, memory) {
+			assigned, _ := Plan(p, memory)
+			for _, a := range assigned {
 				id := a.Attempt.Task.Job
 				if left[id]--; left[id] == 0 && second < 12 {
 					count++
@@ -219,3 +221,28 @@
 		}
 	}
 }
+
+// Guards against a waiting task whose log line names another obstacle than the one that keeps
+// it.
+func TestReasonsForWaiting(t *testing.T) {
+	full := testWorker("full", 4000, 100)
+	for _, c := range []struct {
+		name string
+		step workflow.StepSpec
+		want WaitReason
+	}{
+		{"label", workflow.StepSpec{Count: 1, RequiredLabel: "gpu"}, WaitLabel},
+		{"room", workflow.StepSpec{Count: 1, CPUMillis: 5000}, WaitRoom},
+		{"most on one worker", workflow.StepSpec{Count: 2, CPUMillis: 100, MaxPerWorker: 1}, WaitMost},
+		{"spare capacity", workflow.StepSpec{Count: 1, CPUMillis: 5000, UsesSpareCPU: true}, WaitSpare},
+		{"reserve", workflow.StepSpec{Count: 2, CPUMillis: 2000, LongRunning: true}, WaitReserve},
+	} {
+		_, waits := Plan(picture([]*Worker{full}, testJob("j", 0, c.step)), NewMemory())
+		if len(waits) != 1 || waits[0].Reason != c.want || waits[0].Job != "j" {
+			t.Errorf("%s: waits %+v, want %v", c.name, waits, c.want)
+		}
+	}
+	if _, waits := Plan(picture(nil, testJob("j", 0, workflow.StepSpec{Count: 1})), NewMemory()); len(waits) != 1 || waits[0].Reason != WaitWorker {
+		t.Errorf("no worker: waits %+v", waits)
+	}
+}
--- a/core/dispatch/sharing_test.go
+++ b/core/dispatch/sharing_test.go
@@ -117,7 +117,8 @@
 			}
 		}
 	}
-	for _, a := range Plan(p, w.memory) {
+	assigned, _ := Plan(p, w.memory)
+	for _, a := range assigned {
 		for _, job := range w.queue {
 			if job.ID != a.Attempt.Task.Job {
 				continue
--- a/daemon/fleet/engine.go
+++ b/daemon/fleet/engine.go
@@ -107,6 +107,7 @@
 	sessions map[workflow.Life]*session
 	reports  map[workflow.WorkerID]*pendingReport
 	watches  watches
+	waits    map[waitKey]*waitLog
 	memory   *dispatch.Memory
 }
 
@@ -123,7 +124,7 @@
 		engine: e, ctx: ctx, cancel: cancel, token: term, since: bootclock.Now(),
 		logger: e.opts.Logger.With().Uint64("term", term).Logger(),
 		kicks:  make(chan struct{}, 1), sessions: map[workflow.Life]*session{},
-		reports: map[workflow.WorkerID]*pendingReport{}, watches: newWatches(),
+		reports: map[workflow.WorkerID]*pendingReport{}, watches: newWatches(), waits: map[waitKey]*waitLog{},
 		memory: dispatch.NewMemory(),
 	}
 	l.limit = &logLimit{most: decisionsPerSecond}
--- a/daemon/fleet/pass.go
+++ b/daemon/fleet/pass.go
@@ -80,7 +80,9 @@
 	l.memory.Pressure.Forget(flows.IsLive)
 	picture := l.picture(st, now)
 	l.adjustSharing(picture, now, p)
-	p.batch.Assign = dispatch.Plan(picture, l.memory)
+	assigned, waits := dispatch.Plan(picture, l.memory)
+	p.batch.Assign = assigned
+	l.logWaits(waits, now)
 	for _, a := range p.batch.Assign {
 		l.sessions[a.Life].orders[a.Attempt] = &order{phase: startPlanned, pace: 100}
 	}
--- /dev/null
+++ b/daemon/fleet/waits_test.go
@@ -0,0 +1,44 @@
+package fleet
+
+import (
+	"bytes"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/rs/zerolog"
+
+	"samphirepaddle.example/core/dispatch"
+	"samphirepaddle.example/daemon/bootclock"
+)
+
+// Guards against a job that is late without a line that says why it waited, and against a line
+// for every pass.
+func TestWaitsAreLogged(t *testing.T) {
+	var out bytes.Buffer
+	l := &lead{detail: zerolog.New(&out), waits: map[waitKey]*waitLog{}}
+	waits := []dispatch.Wait{{Job: "j", Step: 1, Reason: dispatch.WaitPresses}}
+	begin := bootclock.Now()
+	lines := func() int { return strings.Count(out.String(), "\n") }
+	for _, c := range []struct {
+		after time.Duration
+		waits []dispatch.Wait
+		lines int
+	}{
+		{0, waits, 0},
+		{waitLoggedAfter, waits, 1},
+		{waitLoggedAfter + waitRepeated/2, waits, 1},
+		{waitLoggedAfter + waitRepeated, waits, 2},
+		{2 * waitRepeated, nil, 2},
+		{2*waitRepeated + time.Millisecond, waits, 2}, // a new wait
+	} {
+		if l.logWaits(c.waits, begin.Add(c.after)); lines() != c.lines {
+			t.Errorf("after %v there are %d lines, want %d", c.after, lines(), c.lines)
+		}
+	}
+	for _, want := range []string{`"job":"j"`, `"step":1`, `"reason":"it would press on serving tasks"`, `"waited_ms":1000`} {
+		if !strings.Contains(out.String(), want) {
+			t.Errorf("%s is missing in %s", want, out.String())
+		}
+	}
+}
