Add a fault soak that runs the daemons as processes

Plays random faults on three or five controllers and three gateways behind relays, with stand-in workers and callers: kills, stops, freezes, lost disks, torn log ends, cuts in one and both directions, delays, resets, silent connections, workers that crash, stay mute, start late, fail, stall, refuse and leave. A checker follows what callers and workers see.

The stand-in of the platform gains leases, rooms, faults, heartbeats and callers; relays gain impairments by direction; ports of test daemons lie below those of outgoing connections.

--- a/Makefile
+++ b/Makefile
@@ -1,6 +1,6 @@
 MODULES := core daemon platform ctl test bench
 
-.PHONY: demo test bench build lint format-check spec generate
+.PHONY: demo test bench build lint format-check spec generate soak
 
 # demo runs three daemons and a stand-in target: a ticket, a quick check, a batch job.
 demo: build
@@ -17,6 +17,10 @@
 	@set -e; for m in $(MODULES); do (cd $$m && go test -timeout 20m $$(go list ./... | grep -v /decisions$$)); done
 	cd bench && go test -timeout 20m -v ./decisions
 
+# soak plays random faults on the daemons; SEEDS=1-50 chooses the seeds, else the clock does.
+soak:
+	cd test && go run ./cmd/soak --root .. --dir ../bin/soak --seeds "$(SEEDS)"
+
 bench: build
 	./scripts/bench.sh
 
--- a/test/cluster/cluster.go
+++ b/test/cluster/cluster.go
@@ -16,6 +16,7 @@
 	"path/filepath"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"syscall"
 	"time"
 )
@@ -106,7 +107,7 @@
 
 func (c *Cluster) newDaemon(i int) (*Daemon, error) {
 	ip := fmt.Sprintf("127.0.0.%d", firstHost+i)
-	ports, err := freePorts(ip, 2)
+	ports, err := FreePorts(ip, 2)
 	if err != nil {
 		return nil, err
 	}
@@ -137,23 +138,36 @@
 	return d, nil
 }
 
-// freePorts finds ports that are free now. They are taken by the daemon a moment later; a
-// clash shows as a failed start.
-func freePorts(ip string, n int) ([]string, error) {
+// Ports of daemons lie below those that the kernel gives to outgoing connections: one of them
+// could take the port of a daemon that is down for a moment.
+const (
+	firstPort = 12_000
+	lastPort  = 32_000
+)
+
+var nextPort atomic.Int64 // counts the ports that were given away
+
+// FreePorts returns addresses on ip that nobody listens on. Each port is given away once.
+func FreePorts(ip string, n int) ([]string, error) {
 	var addresses []string
-	var listeners []net.Listener
-	defer func() {
-		for _, l := range listeners {
-			_ = l.Close()
+	for range lastPort - firstPort {
+		if len(addresses) == n {
+			break
 		}
-	}()
-	for range n {
-		l, err := net.Listen("tcp", ip+":0")
+		// Other test processes begin elsewhere in the range.
+		port := firstPort + (int64(os.Getpid())*97+nextPort.Add(1))%(lastPort-firstPort)
+		address := fmt.Sprintf("%s:%d", ip, port)
+		listener, err := net.Listen("tcp", address)
 		if err != nil {
+			continue
+		}
+		if err := listener.Close(); err != nil {
 			return nil, err
 		}
-		listeners = append(listeners, l)
-		addresses = append(addresses, l.Addr().String())
+		addresses = append(addresses, address)
+	}
+	if len(addresses) < n {
+		return nil, fmt.Errorf("fewer than %d of the ports %d to %d are free on %s", n, firstPort, lastPort, ip)
 	}
 	return addresses, nil
 }
@@ -221,7 +235,7 @@
 
 // StartTarget starts a stand-in target that announces itself to the given daemons.
 func (c *Cluster) StartTarget(id, zone, rack, pool string, gateways []*Daemon, extra ...string) (*Target, error) {
-	addresses, err := freePorts("127.0.0.1", 1)
+	addresses, err := FreePorts("127.0.0.1", 1)
 	if err != nil {
 		return nil, err
 	}
@@ -275,6 +289,11 @@
 	done    chan struct{}
 }
 
+// NewProcess returns a process that is not started yet. Its output is appended to the file log.
+func NewProcess(path string, args []string, log string) *Process {
+	return &Process{path: path, args: args, log: log}
+}
+
 // Start starts the process; its output is appended to its log file.
 func (p *Process) Start() error {
 	p.mu.Lock()
@@ -344,6 +363,9 @@
 func (p *Process) Exited() bool {
 	p.mu.Lock()
 	defer p.mu.Unlock()
+	if p.done == nil {
+		return true
+	}
 	select {
 	case <-p.done:
 		return true
--- a/test/cluster/relay.go
+++ b/test/cluster/relay.go
@@ -4,6 +4,7 @@
 	"maps"
 	"net"
 	"sync"
+	"time"
 )
 
 // Relay passes TCP connections on to one address and can cut them by source.
@@ -12,8 +13,8 @@
 	target   string
 
 	mu     sync.Mutex
-	cut    map[string]bool // source IP addresses whose traffic is dropped
-	all    bool            // every source is cut
+	faults map[string]Impairment // by source IP address
+	every  Impairment            // of all sources
 	conns  map[*relayed]bool
 	closed bool
 	bytes  map[string]Bytes // by source IP address
@@ -25,11 +26,27 @@
 	ToSource   int64
 }
 
-// relayed is one connection through the relay. While it is cut, bytes are read and dropped in
-// both directions without closing it, as a silent partition does.
+// relayed is one connection through the relay. While it is cut, bytes are read and dropped
+// without closing it, as a silent partition does.
 type relayed struct {
 	source          string
 	client, backend net.Conn
+	broken          bool // bytes were lost, so that the stream cannot go on
+	silent          bool // for good
+}
+
+// Impairment is what a relay does to connections. The zero value passes everything on.
+type Impairment struct {
+	DropFromSource bool // what the side sends that opened the connection
+	DropToSource   bool
+	Delay          time.Duration // of each piece that is passed on
+}
+
+func (i Impairment) drops(toSource bool) bool {
+	if toSource {
+		return i.DropToSource
+	}
+	return i.DropFromSource
 }
 
 // NewRelay listens on address and passes connections on to target.
@@ -38,7 +55,7 @@
 	if err != nil {
 		return nil, err
 	}
-	r := &Relay{listener: listener, target: target, cut: map[string]bool{}, conns: map[*relayed]bool{}, bytes: map[string]Bytes{}}
+	r := &Relay{listener: listener, target: target, faults: map[string]Impairment{}, conns: map[*relayed]bool{}, bytes: map[string]Bytes{}}
 	go r.accept()
 	return r, nil
 }
@@ -48,16 +65,39 @@
 
 // Cut drops the traffic of connections that come from a source IP address.
 func (r *Relay) Cut(source string) {
+	r.Impair(source, Impairment{DropFromSource: true, DropToSource: true})
+}
+
+// Impair changes what happens to connections that come from a source IP address.
+func (r *Relay) Impair(source string, i Impairment) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.faults[source] = i
+}
+
+// Reset closes every connection with a reset.
+func (r *Relay) Reset() {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	for c := range r.conns {
+		c.reset()
+	}
+}
+
+// Silence drops for good what open connections carry, without closing them; new ones work.
+func (r *Relay) Silence() {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	r.cut[source] = true
+	for c := range r.conns {
+		c.silent = true
+	}
 }
 
 // CutAll drops the traffic of every connection.
 func (r *Relay) CutAll() {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	r.all = true
+	r.every = Impairment{DropFromSource: true, DropToSource: true}
 }
 
 // Heal lets traffic pass again. Connections that lost bytes are closed, because a TCP
@@ -66,12 +106,12 @@
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	for c := range r.conns {
-		if r.all || r.cut[c.source] {
+		if c.broken || r.isCut(c.source) {
 			c.close()
 		}
 	}
-	r.cut = map[string]bool{}
-	r.all = false
+	r.faults = map[string]Impairment{}
+	r.every = Impairment{}
 }
 
 // Bytes returns what was passed on so far, by source IP address.
@@ -148,10 +188,28 @@
 	r.bytes[source] = sum
 }
 
+// isCut reports whether a direction of the source is cut; mu is held.
 func (r *Relay) isCut(source string) bool {
+	i := r.faults[source]
+	return i.DropFromSource || i.DropToSource || r.every.DropFromSource || r.every.DropToSource
+}
+
+// admit reports whether a piece of a connection is passed on, and after which delay.
+func (r *Relay) admit(c *relayed, toSource bool) (pass bool, delay time.Duration) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	i := r.faults[c.source]
+	if c.silent || i.drops(toSource) || r.every.drops(toSource) {
+		c.broken = true
+	}
+	return !c.broken, max(i.Delay, r.every.Delay)
+}
+
+// ends reports whether the end of one side closes the other: a cut hides it.
+func (r *Relay) ends(c *relayed) bool {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	return r.all || r.cut[source]
+	return !c.broken && !c.silent && !r.isCut(c.source)
 }
 
 // copyBytes is the size of the relay's buffer.
@@ -161,22 +219,46 @@
 	buffer := make([]byte, copyBytes)
 	for {
 		n, err := from.Read(buffer)
-		if n > 0 && !r.isCut(c.source) {
-			if _, failure := to.Write(buffer[:n]); failure != nil {
-				break
+		if n > 0 {
+			if pass, delay := r.admit(c, unit.ToSource > 0); pass {
+				time.Sleep(delay)
+				if _, failure := to.Write(buffer[:n]); failure != nil {
+					break
+				}
+				r.count(c.source, unit, n)
 			}
-			r.count(c.source, unit, n)
 		}
 		if err != nil {
 			break
 		}
 	}
-	if !r.isCut(c.source) {
+	if r.ends(c) {
 		c.close()
 	}
 }
 
+func (c *relayed) reset() {
+	for _, conn := range []net.Conn{c.client, c.backend} {
+		if tcp, ok := conn.(*net.TCPConn); ok {
+			_ = tcp.SetLinger(0)
+		}
+	}
+	c.close()
+}
+
 func (c *relayed) close() {
 	_ = c.client.Close()
 	_ = c.backend.Close()
 }
+
+// HealSource lets the traffic of one source pass again.
+func (r *Relay) HealSource(source string) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	delete(r.faults, source)
+	for c := range r.conns {
+		if c.source == source && c.broken {
+			c.close()
+		}
+	}
+}
