Count an end that the next life of a worker lists

Cause: calls name a worker's id. A start that is sent after the worker has started again, and before its new life is known, is taken by the new life. Its end was listed under that life, where the state had no open attempt, and was acknowledged without being counted; the attempt was then closed with the former life and the task ran again.

Change: an end closes the attempt wherever it is open among the lives of the worker. An attempt of a former life is closed as lost only if the new life does not run it and was asked after the start was answered. Ends beyond the limit of one batch are no longer taken for attempts that have vanished.

--- a/core/workflow/apply.go
+++ b/core/workflow/apply.go
@@ -157,7 +157,26 @@
 		}
 		worker.EndsThrough = e.Number
 	}
-	s.closeAttempt(now, e.Attempt, e.Life, e)
+	s.closeAttempt(now, e.Attempt, s.assignedLife(e.Attempt, e.Life), e)
+}
+
+// assignedLife returns the life on which the attempt is open, if it is one of the same worker,
+// and otherwise the one that listed its end. Calls name a worker's id only, so a start may be
+// taken by the life that follows the one it was assigned to.
+func (s *State) assignedLife(a Attempt, listed Life) Life {
+	job, ok := s.Jobs[a.Task.Job]
+	if !ok || !job.validKey(a.Task) {
+		return listed
+	}
+	run := job.Runs[a.Task.Occurrence]
+	if run == nil {
+		return listed
+	}
+	task := &run.Steps[a.Task.Step].Tasks[a.Task.Index]
+	if task.Phase == TaskOpen && task.Attempt == a.Number && task.Life.Worker == listed.Worker {
+		return task.Life
+	}
+	return listed
 }
 
 // closeAttempt ends the attempt if it is the open one of its task; anything else was closed
--- a/core/workflow/workflow_test.go
+++ b/core/workflow/workflow_test.go
@@ -253,3 +253,24 @@
 		t.Errorf("the job is shown as %q, a member is open: %v", shown, s.HasOpen(b))
 	}
 }
+
+// Guards against an end that is lost because the worker has started again between the
+// assignment and the start: calls name the worker's id, so its next life may take the start.
+func TestEndOfTheNextLifeCounts(t *testing.T) {
+	s, a, b := newState(t)
+	submit(t, s, "j", StepSpec{Count: 1})
+	k := key("j", 0, 0)
+	batch(t, s, 2, Batch{Assign: []Assignment{assign(k, 1, a)}})
+	next := worker("a", 20)
+	batch(t, s, 3, Batch{Workers: []Worker{next}, Ends: []End{end(k, 1, next.Life, 1, EndDone)}})
+	if shown, _ := s.Show("j"); shown != ShownCompleted || s.HasOpen(a) {
+		t.Errorf("the job is shown as %q", shown)
+	}
+	submit(t, s, "other", StepSpec{Count: 1})
+	other := key("other", 0, 0)
+	batch(t, s, 4, Batch{Assign: []Assignment{assign(other, 1, next.Life)}})
+	batch(t, s, 5, Batch{Ends: []End{end(other, 1, b, 1, EndDone)}})
+	if open, _ := s.IsOpen(next.Life, Attempt{other, 1}); !open {
+		t.Error("the end of another worker has closed the attempt")
+	}
+}
--- a/daemon/fleet/fakeworker_test.go
+++ b/daemon/fleet/fakeworker_test.go
@@ -28,6 +28,8 @@
 
 	tail    int64                       // figure of every run
 	waits   bool                        // holds without an end take as long as they may
+	holds   int                         // calls of hold
+	overlap int                         // starts of a task that ran already as another attempt
 	silent  bool                        // answers nothing
 	lateFor func(workflow.Attempt) bool // starts that get no answer and are carried out by runLate
 	late    []StartCall                 // carried out by runLate
@@ -131,6 +133,11 @@
 		return ErrNeverRuns
 	}
 	w.until = max(w.until, call.Until)
+	for a := range w.running {
+		if a.Task == call.Attempt.Task {
+			w.overlap++
+		}
+	}
 	w.running[call.Attempt] = call.Checkpoint
 	w.starts[call.Attempt]++
 	return nil
@@ -180,6 +187,7 @@
 	if err := w.admit(call.Token); err != nil {
 		return Listing{}, err
 	}
+	w.holds++
 	if w.waits && len(w.ends) == 0 {
 		w.mu.Unlock()
 		time.Sleep(time.Duration(call.Wait) * time.Millisecond)
@@ -198,6 +206,13 @@
 	return nil
 }
 
+// called returns how often the worker was asked what it runs.
+func (w *fakeWorker) called() int {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return w.holds
+}
+
 // runs returns the running attempts.
 func (w *fakeWorker) runs() []workflow.Attempt {
 	w.mu.Lock()
--- a/daemon/fleet/fleet_test.go
+++ b/daemon/fleet/fleet_test.go
@@ -314,6 +314,36 @@
 	}
 }
 
+// Guards against a task that runs again although it was done: its start, sent before anybody
+// knew of the worker's restart, was taken by the new life, because calls name the id only.
+func TestStartTakenByTheNextLife(t *testing.T) {
+	for name, finish := range map[string]bool{"it has ended": true, "it still runs": false} {
+		r := newRig(t)
+		a := r.workers.add("a", 1)
+		a.waits = true // the session sees the restart only with its next call
+		r.report(a)
+		r.until("the session has begun", func() bool { return a.called() > 1 })
+		again := r.workers.add("a", 2)
+		r.submit("j", oneTask)
+		r.until("the new life runs the task", func() bool { return len(again.runs()) == 1 })
+		if finish {
+			again.finish(workflow.EndDone)
+		}
+		r.report(again)
+		r.until("the former life is closed", func() bool {
+			open := true
+			r.log.View(func(st *state.State) { open = st.Workflows.HasOpen(a.worker.Life) })
+			return !open
+		})
+		if again.overlap > 0 {
+			t.Errorf("%s: the task ran twice at a time", name)
+		}
+		if finish && r.shown("j") != workflow.ShownCompleted {
+			t.Errorf("%s: the job is shown as %s", name, r.shown("j"))
+		}
+	}
+}
+
 // Guards against heartbeats of a former life or of an earlier moment that undo later ones.
 func TestLateHeartbeatsChangeNothing(t *testing.T) {
 	r := newRig(t)
--- a/daemon/fleet/pass.go
+++ b/daemon/fleet/pass.go
@@ -128,10 +128,10 @@
 	ended := map[workflow.Attempt]bool{}
 	for _, s := range l.sessions {
 		for _, e := range s.ends {
+			ended[e.Attempt] = true // also those that have to wait for the next batch
 			if len(p.batch.Ends) >= maxBatchEnds {
-				break
+				continue
 			}
-			ended[e.Attempt] = true
 			p.batch.Ends = append(p.batch.Ends, e)
 			l.countOutcome(flows, s, e, now)
 		}
--- a/daemon/fleet/reconcile.go
+++ b/daemon/fleet/reconcile.go
@@ -87,10 +87,14 @@
 		if ended[a.Attempt] {
 			return
 		}
+		if _, runs := next.running[a.Attempt]; runs {
+			l.stop(next, a.Attempt, now, p) // the new life has taken its start
+			return
+		}
 		if old != nil {
 			o := old.orders[a.Attempt]
-			if o != nil && o.phase == startSent {
-				return
+			if o != nil && (o.phase == startSent || (o.phase == startAnswered && next.listedAt <= o.answeredAt)) {
+				return // the new life may have it, and has not been asked since
 			}
 			if o != nil && o.phase == startUnanswered && next.orderOf(a.Attempt).stoppedAt == 0 {
 				l.stop(next, a.Attempt, now, p)
