Let controllers name the group to relays

Before relays the seeds could only be controllers.

Change: a controller tells its seeds that are no members who the members are, once a second, and takes them for its own search from its log. A relay learns from any call that names them.

--- a/daemon/fleet/client.go
+++ b/daemon/fleet/client.go
@@ -45,6 +45,7 @@
 type Client struct {
 	http   *http.Client
 	logger zerolog.Logger
+	group  func() []string // addresses of the controllers as the own log names them; nil on other daemons
 
 	mu        sync.Mutex
 	seeds     []string
@@ -60,6 +61,14 @@
 	return &Client{http: &http.Client{Transport: transport}, seeds: slices.Clone(seeds), logger: logger}
 }
 
+// NewMemberClient returns the client of a controller. It tells every daemon that it calls who
+// the controllers are.
+func NewMemberClient(seeds []string, transport http.RoundTripper, group func() []string, logger zerolog.Logger) *Client {
+	c := NewClient(seeds, transport, logger)
+	c.group = group
+	return c
+}
+
 // SetSeeds replaces the seeds.
 func (c *Client) SetSeeds(seeds []string) {
 	c.mu.Lock()
@@ -189,6 +198,9 @@
 		return nil, false, err
 	}
 	request.GetBody = nil // the transport must not repeat a call by itself
+	if c.group != nil {
+		request.Header.Set(headerMembers, strings.Join(c.group(), ","))
+	}
 	response, err := c.http.Do(request)
 	if err != nil {
 		c.failed(addr, "")
@@ -237,7 +249,11 @@
 // addresses returns the seeds and then the known members; mu is held.
 func (c *Client) addresses() []string {
 	all := slices.Clone(c.seeds)
-	for _, addr := range c.known {
+	known := c.known
+	if c.group != nil {
+		known = append(c.group(), known...)
+	}
+	for _, addr := range known {
 		if !slices.Contains(all, addr) {
 			all = append(all, addr)
 		}
@@ -245,6 +261,38 @@
 	return all
 }
 
+// Introduce tells the seeds that are no controllers who the controllers are. After all daemons
+// have lost power, relays that are each other's seeds know nobody else.
+func (c *Client) Introduce(ctx context.Context) {
+	members := c.group()
+	c.mu.Lock()
+	seeds := slices.Clone(c.seeds)
+	c.mu.Unlock()
+	for _, addr := range seeds {
+		if slices.Contains(members, addr) {
+			continue
+		}
+		if err := c.introduceTo(ctx, addr, members); err != nil {
+			c.logger.Debug().Err(err).Str("seed", addr).Msg("controllers not named to a seed")
+		}
+	}
+}
+
+func (c *Client) introduceTo(ctx context.Context, addr string, members []string) error {
+	ctx, cancel := context.WithTimeout(ctx, callTimeout)
+	defer cancel()
+	request, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+addr+PathPrefix+opPing, http.NoBody)
+	if err != nil {
+		return err
+	}
+	request.Header.Set(headerMembers, strings.Join(members, ","))
+	response, err := c.http.Do(request)
+	if err != nil {
+		return err
+	}
+	return response.Body.Close()
+}
+
 func (c *Client) fanout() int {
 	c.mu.Lock()
 	defer c.mu.Unlock()
--- a/daemon/fleet/fleet_test.go
+++ b/daemon/fleet/fleet_test.go
@@ -433,33 +433,34 @@
 	}
 }
 
-// namedControllers is a directory that names a leader and members.
-type namedControllers struct{ leader, member string }
+// noDirectory names nobody.
+type noDirectory struct{}
 
-func (n namedControllers) LeaderAddr() string { return n.leader }
-func (n namedControllers) MemberAddrs() []string {
-	if n.member == "" {
-		return nil
-	}
-	return []string{n.member}
-}
+func (noDirectory) LeaderAddr() string    { return "" }
+func (noDirectory) MemberAddrs() []string { return nil }
 
-// Guards against a client that does not find the leader when its only seed is a daemon that
-// cannot lead.
-func TestClientFindsTheLeaderThroughARelay(t *testing.T) {
+// Guards against daemons that know only relays, which know only each other: nobody finds the
+// controllers after all have lost power, although they have a leader.
+func TestRelaysLearnWhoLeads(t *testing.T) {
 	r := newRig(t)
-	leader := httptest.NewServer(Handler(r.engine, namedControllers{}, zerolog.Nop()))
+	leader := httptest.NewServer(Handler(r.engine, noDirectory{}, zerolog.Nop()))
 	defer leader.Close()
-	addr := leader.Listener.Addr().String()
-	for name, directory := range map[string]namedControllers{"leader": {leader: addr}, "member": {member: addr}} {
-		relay := httptest.NewServer(RedirectHandler(directory))
-		client := NewClient([]string{relay.Listener.Addr().String()}, &http.Transport{}, zerolog.Nop())
-		ctx, cancel := context.WithTimeout(context.Background(), time.Minute)
-		r.until("the leader answers through the relay that names it as "+name, func() bool { return client.Ping(ctx) == nil })
-		if got := client.LeaderAddr(); got != addr {
-			t.Errorf("the client names %q as the leader, want %q", got, addr)
-		}
-		cancel()
-		relay.Close()
+	leaderAddr := leader.Listener.Addr().String()
+	var relayClient *Client
+	relay := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, request *http.Request) {
+		RedirectHandler(relayClient).ServeHTTP(w, request)
+	}))
+	defer relay.Close()
+	seeds := []string{relay.Listener.Addr().String()}
+	relayClient = NewClient(seeds, &http.Transport{}, zerolog.Nop())
+	member := NewMemberClient(seeds, &http.Transport{}, func() []string { return []string{leaderAddr} }, zerolog.Nop())
+	member.Introduce(context.Background())
+	gateway := NewClient(seeds, &http.Transport{}, zerolog.Nop())
+	for name, client := range map[string]*Client{"a relay": relayClient, "a gateway": gateway, "a controller": member} {
+		r.until(name+" finds the leader", func() bool {
+			ctx, cancel := context.WithTimeout(context.Background(), time.Second)
+			defer cancel()
+			return client.Ping(ctx) == nil && client.LeaderAddr() == leaderAddr
+		})
 	}
 }
--- a/daemon/fleet/rpc.go
+++ b/daemon/fleet/rpc.go
@@ -103,13 +103,14 @@
 	})
 }
 
-// RedirectHandler answers every operation with the addresses of the directory, on a daemon
-// that cannot lead.
-func RedirectHandler(d Directory) http.Handler {
-	return http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+// RedirectHandler answers every operation with the addresses that the client knows, on a
+// daemon that cannot lead, and learns them from the calls of controllers.
+func RedirectHandler(c *Client) http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		c.learn(r.Header.Get(headerMembers))
 		w.Header()["Date"] = nil
-		w.Header().Set(headerMembers, strings.Join(d.MemberAddrs(), ","))
-		writeError(w, d, ErrNotLeading)
+		w.Header().Set(headerMembers, strings.Join(c.MemberAddrs(), ","))
+		writeError(w, c, ErrNotLeading)
 	})
 }
 
--- a/daemon/fleetd/controller.go
+++ b/daemon/fleetd/controller.go
@@ -39,6 +39,7 @@
 	engine *fleet.Engine
 	logger zerolog.Logger
 	dir    directory
+	client *fleet.Client
 }
 
 func (d *Daemon) buildController(adapter Adapter) ([]net.Listener, error) {
@@ -58,6 +59,8 @@
 		return nil, err
 	}
 	node := &controllerNode{log: log, logger: d.logger, dir: directory{log: log}}
+	d.client = fleet.NewMemberClient(s.Controllers, d.transport(connsToController), node.dir.MemberAddrs, d.logger)
+	node.client = d.client
 	counts := fleet.NewMetrics()
 	node.engine = fleet.NewEngine(fleet.Options{
 		Metrics: counts,
@@ -76,6 +79,18 @@
 func (n *controllerNode) start(ctx context.Context) {
 	go n.engine.Run(ctx)
 	go n.dir.keep(ctx)
+	go n.introduce(ctx)
+}
+
+// introduceEvery is the time between two calls to the seeds that are no controllers; the
+// platform allows twelve seconds until service after all VMs were down.
+const introduceEvery = time.Second
+
+func (n *controllerNode) introduce(ctx context.Context) {
+	for ctx.Err() == nil {
+		n.client.Introduce(ctx)
+		wait.For(ctx, introduceEvery)
+	}
 }
 
 // handOverLimit bounds the change of leader before the process ends.
--- a/test/soak/faults.go
+++ b/test/soak/faults.go
@@ -68,7 +68,8 @@
 		return f.down(f.any(f.system.Controllers), syscall.SIGKILL, d/4, f.tear)
 	}},
 	{"cut the leader off", 4, func(f *faults, d time.Duration) func(context.Context) {
-		return f.cut(f.leader(), f.rng.IntN(3), 2*d)
+		// Long enough that a new leader is elected and old reads are too old.
+		return f.cut(f.leader(), f.rng.IntN(3), longestFault+d)
 	}},
 	{"cut a controller off", 2, func(f *faults, d time.Duration) func(context.Context) {
 		return f.cut(f.any(f.system.Controllers), f.rng.IntN(3), d)
