--- a/core/dispatch/plan.go
+++ b/core/dispatch/plan.go
@@ -59,11 +59,7 @@
 }
 
 func (p *pass) placeStep(q Queue, w waiting) {
-	if p.rooms == nil {
-		for _, w := range p.usable {
-			p.rooms = append(p.rooms, newRoom(w))
-		}
-	}
+	p.buildRooms()
 	spec := &q.Job.Steps[w.step]
 	starved := p.starved(q)
 	first := len(p.assignments)
@@ -97,6 +93,16 @@
 	}
 }
 
+// buildRooms accounts for what is free once a pass has something to place.
+func (p *pass) buildRooms() {
+	if p.rooms != nil {
+		return
+	}
+	for _, w := range p.usable {
+		p.rooms = append(p.rooms, newRoom(w))
+	}
+}
+
 // withinBudget reports whether the task may take from what short tasks need, and takes it. A
 // task that ran before has to be back soon, however full the workers are.
 func (p *pass) withinBudget(job *workflow.Job, spec *workflow.StepSpec, task workflow.Task) bool {
--- a/core/dispatch/room.go
+++ b/core/dispatch/room.go
@@ -23,7 +23,7 @@
 	spare        int64      // expected to be left for tasks that use spare capacity
 	serving      int        // long-running tasks
 	added        []added    // in this pass
-	headrooms    []headroom // of the serving tasks; see pressureOf
+	headrooms    []headroom // of the serving tasks; see measure
 	measured     bool       // headrooms is filled in
 }
 
--- a/daemon/fleet/engine.go
+++ b/daemon/fleet/engine.go
@@ -99,7 +99,8 @@
 	group  sync.WaitGroup
 	kicks  chan struct{}
 
-	completeAt bootclock.Time // last pass that looked at every worker; of the goroutine that runs passes
+	// The goroutine that runs passes owns these three.
+	completeAt bootclock.Time // last pass that looked at every worker
 	plannedAt  bootclock.Time // end of the planning of the last pass
 	planTook   time.Duration
 
