--- a/test/soak/faults.go
+++ b/test/soak/faults.go
@@ -11,6 +11,7 @@
 	"syscall"
 	"time"
 
+	"samphirepaddle.example/daemon/wait"
 	"samphirepaddle.example/platform/standin"
 	"samphirepaddle.example/test/cluster"
 )
@@ -136,7 +137,7 @@
 		play := kinds[i].draw(f, lasts)
 		f.log(fmt.Sprintf("%s, %v", kinds[i].name, lasts.Round(time.Millisecond)))
 		f.group.Go(func() { play(ctx) })
-		sleep(ctx, time.Duration(f.rng.ExpFloat64()*float64(faultPause)))
+		wait.For(ctx, time.Duration(f.rng.ExpFloat64()*float64(faultPause)))
 	}
 	f.group.Wait()
 }
@@ -168,7 +169,7 @@
 		if between != nil {
 			between(n)
 		}
-		sleep(ctx, lasts)
+		wait.For(ctx, lasts)
 		f.restart(n)
 	}
 }
@@ -188,7 +189,7 @@
 				n.Signal(syscall.SIGKILL)
 			}
 		}
-		sleep(ctx, shortestFault)
+		wait.For(ctx, shortestFault)
 		for _, n := range held {
 			n.Wait()
 			f.restart(n)
@@ -204,7 +205,7 @@
 		}
 		defer n.busy.Unlock()
 		n.Freeze()
-		sleep(ctx, lasts)
+		wait.For(ctx, lasts)
 		n.Thaw()
 	}
 }
@@ -266,7 +267,7 @@
 			n.Relay.Impair(other.IP, in)
 			other.Relay.Impair(n.IP, out)
 		}
-		sleep(ctx, lasts)
+		wait.For(ctx, lasts)
 		n.Relay.Heal()
 		for _, other := range f.system.nodes() {
 			other.Relay.HealSource(n.IP)
@@ -279,7 +280,7 @@
 		for _, other := range f.system.nodes() {
 			n.Relay.Impair(other.IP, cluster.Impairment{Delay: by})
 		}
-		sleep(ctx, lasts)
+		wait.For(ctx, lasts)
 		n.Relay.Heal()
 	}
 }
@@ -298,9 +299,9 @@
 	down := f.down(f.leader(), syscall.SIGKILL, lasts, nil)
 	return func(ctx context.Context) {
 		f.workers.setAll(late)
-		sleep(ctx, shortestFault)
+		wait.For(ctx, shortestFault)
 		f.group.Go(func() { down(ctx) })
-		sleep(ctx, shortestFault)
+		wait.For(ctx, shortestFault)
 		f.workers.setAll(standin.Fault{})
 	}
 }
@@ -309,7 +310,7 @@
 	w := f.workers.any(f.rng)
 	return func(ctx context.Context) {
 		w.SetFault(fault)
-		sleep(ctx, lasts)
+		wait.For(ctx, lasts)
 		w.SetFault(standin.Fault{})
 	}
 }
--- a/test/soak/load.go
+++ b/test/soak/load.go
@@ -8,6 +8,7 @@
 	"sync"
 	"time"
 
+	"samphirepaddle.example/daemon/wait"
 	"samphirepaddle.example/platform/standin"
 )
 
@@ -115,14 +116,7 @@
 		default:
 			c.show(ctx, c.jobs[rng.IntN(len(c.jobs))])
 		}
-		sleep(ctx, time.Duration(rng.ExpFloat64()*float64(callerPause)))
-	}
-}
-
-func sleep(ctx context.Context, d time.Duration) {
-	select {
-	case <-ctx.Done():
-	case <-time.After(d):
+		wait.For(ctx, time.Duration(rng.ExpFloat64()*float64(callerPause)))
 	}
 }
 
@@ -158,7 +152,7 @@
 		}
 		allRefused = allRefused && reply.Refused()
 		c.at++
-		sleep(ctx, callerPause)
+		wait.For(ctx, callerPause)
 		if ctx.Err() != nil {
 			return // the fate of the last try is open
 		}
@@ -208,7 +202,7 @@
 	operator := standin.NewCaller("", nil)
 	for ctx.Err() == nil {
 		l.configure(ctx, operator, l.controllers[rng.IntN(len(l.controllers))])
-		sleep(ctx, time.Duration(rng.ExpFloat64()*float64(configPause)))
+		wait.For(ctx, time.Duration(rng.ExpFloat64()*float64(configPause)))
 	}
 }
 
@@ -218,7 +212,7 @@
 	operator := standin.NewCaller("", nil)
 	for ctx.Err() == nil {
 		l.group.Go(func() { l.readConfiguration(ctx, operator, controller) })
-		sleep(ctx, readPause)
+		wait.For(ctx, readPause)
 	}
 }
 
--- a/test/soak/run.go
+++ b/test/soak/run.go
@@ -11,6 +11,7 @@
 	"sync"
 	"time"
 
+	"samphirepaddle.example/daemon/wait"
 	"samphirepaddle.example/platform/standin"
 )
 
@@ -99,7 +100,7 @@
 		return errors.New("the system does not accept its first configuration")
 	}
 	// The group is founded by the seeds and bears its losses once the other controllers vote.
-	sleep(ctx, catchUp)
+	wait.For(ctx, catchUp)
 	return r.system.forbidFounding()
 }
 
@@ -120,7 +121,7 @@
 	}
 	r.journal.write("no more faults")
 	r.checker.SetCalm(true)
-	sleep(ctx, leastCalm)
+	wait.For(ctx, leastCalm)
 	stopLoad()
 	r.load.group.Wait()
 }
@@ -214,7 +215,7 @@
 
 // eventually waits for a condition and reports whether it came.
 func eventually(ctx context.Context, condition func() bool) bool {
-	for end := time.Now().Add(settlePatience); time.Now().Before(end) && ctx.Err() == nil; sleep(ctx, settleStep) {
+	for end := time.Now().Add(settlePatience); time.Now().Before(end) && ctx.Err() == nil; wait.For(ctx, settleStep) {
 		if condition() {
 			return true
 		}
--- a/test/soak/workers.go
+++ b/test/soak/workers.go
@@ -7,6 +7,7 @@
 	"sync"
 	"time"
 
+	"samphirepaddle.example/daemon/wait"
 	"samphirepaddle.example/platform/standin"
 )
 
@@ -72,7 +73,7 @@
 	w.list = w.list[1:]
 	w.mu.Unlock()
 	leaving.Drain()
-	sleep(ctx, leaveTime)
+	wait.For(ctx, leaveTime)
 	leaving.stop()
 	leaving.Crash() // what still runs there ends with it
 	leaving.Close()
