Close the attempts of a worker whose next life never answers

Cause: an attempt of a former life was closed only after the life that followed had answered a call. A next life that ends before the first call reaches it never does, and the attempt stayed open for ever.

Change: the attempts are closed once earlier leases have lapsed without an answer, and, for starts without an answer, once they cannot be carried out any more.

--- a/daemon/fleet/fleet_test.go
+++ b/daemon/fleet/fleet_test.go
@@ -344,6 +344,22 @@
 	}
 }
 
+// Guards against tasks that stay open for ever because the life that replaced their worker's
+// has ended before it answered a call.
+func TestReplacedByALifeThatNeverAnswers(t *testing.T) {
+	r := newRig(t)
+	a := r.workers.add("a", 1)
+	r.report(a)
+	r.submit("j", oneTask)
+	r.until("the task runs", func() bool { return len(a.runs()) == 1 })
+	again := r.workers.add("a", 2)
+	again.set(func() { again.silent = true })
+	r.report(again)
+	b := r.workers.add("b", 1)
+	r.report(b)
+	r.until("the task runs on another worker", func() bool { return len(b.runs()) == 1 })
+}
+
 // Guards against heartbeats of a former life or of an earlier moment that undo later ones.
 func TestLateHeartbeatsChangeNothing(t *testing.T) {
 	r := newRig(t)
--- a/daemon/fleet/reconcile.go
+++ b/daemon/fleet/reconcile.go
@@ -17,6 +17,9 @@
 	// leaveMargin before a draining worker ends, its tasks are stopped; a stop takes 400 ms and
 	// its end is listed with the next call.
 	leaveMargin = 900 * time.Millisecond
+	// lateStart bounds what a start without an answer may do: workers carry starts out up to
+	// 12 s late and shorten a lease to 10 s.
+	lateStart = 23 * time.Second
 )
 
 // reconcileLife closes the open attempts of one life that are known never to run, and stops
@@ -46,8 +49,7 @@
 
 // loseWithoutSession handles a life that left before this leadership began.
 func (l *lead) loseWithoutSession(flows *workflow.State, life workflow.Life, now bootclock.Time, ended map[workflow.Attempt]bool, p *planned) {
-	earliest := time.Duration(float64(l.engine.opts.WorkerLease+lapseMargin)/clockRate) + lapseMargin
-	if now.Sub(l.since) < earliest {
+	if now.Sub(l.since) < l.earlierLeases() {
 		return
 	}
 	flows.Open(life, func(a workflow.OpenAttempt) {
@@ -81,6 +83,9 @@
 func (l *lead) reconcileReplaced(flows *workflow.State, life workflow.Life, next *session, now bootclock.Time, ended map[workflow.Attempt]bool, p *planned) {
 	old := l.sessions[life]
 	if next == nil || !next.fenced {
+		if l.silentSinceReplaced(flows.Workers[life.Worker], next, now) {
+			l.loseReplaced(flows, life, now, ended, p)
+		}
 		return
 	}
 	flows.Open(life, func(a workflow.OpenAttempt) {
@@ -111,6 +116,46 @@
 	})
 }
 
+// silentSinceReplaced reports whether the life that replaced another one has never answered
+// and what it may have started has lapsed. It may have ended before the first call reached it.
+func (l *lead) silentSinceReplaced(current *workflow.Worker, next *session, now bootclock.Time) bool {
+	if now.Sub(l.since) < l.earlierLeases() {
+		return false
+	}
+	if next == nil {
+		return current.Gone && l.goneFor(current, now) > l.earlierLeases()
+	}
+	return now.Sub(next.openedAt) > l.earlierLeases()
+}
+
+// earlierLeases is how long leases that were sent before a moment may last after it.
+func (l *lead) earlierLeases() time.Duration {
+	return time.Duration(float64(l.engine.opts.WorkerLease+lapseMargin)/clockRate) + lapseMargin
+}
+
+// loseReplaced closes the attempts of a life whose successor is silent.
+func (l *lead) loseReplaced(flows *workflow.State, life workflow.Life, now bootclock.Time, ended map[workflow.Attempt]bool, p *planned) {
+	old := l.sessions[life]
+	flows.Open(life, func(a workflow.OpenAttempt) {
+		if ended[a.Attempt] || (old != nil && old.mayStartLate(a.Attempt, now)) {
+			return
+		}
+		p.batch.Lost = append(p.batch.Lost, workflow.Loss{Life: life, Attempt: a.Attempt})
+		l.logger.Info().Str("task", a.Attempt.Task.String()).Uint32("attempt", a.Number).Str("worker", string(life.Worker)).
+			Msg("attempt lost: the worker has started again and does not answer")
+	})
+}
+
+// mayStartLate reports whether a start without an answer may still be carried out by the next
+// life, whose clock does not bound the lease in the call.
+func (s *session) mayStartLate(a workflow.Attempt, now bootclock.Time) bool {
+	o := s.orders[a]
+	if o == nil || (o.phase != startSent && o.phase != startUnanswered) {
+		return false
+	}
+	return o.phase == startSent || now.Sub(o.answeredAt) < lateStart
+}
+
 func (l *lead) lose(s *session, a workflow.Attempt, reason string, p *planned) {
 	silent := int64(-1)
 	if s.answeredAt != 0 {
