Name the removed fencing by the project's word

Cause: the soak's removal carried the platform's name of a field, which only platform/ may know.

Conclusion: a name only, the edit of the source is the same.

--- a/test/soak/build.go
+++ b/test/soak/build.go
@@ -25,7 +25,7 @@
 // Removals are the protections that the soak is checked with.
 var Removals = []Removal{
 	{
-		Name: "fencing-token", Promise: "twice",
+		Name: "fencing", Promise: "twice",
 		Edits: []Edit{{"daemon/fleet/engine.go", "token: term, since:", "token: 1, since:"}},
 	},
 	{
