Share the set-up of tests that repeat it

Change: runningTask, reach, restoredFrom and newOpenTask serve them. No check, bound or order of steps is changed.

Left as they are, because only their shape agrees: the calls of platform/worker.go and daemon/target, which speak two protocols with other outcomes, structs of the wire beside types of the state, and import lists.

--- a/core/state/workflows_test.go
+++ b/core/state/workflows_test.go
@@ -43,14 +43,7 @@
 	if delta, ok := s.ConfigSince(1); !ok || delta.Routing == nil || len(New().Config.With(delta).Routing.Routes) != 1 {
 		t.Errorf("gateways are told %+v, %v", delta, ok)
 	}
-	data, err := s.Snapshot()
-	if err != nil {
-		t.Fatal(err)
-	}
-	restored, err := Restore(data)
-	if err != nil {
-		t.Fatal(err)
-	}
+	restored := restoredFrom(t, s)
 	if route, rest, ok := restored.Config.Routing.Match("h:80", "/c/id"); !ok || route.Name != "r/c/" || rest != "id" {
 		t.Errorf("after a restore the path matches %+v, %q, %v", route, rest, ok)
 	}
@@ -98,6 +91,15 @@
 	if got := s.Apply(3, submit); got.Code != CodeOK {
 		t.Errorf("with a route: code %q (%s)", got.Code, got.Message)
 	}
+	restored := restoredFrom(t, s)
+	if shown, ok := restored.Workflows.Show("j1"); !ok || shown != workflow.ShownQueued {
+		t.Errorf("after a restore the job is shown as %q, %v", shown, ok)
+	}
+}
+
+// restoredFrom returns the state that the snapshot of s holds.
+func restoredFrom(t *testing.T, s *State) *State {
+	t.Helper()
 	data, err := s.Snapshot()
 	if err != nil {
 		t.Fatal(err)
@@ -106,7 +108,5 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	if shown, ok := restored.Workflows.Show("j1"); !ok || shown != workflow.ShownQueued {
-		t.Errorf("after a restore the job is shown as %q, %v", shown, ok)
-	}
+	return restored
 }
--- a/core/workflow/workflow_test.go
+++ b/core/workflow/workflow_test.go
@@ -53,6 +53,15 @@
 	return s, a.Life, b.Life
 }
 
+// newOpenTask returns a state in which the only task of job j is open on a worker.
+func newOpenTask(t *testing.T) (*State, Life, TaskKey) {
+	s, a, _ := newState(t)
+	submit(t, s, "j", StepSpec{Count: 1})
+	k := key("j", 0, 0)
+	batch(t, s, 2, Batch{Assign: []Assignment{assign(k, 1, a)}})
+	return s, a, k
+}
+
 // Guards against a second open attempt of a task, and against an attempt number that is used
 // twice.
 func TestOneOpenAttempt(t *testing.T) {
@@ -127,10 +136,7 @@
 
 // Guards against an end that counts twice because a worker lists it until it is acknowledged.
 func TestEndsAreRecordedOnce(t *testing.T) {
-	s, a, _ := newState(t)
-	submit(t, s, "j", StepSpec{Count: 1})
-	k := key("j", 0, 0)
-	batch(t, s, 2, Batch{Assign: []Assignment{assign(k, 1, a)}})
+	s, a, k := newOpenTask(t)
 	failed := end(k, 1, a, 7, EndFailed)
 	batch(t, s, 3, Batch{Ends: []End{failed}})
 	batch(t, s, 4, Batch{Ends: []End{failed}, Assign: []Assignment{assign(k, 2, a)}})
@@ -184,10 +190,7 @@
 
 // Guards against capacity that is given away while a cancelled task is still being stopped.
 func TestCancelledTasksStayOpenUntilTheyEnd(t *testing.T) {
-	s, a, _ := newState(t)
-	submit(t, s, "j", StepSpec{Count: 1})
-	k := key("j", 0, 0)
-	batch(t, s, 2, Batch{Assign: []Assignment{assign(k, 1, a)}})
+	s, a, k := newOpenTask(t)
 	apply(t, s, 3, Command{Cancel: &Cancel{Host: "h", Path: "/q/j"}})
 	if open, ended := s.IsOpen(a, Attempt{k, 1}); !open || !ended {
 		t.Fatalf("open %v, job ended %v; want both", open, ended)
--- a/daemon/fleet/fakeworker_test.go
+++ b/daemon/fleet/fakeworker_test.go
@@ -77,6 +77,20 @@
 	return w, nil
 }
 
+// reach returns the worker that takes a call, locked.
+func (f *fakeWorkers) reach(to Endpoint) (*fakeWorker, error) {
+	w, err := f.find(to)
+	if err != nil {
+		return nil, err
+	}
+	w.mu.Lock()
+	if w.silent {
+		w.mu.Unlock()
+		return nil, errSilent
+	}
+	return w, nil
+}
+
 func (w *fakeWorker) clock() model.Millis {
 	return model.Millis(time.Since(w.started).Milliseconds()) + 1
 }
@@ -103,15 +117,11 @@
 }
 
 func (f *fakeWorkers) Start(_ context.Context, to Endpoint, call StartCall) (model.Millis, error) {
-	w, err := f.find(to)
+	w, err := f.reach(to)
 	if err != nil {
 		return 0, err
 	}
-	w.mu.Lock()
 	defer w.mu.Unlock()
-	if w.silent {
-		return 0, errSilent
-	}
 	if w.lateFor != nil && w.lateFor(call.Attempt) {
 		w.late = append(w.late, call)
 		return 0, errSilent
@@ -155,15 +165,11 @@
 }
 
 func (f *fakeWorkers) Stop(_ context.Context, to Endpoint, a workflow.Attempt, token uint64) (model.Millis, error) {
-	w, err := f.find(to)
+	w, err := f.reach(to)
 	if err != nil {
 		return 0, err
 	}
-	w.mu.Lock()
 	defer w.mu.Unlock()
-	if w.silent {
-		return 0, errSilent
-	}
 	if err := w.admit(token); err != nil {
 		return 0, err
 	}
@@ -175,15 +181,11 @@
 }
 
 func (f *fakeWorkers) Hold(_ context.Context, to Endpoint, call HoldCall) (Listing, error) {
-	w, err := f.find(to)
+	w, err := f.reach(to)
 	if err != nil {
 		return Listing{}, err
 	}
-	w.mu.Lock()
 	defer w.mu.Unlock()
-	if w.silent {
-		return Listing{}, errSilent
-	}
 	if err := w.admit(call.Token); err != nil {
 		return Listing{}, err
 	}
--- a/daemon/fleet/fleet_test.go
+++ b/daemon/fleet/fleet_test.go
@@ -99,6 +99,16 @@
 	}
 }
 
+// runningTask adds a worker that runs the only task of job j.
+func (r *rig) runningTask() *fakeWorker {
+	r.t.Helper()
+	w := r.workers.add("a", 1)
+	r.report(w)
+	r.submit("j", oneTask)
+	r.until("the task runs", func() bool { return len(w.runs()) == 1 })
+	return w
+}
+
 func (r *rig) shown(id string) workflow.Shown {
 	var shown workflow.Shown
 	r.log.View(func(st *state.State) { shown, _ = st.Workflows.Show(workflow.JobID(id)) })
@@ -192,10 +202,7 @@
 // over, and against one that never is.
 func TestSilentWorkerLosesItsTasksAfterItsLease(t *testing.T) {
 	r := newRig(t)
-	a := r.workers.add("a", 1)
-	r.report(a)
-	r.submit("j", oneTask)
-	r.until("the task runs", func() bool { return len(a.runs()) == 1 })
+	a := r.runningTask()
 	var until model.Millis
 	a.set(func() { a.silent, until = true, a.until })
 	b := r.workers.add("b", 1)
@@ -302,10 +309,7 @@
 // start of its former life must not run there.
 func TestRestartedWorkerKnowsNothing(t *testing.T) {
 	r := newRig(t)
-	a := r.workers.add("a", 1)
-	r.report(a)
-	r.submit("j", oneTask)
-	r.until("the task runs", func() bool { return len(a.runs()) == 1 })
+	r.runningTask()
 	again := r.workers.add("a", 2)
 	r.report(again)
 	r.until("the task runs on the new life", func() bool { return len(again.runs()) == 1 })
@@ -348,10 +352,7 @@
 // has ended before it answered a call.
 func TestReplacedByALifeThatNeverAnswers(t *testing.T) {
 	r := newRig(t)
-	a := r.workers.add("a", 1)
-	r.report(a)
-	r.submit("j", oneTask)
-	r.until("the task runs", func() bool { return len(a.runs()) == 1 })
+	r.runningTask()
 	again := r.workers.add("a", 2)
 	again.set(func() { again.silent = true })
 	r.report(again)
