Do not repeat kept test results

Cause: the second run of the script on the last code commit took 77 s, because go test repeated kept results for test and test/soak. These tests build and start the daemons themselves; the cache sees neither and gave the verdict of the daemons before the change.

Change: make test runs everything (-count=1).

Conclusion: a pass now always comes from the daemons as they stand.

--- a/Makefile
+++ b/Makefile
@@ -11,11 +11,13 @@
 	cd daemon && go build -o ../bin/samphired ./cmd/samphired
 	cd ctl && go build -o ../bin/samphirectl ./cmd/samphirectl
 
-# test runs every test of every module with fixed seeds. The goals of the decisions run by
+# test runs every test of every module with fixed seeds. Kept results are not used (-count=1):
+# tests of processes build the daemons themselves, which the cache of go test does not see, so
+# it repeated their verdict on changed daemons. The goals of the decisions run by
 # themselves, because go test hides the known misses that a passing package prints.
 test: build
-	@set -e; for m in $(MODULES); do (cd $$m && go test -timeout 20m $$(go list ./... | grep -v /decisions$$)); done
-	cd bench && go test -timeout 20m -v ./decisions
+	@set -e; for m in $(MODULES); do (cd $$m && go test -count=1 -timeout 20m $$(go list ./... | grep -v /decisions$$)); done
+	cd bench && go test -count=1 -timeout 20m -v ./decisions
 
 # soak plays random faults on the daemons; SEEDS=1-50 chooses the seeds, else the clock does.
 soak:
