Begin a leadership transfer again when it was given up

Cause: the successor is asked by one message. If it is lost, or the election that it begins fails, consensus gives the transfer up after the shortest election timeout, the old leader goes on, and TransferLeadership waited for another one until its caller's deadline. TestTransferAndRemove ended so, after 60 s, in a whole run of the script beside three busy processes; 18 runs of it alone beside six busy processes passed. That run kept no messages, so that its lost message is inferred from the code and the same symptom, not seen.

Change: the transfer is begun again after each election timeout while the replica still leads.

--- a/daemon/replica/members.go
+++ b/daemon/replica/members.go
@@ -93,11 +93,18 @@
 
 // TransferLeadership hands the leadership to the most complete other voter and returns when
 // another leader is known. A controller calls it before a graceful shutdown.
+//
+// The successor is asked by one message, and consensus gives a transfer up after the shortest
+// election timeout. A transfer that was given up is begun again.
 func (r *Replica) TransferLeadership(ctx context.Context) error {
-	err := r.change(ctx, func(n *consensus.Node) error { return n.Transfer("") })
-	if err != nil {
+	begin := func() error {
+		return r.change(ctx, func(n *consensus.Node) error { return n.Transfer("") })
+	}
+	if err := begin(); err != nil {
 		return err
 	}
+	again := time.NewTicker(time.Duration(r.opts.ElectionTicks) * r.opts.Tick)
+	defer again.Stop()
 	for {
 		changed := r.Changed()
 		leader := r.Leader()
@@ -106,6 +113,11 @@
 		}
 		select {
 		case <-changed:
+		case <-again.C:
+			// Without the leadership there is nothing to hand over; who leads is known soon.
+			if err := begin(); err != nil && !errors.Is(err, ErrNotLeader) && !errors.Is(err, consensus.ErrNoSuccessor) {
+				return err
+			}
 		case <-ctx.Done():
 			return ctx.Err()
 		case <-r.stop:
--- a/daemon/replica/replica_test.go
+++ b/daemon/replica/replica_test.go
@@ -1,19 +1,25 @@
 package replica
 
 import (
+	"bytes"
 	"context"
 	"errors"
 	"fmt"
+	"io"
 	"net"
 	"net/http"
 	"os"
+	"sync/atomic"
 	"testing"
 	"time"
 
 	"github.com/rs/zerolog"
+	"google.golang.org/protobuf/proto"
 
+	"samphirepaddle.example/core/consensus"
 	"samphirepaddle.example/core/model"
 	"samphirepaddle.example/core/state"
+	"samphirepaddle.example/daemon/rpc"
 )
 
 // patience bounds waits; it is long because only the order of events is tested.
@@ -318,6 +324,48 @@
 	c.holds(3)
 }
 
+// lossyOnce loses the first call that asks a controller to take over the leadership.
+type lossyOnce struct {
+	http.RoundTripper
+	lost atomic.Bool
+}
+
+func (l *lossyOnce) RoundTrip(r *http.Request) (*http.Response, error) {
+	body, err := io.ReadAll(r.Body)
+	if err != nil {
+		return nil, err
+	}
+	var request rpc.StepRequest
+	var b batch
+	if proto.Unmarshal(body, &request) == nil && model.Decode(request.Messages, &b) == nil {
+		for _, m := range b.Messages {
+			if m.Kind == consensus.MsgTimeoutNow && !l.lost.Swap(true) {
+				return nil, errors.New("lost on the way")
+			}
+		}
+	}
+	r.Body = io.NopCloser(bytes.NewReader(body))
+	return l.RoundTripper.RoundTrip(r)
+}
+
+// Guards against a transfer that waits for ever because the one message that asks the
+// successor was lost.
+func TestTransferOverALossyLink(t *testing.T) {
+	link := &lossyOnce{RoundTripper: http.DefaultTransport}
+	c := newCluster(t, 3, func(o *Options) { o.Client = &http.Client{Transport: link} })
+	c.propose(1)
+	old := c.leader()
+	ctx, stop := context.WithTimeout(context.Background(), patience)
+	defer stop()
+	if err := c.controllers[old].replica.TransferLeadership(ctx); err != nil {
+		t.Fatal(err)
+	}
+	if !link.lost.Load() {
+		t.Error("no message was lost")
+	}
+	c.propose(2)
+}
+
 // Guards against a stale read by a leader that is cut off: Read and Confirm need a quorum.
 func TestNoReadWithoutQuorum(t *testing.T) {
 	c := newCluster(t, 3, nil)
