Let leases of earlier leaders end before tasks count as lapsed

A worker that had answered a new leader once and fell silent before it was sent a lease counted as lapsed after 2.5 s, although a lease of the leader before (9 s) may go on.

Change: without a lease of this leadership, the bound of earlier leases holds whether or not the worker has answered.

Figures: TestEarlierLeaseOutlastsOneAnswer fails before the change and passes after it; the package's tests pass.

--- a/daemon/fleet/fleet_test.go
+++ b/daemon/fleet/fleet_test.go
@@ -14,6 +14,7 @@
 	"samphirepaddle.example/core/model"
 	"samphirepaddle.example/core/state"
 	"samphirepaddle.example/core/workflow"
+	"samphirepaddle.example/daemon/bootclock"
 	"samphirepaddle.example/daemon/replica"
 	"samphirepaddle.example/daemon/replica/replicatest"
 	"samphirepaddle.example/daemon/rpc"
@@ -216,6 +217,21 @@
 	}
 }
 
+// Guards against a new leader that takes a worker, which answered it once and fell silent before
+// it got a lease, for lapsed: the lease of the leader before may go on.
+func TestEarlierLeaseOutlastsOneAnswer(t *testing.T) {
+	now := bootclock.Now()
+	began := now.Add(-unreachable - time.Second)
+	l := &lead{engine: &Engine{opts: Options{WorkerLease: 2 * unreachable}}, since: began}
+	s := &session{lead: l, openedAt: began, answeredAt: began, fenced: true}
+	if s.lapsed(now) {
+		t.Error("the lease counts as over although the leader before may have renewed it")
+	}
+	if !s.lapsed(began.Add(l.earlierLeases())) {
+		t.Error("the lease never ends")
+	}
+}
+
 // Guards against a new leader that starts a task again which runs already, or that does not
 // continue one that was assigned and never started.
 func TestNextLeaderTakesOver(t *testing.T) {
--- a/daemon/fleet/session.go
+++ b/daemon/fleet/session.go
@@ -307,16 +307,14 @@
 	if s.answeredAt != 0 && now.Sub(s.answeredAt) < unreachable {
 		return false
 	}
-	lease := s.lead.engine.opts.WorkerLease
-	if !s.fenced {
+	if s.until == 0 || !s.fenced {
 		// Leases of earlier leaders end at most one lease after this leadership began.
-		earliest := time.Duration(float64(lease+lapseMargin)/clockRate) + lapseMargin
-		if now.Sub(s.lead.since) < earliest {
+		if now.Sub(s.lead.since) < s.lead.earlierLeases() {
 			return false
 		}
 	}
 	if s.until == 0 {
-		return s.fenced || now.Sub(s.openedAt) > lease
+		return s.fenced || now.Sub(s.openedAt) > s.lead.engine.opts.WorkerLease
 	}
 	return s.clockAtLeast(now) > s.until+model.Millis(lapseMargin.Milliseconds())
 }
