Look less often at hundreds of workers; remember steps without a place

It looked 1,225 times a second at 490 workers, and each pass searched all of them for a place for every waiting step, although steps that need as much as one that had found none cannot find one either; a tenth of the passes planned for 39 ms or more.

Change: looks at workers that are shared are bounded to 600 a second, but for those whose serving task is over its target. A pass remembers steps without a place and passes over those that need as much.

--- /dev/null
+++ b/core/dispatch/bench_test.go
@@ -0,0 +1,64 @@
+package dispatch
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"testing"
+
+	"samphirepaddle.example/core/model"
+	"samphirepaddle.example/core/workflow"
+)
+
+// grownWorld is the heaviest deployment: 490 workers that are full of serving tasks and fillers,
+// and waiting steps of both kinds of short tasks.
+func grownWorld() (*Picture, *Memory) {
+	rng := rand.New(rand.NewPCG(1, 1))
+	memory := NewMemory()
+	p := &Picture{Now: 1000}
+	for i := range 490 {
+		w := testWorker(fmt.Sprintf("w%03d", i), worldCores, 64_000)
+		for j := range 6 {
+			step := &workflow.StepSpec{Count: 6, CPUMillis: 2500, MemoryMiB: 5000, LongRunning: true, TailTargetMs: worldTarget, Image: fmt.Sprintf("s%d", (i+j)%5)}
+			w.Residents = append(w.Residents, resident(w, fmt.Sprintf("serving%d", (6*i+j)/8), j, step))
+		}
+		for j := range 6 {
+			step := &workflow.StepSpec{Count: 1, CPUMillis: 1800, MemoryMiB: 3000, UsesSpareCPU: true, Image: fmt.Sprintf("f%d", rng.IntN(9))}
+			w.Residents = append(w.Residents, resident(w, fmt.Sprintf("fills%d-%d", i, j), 0, step))
+		}
+		p.Workers = append(p.Workers, w)
+	}
+	for i := range 80 {
+		step := workflow.StepSpec{Count: 8, CPUMillis: 1500 + rng.Int64N(1000), MemoryMiB: 3000, EstimateMs: 2500, UsesSpareCPU: i%4 > 0, Image: fmt.Sprintf("f%d", i%9)}
+		p.Queues = append(p.Queues, Queue{Job: testJob(fmt.Sprintf("j%d", i), i%4, step)})
+	}
+	return p, memory
+}
+
+func resident(w *Worker, job string, index int, step *workflow.StepSpec) Resident {
+	key := workflow.TaskKey{Job: workflow.JobID(job), Index: index}
+	return Resident{
+		OpenAttempt: workflow.OpenAttempt{Attempt: workflow.Attempt{Task: key, Number: 1}, Life: w.Life, Step: step},
+		Listed:      true, Percent: 100, Pace: 100, TailMs: 20, CPUUsed: step.CPUMillis,
+	}
+}
+
+func BenchmarkPlan(b *testing.B) {
+	p, memory := grownWorld()
+	for b.Loop() {
+		Plan(p, memory)
+	}
+}
+
+// BenchmarkAdjust learns from new figures of every worker.
+func BenchmarkAdjust(b *testing.B) {
+	p, memory := grownWorld()
+	for b.Loop() {
+		p.Now += 500
+		for i, w := range p.Workers {
+			for j := range w.Residents {
+				w.Residents[j].TailMs = 20 + model.Millis((i+j)%7) + p.Now/500%3
+			}
+			memory.Pressure.Adjust(p.Now, w, p.Now)
+		}
+	}
+}
--- a/core/dispatch/plan.go
+++ b/core/dispatch/plan.go
@@ -29,10 +29,38 @@
 	budget      map[string]int64 // for first starts of long-running tasks, by service
 	usable      []*Worker
 	rooms       []*room // of the usable workers, from the first task on
+	unplaced    []unplaced
 	assignments []workflow.Assignment
 	waits       []Wait
 }
 
+// unplaced is a step none of whose tasks found a place in this pass. Room only shrinks within a
+// pass, so a step that needs as much or more is not looked at again: with hundreds of workers
+// and dozens of waiting steps, the search for places made passes last longer than quick jobs
+// can wait.
+type unplaced struct {
+	service string
+	step    *workflow.StepSpec
+	reason  WaitReason
+}
+
+// covers reports whether a task of the step cannot have a place either.
+func (u *unplaced) covers(service string, step *workflow.StepSpec) bool {
+	return u.service == service && u.step.Image == step.Image && u.step.RequiredLabel == step.RequiredLabel &&
+		u.step.UsesSpareCPU == step.UsesSpareCPU && u.step.MaxPerWorker == 0 &&
+		u.step.CPUMillis <= step.CPUMillis && u.step.MemoryMiB <= step.MemoryMiB && u.step.Accelerators <= step.Accelerators
+}
+
+// knownUnplaced returns why no task of the step can have a place, if that is known.
+func (p *pass) knownUnplaced(service string, step *workflow.StepSpec) (WaitReason, bool) {
+	for i := range p.unplaced {
+		if p.unplaced[i].covers(service, step) {
+			return p.unplaced[i].reason, true
+		}
+	}
+	return 0, false
+}
+
 // waiting is the tasks of one step that may start.
 type waiting struct {
 	step  int
@@ -67,9 +95,16 @@
 	if spec.Gang {
 		attempt = gangAttempt(q, w.step)
 	}
+	if reason, known := p.knownUnplaced(q.Job.Service, spec); known && !starved {
+		p.waits = append(p.waits, Wait{q.Job.ID, q.Occurrence, w.step, reason})
+		return
+	}
 	for _, t := range w.tasks {
 		key := workflow.TaskKey{Job: q.Job.ID, Occurrence: q.Occurrence, Step: w.step, Index: t.index}
 		best, reason := p.best(q.Job, spec, key, t.task, starved)
+		if best == nil && !starved {
+			p.unplaced = append(p.unplaced, unplaced{q.Job.Service, spec, reason})
+		}
 		if best != nil && !p.withinBudget(q.Job, spec, t.task) {
 			best, reason = nil, WaitReserve
 		}
@@ -136,6 +171,7 @@
 			}
 		}
 	}
+	p.unplaced = nil // there is more room again
 	p.assignments = p.assignments[:first]
 }
 
--- a/core/dispatch/plan_test.go
+++ b/core/dispatch/plan_test.go
@@ -246,3 +246,52 @@
 		t.Errorf("no worker: waits %+v", waits)
 	}
 }
+
+// Guards against a step that is passed over because another one, which needs more or another
+// kind of worker, found no place in the same pass.
+func TestStepsThatNeedLessAreStillPlaced(t *testing.T) {
+	first := workflow.StepSpec{Count: 1, CPUMillis: 5000, MemoryMiB: 1000, RequiredLabel: "a", UsesSpareCPU: true, Image: "f"}
+	for name, change := range map[string]func(first, second *workflow.StepSpec){
+		"less CPU": func(_, second *workflow.StepSpec) { second.CPUMillis = 100 },
+		"less memory": func(first, second *workflow.StepSpec) {
+			first.CPUMillis, second.CPUMillis, first.MemoryMiB = 100, 100, 2000
+		},
+		"another label": func(first, second *workflow.StepSpec) { first.RequiredLabel, second.CPUMillis = "b", 4000 },
+		"another image": func(first, second *workflow.StepSpec) {
+			first.CPUMillis, second.CPUMillis, second.Image = 4000, 4000, "g"
+		},
+		"reserved CPU": func(_, second *workflow.StepSpec) { second.CPUMillis, second.UsesSpareCPU = 4000, false },
+		"no limit a worker": func(first, second *workflow.StepSpec) {
+			first.Count, first.CPUMillis, first.MemoryMiB, first.MaxPerWorker = 2, 100, 10, 1
+			second.CPUMillis = 100
+		},
+	} {
+		w := testWorker("w", 4000, 1100, "a")
+		before, after := first, first
+		change(&before, &after)
+		memory := NewMemory()
+		if name == "another image" {
+			serving := workflow.StepSpec{Count: 1, CPUMillis: 1, LongRunning: true, TailTargetMs: 45, Image: "s"}
+			w.Residents = append(w.Residents, resident(w, "serving", 0, &serving))
+			memory.Pressure.know("s", "f", maxPair)
+			memory.Pressure.know("s", "g", 0)
+			before.CPUMillis, after.CPUMillis = 3000, 3000
+		}
+		assigned, waits := Plan(picture([]*Worker{w}, testJob("1", 0, before), testJob("2", 1, after)), memory)
+		if len(placed(assigned, "2")) != 1 {
+			t.Errorf("%s: the second step was not placed; waits %+v", name, waits)
+		}
+		if len(waits) == 0 || waits[0].Job != "1" {
+			t.Errorf("%s: the first step was placed; waits %+v", name, waits)
+		}
+	}
+}
+
+// Guards against a step without a log line because an equal one was found to have no place.
+func TestEqualStepsReportTheirWait(t *testing.T) {
+	step := workflow.StepSpec{Count: 1, CPUMillis: 5000, UsesSpareCPU: true, Image: "f"}
+	_, waits := Plan(picture([]*Worker{testWorker("w", 4000, 1000)}, testJob("1", 0, step), testJob("2", 0, step)), NewMemory())
+	if len(waits) != 2 || waits[0].Reason != waits[1].Reason {
+		t.Errorf("waits %+v, want two for the same reason", waits)
+	}
+}
--- a/daemon/fleet/session.go
+++ b/daemon/fleet/session.go
@@ -15,6 +15,7 @@
 const (
 	holdWait       = 1000 * time.Millisecond // a worker with nothing to watch closely
 	holdWaitShared = 400 * time.Millisecond  // figures cover half a second; a tail over its target must be seen at once
+	looksPerSecond = 600                     // at workers where tasks share; 1,225 on 490 workers made quick jobs wait for the leader
 	holdSlack      = 900 * time.Millisecond  // for the answer beyond the wait
 	holdRetry      = 150 * time.Millisecond  // after a failed call
 	orderTimeout   = 700 * time.Millisecond  // one start, stop or pace; the answer takes a few milliseconds
@@ -161,7 +162,7 @@
 	call.Through = s.through
 	call.Wait = model.Millis(holdWait.Milliseconds())
 	if s.shared {
-		call.Wait = model.Millis(holdWaitShared.Milliseconds())
+		call.Wait = model.Millis(s.sharedWait().Milliseconds())
 	}
 	if len(s.ends) > 0 {
 		call.Wait = 0
@@ -170,6 +171,17 @@
 	return call, true
 }
 
+// sharedWait is how long a call to a worker may wait where serving tasks and fillers share it. On
+// hundreds of workers it is longer, so that the leader has time for quick jobs, but not while a
+// serving task is over its target.
+func (s *session) sharedWait() time.Duration {
+	if s.share.OverSince != 0 {
+		return holdWaitShared
+	}
+	wait := (time.Duration(len(s.lead.sessions))*time.Second + looksPerSecond - 1) / looksPerSecond
+	return min(holdWait, max(holdWaitShared, wait))
+}
+
 // leaseEnd returns the end of a lease that begins now, and remembers it as sent. It counts
 // from a lower bound of the worker's clock, so that a later leader can bound it too.
 func (s *session) leaseEnd(now bootclock.Time) model.Millis {
