Keep serving tasks of different images on different workers

Change: placing a serving task beside others of its image counts 1.5 (before 0.5) and beside those of other images -1.5, so that an empty worker is taken first. Full workers are still shared.

TestServingImagesStayApart fails on the code before.

--- a/core/dispatch/plan.go
+++ b/core/dispatch/plan.go
@@ -307,7 +307,7 @@
 	pressureWeight    = 6.0 // a filler that presses is paced down or slows its neighbours
 	besideWeight      = 0.4 // fillers that press on nobody leave the workers without serving tasks to others
 	sameJobWeight     = 1.0 // the load of one job rises and falls as one, so its tasks leave room at the same time
-	sameImageWeight   = 0.5 // serving tasks of one image suffer from the same fillers
+	imageWeight       = 1.5 // serving tasks of one image suffer from the same fillers; apart from others they suit more of them
 )
 
 // score compares the workers that passed the filter. cost is what a filler presses on others.
@@ -331,8 +331,11 @@
 		if r.tasksOf(keyOf(key)) > 0 {
 			value += sameJobWeight
 		}
-		if r.servesOnly(spec.Image) {
-			value += sameImageWeight
+		switch {
+		case r.servesOnly(spec.Image):
+			value += imageWeight
+		case r.serving > 0:
+			value -= imageWeight
 		}
 	default:
 		value += float64(r.cpu)/capacity + 0.5*float64(r.spare)/capacity
--- a/core/dispatch/plan_test.go
+++ b/core/dispatch/plan_test.go
@@ -295,3 +295,35 @@
 		t.Errorf("waits %+v, want two for the same reason", waits)
 	}
 }
+
+// Guards against serving tasks of several images on one worker while others are empty: a filler
+// that presses on one of the images then finds no worker at all.
+func TestServingImagesStayApart(t *testing.T) {
+	serving := func(image string, count int) workflow.StepSpec {
+		return workflow.StepSpec{Count: count, CPUMillis: 2500, MemoryMiB: 1, LongRunning: true, TailTargetMs: 45, Image: image}
+	}
+	workers := []*Worker{testWorker("a", 16_000, 1000), testWorker("b", 16_000, 1000), testWorker("c", 16_000, 1000)}
+	var jobs []*workflow.Job
+	imageOf := map[workflow.JobID]string{}
+	for i := range 6 {
+		job := testJob(fmt.Sprint(i), 0, serving(fmt.Sprintf("s%d", i%3), 2))
+		imageOf[job.ID] = job.Steps[0].Image
+		jobs = append(jobs, job)
+	}
+	assigned, _ := Plan(picture(workers, jobs...), NewMemory())
+	if len(assigned) != 12 {
+		t.Errorf("%d tasks placed, want 12", len(assigned))
+	}
+	served := map[workflow.WorkerID]string{}
+	for _, a := range assigned {
+		image := imageOf[a.Attempt.Task.Job]
+		if other, ok := served[a.Life.Worker]; ok && other != image {
+			t.Errorf("worker %s serves %s and %s", a.Life.Worker, other, image)
+		}
+		served[a.Life.Worker] = image
+	}
+	assigned, _ = Plan(picture(workers[:1], testJob("x", 0, serving("s0", 1)), testJob("y", 0, serving("s1", 1))), NewMemory())
+	if len(assigned) != 2 {
+		t.Errorf("%d tasks of two images placed on the only worker, want 2", len(assigned))
+	}
+}
