Relieve serving tasks of every filler that presses

Fillers are looked at in the order of what they press at full pace, and relief ended with the first one whose coefficient is below the threshold; a large filler that hardly presses hid a small one that does.

Change: such a filler is passed over.

--- a/core/dispatch/sharing.go
+++ b/core/dispatch/sharing.go
@@ -125,9 +125,12 @@
 	}
 	for _, i := range byPressure(p, w, serving, fillers) {
 		c := p.coefficient(serving.Step.Image, fillers[i].Step.Image)
-		if excess <= 0 || c < negligible {
+		if excess <= 0 {
 			return
 		}
+		if c < negligible {
+			continue
+		}
 		full := c * expectedUse(w, &fillers[i], 100)
 		present := full * float64(paces[i]) / 100
 		given := min(present, excess)
--- a/core/dispatch/sharing_test.go
+++ b/core/dispatch/sharing_test.go
@@ -302,6 +302,22 @@
 	}
 }
 
+// Guards against relief that ends with a large filler that does not press, before it comes to a
+// small one that does.
+func TestSmallFillersThatPressGiveWay(t *testing.T) {
+	p := NewPressure()
+	p.sensitivityOf("s", 0).base = worldBase
+	p.know("s", "f", 0.1)
+	p.know("s", "g", 1)
+	worker := besideOne(8000)
+	presses := workflow.StepSpec{Count: 1, CPUMillis: 500, UsesSpareCPU: true, Image: "g"}
+	worker.Residents = append(worker.Residents, resident(worker, "g", 0, &presses))
+	_, orders := p.Adjust(500, worker, 500)
+	if len(orders) != 1 || orders[0].Attempt.Task.Job != "g" {
+		t.Errorf("orders %+v, want one for the filler that presses", orders)
+	}
+}
+
 // Guards against a filler that pauses for ever after the load has fallen.
 func TestPacesReturn(t *testing.T) {
 	p := NewPressure()
