Keep the leader that is known when an earlier call elsewhere fails

Without processor time it repeats. The next call then may begin with the frozen one, and its failure makes the relay forget the leader again.

Ruled out: the limit of connections to the leader (64), a leader that is slow (it answers another relay at that time within 13 ms), a silent connection (the relay would have logged the loss of the leader).

Change: the failure of a call to another address than the leader's changes nothing once a leader is known, and calls that fail at one controller at a time move on by one.

--- a/daemon/fleet/client.go
+++ b/daemon/fleet/client.go
@@ -310,15 +310,22 @@
 	}
 }
 
-// failed notes that addr did not answer as the leader, and who it says leads.
+// failed notes that addr did not answer as the leader, and who it says leads. A call that began
+// before another one found the leader changes nothing: its address may be a frozen VM, whose
+// calls fail for as long as it is asked.
 func (c *Client) failed(addr, leader string) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
+	if c.leader != "" && c.leader != addr {
+		return
+	}
 	if c.connected && c.leader == addr {
 		c.connected = false
 		c.logger.Info().Str("leader", addr).Str("named", leader).Msg("leader lost")
 	}
-	c.next++
+	if all := c.addresses(); len(all) > 0 && all[c.next%len(all)] == addr {
+		c.next++ // once, however many calls fail there at a time
+	}
 	c.leader = ""
 	if leader != addr {
 		c.leader = leader
--- a/daemon/fleet/fleet_test.go
+++ b/daemon/fleet/fleet_test.go
@@ -337,6 +337,28 @@
 	}
 }
 
+// Guards against a daemon that forgets the leader because a call to a frozen VM, which began
+// before the leader was found, fails later, and against one that passes over controllers because
+// several calls fail at one of them.
+func TestLateFailuresKeepTheLeader(t *testing.T) {
+	c := NewClient([]string{"frozen", "leads", "follows"}, http.DefaultTransport, zerolog.Nop())
+	for range 5 {
+		c.failed("frozen", "")
+	}
+	if got := c.pick(); got != "leads" {
+		t.Fatalf("after calls that failed at the first controller, %q is asked", got)
+	}
+	c.succeeded("leads")
+	c.failed("frozen", "")
+	if got := c.pick(); got != "leads" || c.LeaderAddr() != "leads" {
+		t.Errorf("after a late failure elsewhere %q is asked", got)
+	}
+	c.failed("leads", "follows")
+	if got := c.pick(); got != "follows" || c.LeaderAddr() != "" {
+		t.Errorf("after a failure of the leader %q is asked, known is %q", got, c.LeaderAddr())
+	}
+}
+
 // Guards against callers that are held until their deadline although no leader can be found.
 func TestClientGivesUpWithoutALeader(t *testing.T) {
 	server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
