Relieve a serving task that its neighbours keep just over its target

Change: fillers that hardly press keep their pace only if the serving task's own load exceeds its limit, so that their pause would help nobody. The test of small fillers now says that the load is the task's own; its check is the same.

--- a/core/dispatch/sharing.go
+++ b/core/dispatch/sharing.go
@@ -115,20 +115,24 @@
 	return paces
 }
 
-// relieve lowers paces until the serving task is expected to meet its target. Fillers that do
-// not press on it keep theirs, because it gains nothing from their pause.
+// relieve lowers paces until the serving task is expected to meet its target. If its own load
+// alone is too much for that, fillers that hardly press keep theirs: their pause helps nobody.
 func (p *Pressure) relieve(w *Worker, serving *Resident, fillers []Resident, paces []int) {
-	expected := p.expected(w, serving, fillers, paces)
-	excess := expected - (p.limit(serving.Step) - paceMargin)
+	limit := p.limit(serving.Step)
+	excess := p.expected(w, serving, fillers, paces) - (limit - paceMargin)
 	if excess <= 0 {
 		return
 	}
+	threshold := 0.0
+	if p.own(serving) > limit {
+		threshold = negligible
+	}
 	for _, i := range byPressure(p, w, serving, fillers) {
 		c := p.coefficient(serving.Step.Image, fillers[i].Step.Image)
 		if excess <= 0 {
 			return
 		}
-		if c < negligible {
+		if c <= threshold {
 			continue
 		}
 		full := c * expectedUse(w, &fillers[i], 100)
@@ -141,10 +145,15 @@
 	}
 }
 
+// own is the utilisation of a serving task without its neighbours.
+func (p *Pressure) own(serving *Resident) float64 {
+	return p.load(serving.Attempt.Task.Job) + missWeight*p.seen[serving.Attempt.Task].miss
+}
+
 // expected is the utilisation of a serving task once the paces are in force.
 func (p *Pressure) expected(w *Worker, serving *Resident, fillers []Resident, paces []int) float64 {
 	image := serving.Step.Image
-	expected := p.load(serving.Attempt.Task.Job) + missWeight*p.seen[serving.Attempt.Task].miss
+	expected := p.own(serving)
 	for i := range fillers {
 		expected += p.coefficient(image, fillers[i].Step.Image) * expectedUse(w, &fillers[i], paces[i])
 	}
--- a/core/dispatch/sharing_test.go
+++ b/core/dispatch/sharing_test.go
@@ -302,6 +302,20 @@
 	}
 }
 
+// Guards against a serving task that stays just over its target because of fillers that hardly
+// press: without them it would meet it.
+func TestServingTaskNearItsLimitIsRelieved(t *testing.T) {
+	p := NewPressure()
+	p.sensitivityOf("s", 0).base = worldBase
+	p.know("s", "f", 0.1)
+	worker := besideOne(8000)
+	worker.Residents[0].TailMs = worldTarget + 1
+	_, orders := p.Adjust(500, worker, 500)
+	if len(orders) != 1 || orders[0].Percent >= 100 {
+		t.Errorf("orders %+v, want a lower pace for the filler", orders)
+	}
+}
+
 // Guards against relief that ends with a large filler that does not press, before it comes to a
 // small one that does.
 func TestSmallFillersThatPressGiveWay(t *testing.T) {
@@ -310,6 +324,7 @@
 	p.know("s", "f", 0.1)
 	p.know("s", "g", 1)
 	worker := besideOne(8000)
+	worker.Residents[0].TailMs = 300 // by its own load
 	presses := workflow.StepSpec{Count: 1, CPUMillis: 500, UsesSpareCPU: true, Image: "g"}
 	worker.Residents = append(worker.Residents, resident(worker, "g", 0, &presses))
 	_, orders := p.Adjust(500, worker, 500)
