Keep a task over its target through single figures below it

The pause of fillers counts from when a figure is over the target, and each figure below it began the time anew; figures are rough by 0.06, so near the target about every second one is below.

Change: a task counts as under its target after 0.6 s without a figure over it, that is after two. The margin of paces is 0.04 (0.03 before).

Figures: TestRoughFiguresDoNotHideATaskOverItsTarget fails before the change and passes after it.

--- a/core/dispatch/sharing.go
+++ b/core/dispatch/sharing.go
@@ -12,6 +12,7 @@
 // tasks.
 type Sharing struct {
 	OverSince  model.Millis // since when a serving task was over its target; 0 if none is
+	UnderSince model.Millis // since when none is over its target any more, while OverSince is kept
 	FigureSeen model.Millis // when the worker's figures were last read
 }
 
@@ -20,10 +21,11 @@
 // second late.
 const (
 	placeMargin = 0.02 // for a new filler
-	paceMargin  = 0.03 // for the paces of those that run
+	paceMargin  = 0.04 // for the paces of those that run; at 0.03 a task stayed over its target once in 40 days
 	paceStep    = 10   // percent; smaller changes are not worth a call
 	raiseStep   = 25   // percent; a single figure is rough, and a pace that follows it swings with its noise
 
+	underForMs        = model.Millis(600)  // before a task counts as under its target again: two figures, because one is rough
 	pauseKnownAfterMs = model.Millis(1500) // over the target for so long: fillers that press pause
 	pauseAllAfterMs   = model.Millis(2500) // and then all of them
 )
@@ -45,11 +47,7 @@
 	s.FigureSeen = figureAt
 	p.Observe(now, w)
 	fillers := runningFillers(w)
-	if !p.anyOver(w) {
-		s.OverSince = 0
-	} else if s.OverSince == 0 {
-		s.OverSince = now
-	}
+	s.note(now, p.anyOver(w))
 	if len(fillers) == 0 {
 		return s, nil
 	}
@@ -66,6 +64,22 @@
 	return s, orders
 }
 
+// note keeps since when a serving task is over its target. A single figure below it does not
+// end that time.
+func (s *Sharing) note(now model.Millis, over bool) {
+	switch {
+	case over:
+		s.UnderSince = 0
+		if s.OverSince == 0 {
+			s.OverSince = now
+		}
+	case s.OverSince != 0 && s.UnderSince == 0:
+		s.UnderSince = now
+	case s.OverSince != 0 && now-s.UnderSince >= underForMs:
+		s.OverSince, s.UnderSince = 0, 0
+	}
+}
+
 func worthACall(from, to int) bool {
 	if from == to {
 		return false
--- a/core/dispatch/sharing_test.go
+++ b/core/dispatch/sharing_test.go
@@ -316,6 +316,29 @@
 	}
 }
 
+// Guards against a serving task that is over its target for as long as the users tolerate, because
+// rough figures fall below it now and then and each of them began the time anew.
+func TestRoughFiguresDoNotHideATaskOverItsTarget(t *testing.T) {
+	p := NewPressure()
+	p.sensitivityOf("s", 0).base = worldBase
+	p.know("s", "f", 0) // what the model knows is wrong
+	worker := besideOne(4000)
+	for now := model.Millis(500); now <= 4000; now += 500 {
+		worker.Residents[0].TailMs = worldTarget + 2
+		if now/500%3 == 0 {
+			worker.Residents[0].TailMs = worldTarget - 1
+		}
+		share, orders := p.Adjust(now, worker, now)
+		worker.Share = share
+		for _, o := range orders {
+			if o.Percent == 0 {
+				return
+			}
+		}
+	}
+	t.Errorf("the filler still works at %d %% after 4 s", worker.Residents[1].Pace)
+}
+
 // Guards against relief that ends with a large filler that does not press, before it comes to a
 // small one that does.
 func TestSmallFillersThatPressGiveWay(t *testing.T) {
