--- a/daemon/fleet/fleet_test.go
+++ b/daemon/fleet/fleet_test.go
@@ -91,6 +91,14 @@
 	})
 }
 
+// join adds a worker and reports it.
+func (r *rig) join(id string, born model.Millis) *fakeWorker {
+	r.t.Helper()
+	w := r.workers.add(id, born)
+	r.report(w)
+	return w
+}
+
 func (r *rig) submit(id string, steps ...workflow.StepSpec) {
 	r.t.Helper()
 	answer, err := r.engine.Submit(context.Background(), workflow.Submission{Host: "h", Path: "/q/" + id, Payload: "p", Steps: steps})
@@ -102,8 +110,7 @@
 // runningTask adds a worker that runs the only task of job j.
 func (r *rig) runningTask() *fakeWorker {
 	r.t.Helper()
-	w := r.workers.add("a", 1)
-	r.report(w)
+	w := r.join("a", 1)
 	r.submit("j", oneTask)
 	r.until("the task runs", func() bool { return len(w.runs()) == 1 })
 	return w
@@ -135,8 +142,7 @@
 // before they are in the log.
 func TestJobRunsToItsEnd(t *testing.T) {
 	r := newRig(t)
-	w := r.workers.add("a", 1)
-	r.report(w)
+	w := r.join("a", 1)
 	r.submit("j", oneTask, workflow.StepSpec{Count: 2, CPUMillis: 1000, After: []int{0}})
 	r.until("the first step runs", func() bool { return len(w.runs()) == 1 })
 	w.finish(workflow.EndDone)
@@ -202,8 +208,7 @@
 // continue one that was assigned and never started.
 func TestNextLeaderTakesOver(t *testing.T) {
 	r := newRig(t)
-	a := r.workers.add("a", 1)
-	r.report(a)
+	a := r.join("a", 1)
 	r.submit("runs", oneTask)
 	r.until("the task runs", func() bool { return len(a.runs()) == 1 })
 	before := a.runs()[0]
@@ -238,8 +243,7 @@
 // again.
 func TestCancelStopsTasks(t *testing.T) {
 	r := newRig(t)
-	a := r.workers.add("a", 1)
-	r.report(a)
+	a := r.join("a", 1)
 	r.submit("j", workflow.StepSpec{Count: 2, CPUMillis: 100, LongRunning: true})
 	r.until("the tasks run", func() bool { return len(a.runs()) == 2 })
 	if answer, err := r.engine.Cancel(context.Background(), workflow.Cancel{Host: "h", Path: "/q/j"}); err != nil || answer.Code != state.CodeOK {
@@ -255,12 +259,10 @@
 // Guards against tasks that stay on a worker that leaves, and against starts on it.
 func TestLeavingWorkerHandsItsTasksOver(t *testing.T) {
 	r := newRig(t)
-	a := r.workers.add("a", 1)
-	r.report(a)
+	a := r.join("a", 1)
 	r.submit("lasts", workflow.StepSpec{Count: 1, CPUMillis: 100, LongRunning: true})
 	r.until("the task runs", func() bool { return len(a.runs()) == 1 })
-	b := r.workers.add("b", 1)
-	r.report(b)
+	b := r.join("b", 1)
 	a.worker.Draining = true
 	r.report(a)
 	r.until("the task has moved", func() bool { return len(a.runs()) == 0 && len(b.runs()) == 1 })
@@ -272,15 +274,13 @@
 // it, and holds its place meanwhile.
 func TestPausedFillerMoves(t *testing.T) {
 	r := newRig(t)
-	a := r.workers.add("a", 1)
-	r.report(a)
+	a := r.join("a", 1)
 	r.submit("serves", workflow.StepSpec{Count: 1, CPUMillis: 1000, LongRunning: true, Image: "s", TailTargetMs: 20})
 	r.until("the serving task runs", func() bool { return len(a.runs()) == 1 })
 	r.submit("fills", workflow.StepSpec{Count: 1, CPUMillis: 1000, UsesSpareCPU: true, Checkpoints: true, Image: "f"})
 	r.until("the filler runs beside it", func() bool { return len(a.runs()) == 2 })
 	a.set(func() { a.tail = 50 })
-	b := r.workers.add("b", 1)
-	r.report(b)
+	b := r.join("b", 1)
 	r.until("the filler has moved", func() bool { return len(a.runs()) == 1 && len(b.runs()) == 1 })
 	if moved := b.runs()[0]; moved.Task.Job != "fills" || b.running[moved] != "saved" {
 		t.Errorf("attempt %v runs on the other worker from checkpoint %q", moved, b.running[moved])
--- a/daemon/fleet/lives_test.go
+++ b/daemon/fleet/lives_test.go
@@ -18,8 +18,7 @@
 	a := r.runningTask()
 	var until model.Millis
 	a.set(func() { a.silent, until = true, a.until })
-	b := r.workers.add("b", 1)
-	r.report(b)
+	b := r.join("b", 1)
 	r.until("the task runs on the other worker", func() bool { return len(b.runs()) == 1 })
 	if now := a.clock(); now <= until {
 		t.Errorf("the task was started elsewhere at %d, the lease ends at %d", now, until)
@@ -49,8 +48,7 @@
 func TestRestartedWorkerKnowsNothing(t *testing.T) {
 	r := newRig(t)
 	r.runningTask()
-	again := r.workers.add("a", 2)
-	r.report(again)
+	again := r.join("a", 2)
 	r.until("the task runs on the new life", func() bool { return len(again.runs()) == 1 })
 	if got := again.runs()[0].Number; got != 2 {
 		t.Errorf("it runs as attempt %d, want 2", got)
@@ -127,16 +125,14 @@
 	again := r.workers.add("a", 2)
 	again.set(func() { again.silent = true })
 	r.report(again)
-	b := r.workers.add("b", 1)
-	r.report(b)
+	b := r.join("b", 1)
 	r.until("the task runs on another worker", func() bool { return len(b.runs()) == 1 })
 }
 
 // Guards against heartbeats of a former life or of an earlier moment that undo later ones.
 func TestLateHeartbeatsChangeNothing(t *testing.T) {
 	r := newRig(t)
-	a := r.workers.add("a", 5)
-	r.report(a)
+	a := r.join("a", 5)
 	leaving := a.worker
 	leaving.Draining = true
 	ctx := context.Background()
