--- a/daemon/replica/replica_test.go
+++ b/daemon/replica/replica_test.go
@@ -298,19 +298,28 @@
 	}
 }
 
-// Guards against a graceful shutdown that leaves the group without a leader until an
-// election timeout, and against a removed directory that comes back by itself.
-func TestTransferAndRemove(t *testing.T) {
-	c := newCluster(t, 3, nil)
-	c.propose(1)
+// transfer hands the leadership over and returns the controller that led.
+func (c *cluster) transfer() int {
+	c.t.Helper()
 	old := c.leader()
 	ctx, stop := context.WithTimeout(context.Background(), patience)
 	defer stop()
 	if err := c.controllers[old].replica.TransferLeadership(ctx); err != nil {
-		t.Fatal(err)
+		c.t.Fatal(err)
 	}
+	return old
+}
+
+// Guards against a graceful shutdown that leaves the group without a leader until an
+// election timeout, and against a removed directory that comes back by itself.
+func TestTransferAndRemove(t *testing.T) {
+	c := newCluster(t, 3, nil)
+	c.propose(1)
+	old := c.transfer()
 	c.propose(2)
 	removed := c.controllers[old].replica.identity().ID
+	ctx, stop := context.WithTimeout(context.Background(), patience)
+	defer stop()
 	c.wait("the removal", func() bool {
 		return c.controllers[c.leader()].replica.RemoveMember(ctx, removed) == nil
 	})
@@ -354,12 +363,7 @@
 	link := &lossyOnce{RoundTripper: http.DefaultTransport}
 	c := newCluster(t, 3, func(o *Options) { o.Client = &http.Client{Transport: link} })
 	c.propose(1)
-	old := c.leader()
-	ctx, stop := context.WithTimeout(context.Background(), patience)
-	defer stop()
-	if err := c.controllers[old].replica.TransferLeadership(ctx); err != nil {
-		t.Fatal(err)
-	}
+	c.transfer()
 	if !link.lost.Load() {
 		t.Error("no message was lost")
 	}
