Count a task as done when its end is listed after its attempt was lost

Change: an end of kind done completes its task also if the attempt is closed; a later attempt that is open is closed, so its worker stops it. Ends of attempts that were assigned to another worker still count for nothing. The new test fails without the change.

--- a/core/workflow/apply.go
+++ b/core/workflow/apply.go
@@ -183,11 +183,12 @@
 	return reporter
 }
 
-// closeAttempt closes the attempt if it is open on the incarnation. Otherwise it was closed
-// earlier, for example as lost, and nothing changes.
+// closeAttempt closes the attempt if it is open on the incarnation. Otherwise it was closed earlier,
+// for example as lost, and only its outcome is recorded.
 func (s *State) closeAttempt(now model.Millis, a Attempt, incarnation Incarnation, e End) {
 	task, ok := s.openTask(incarnation, a)
 	if !ok {
+		s.recordLateOutcome(now, a, incarnation, e.Kind)
 		return
 	}
 	s.removeOpen(a, incarnation)
@@ -201,16 +202,47 @@
 		s.dropDetails(job)
 		return
 	}
-	step := job.Steps[a.Task.Step]
-	switch e.Kind {
+	s.recordOutcome(now, job, a.Task, e.Kind)
+}
+
+// recordLateOutcome records that an attempt has done its task although the attempt was already
+// closed. A task that ran to its end must not run again: a later attempt that is open is closed,
+// and its worker stops it as one that should not run.
+func (s *State) recordLateOutcome(now model.Millis, a Attempt, incarnation Incarnation, kind EndKind) {
+	job, ok := s.liveJobs[a.Task.Job]
+	if !ok || kind != EndDone || !job.validKey(a.Task) || job.Steps[a.Task.Step].LongRunning {
+		return
+	}
+	run := job.Runs[a.Task.Occurrence]
+	if run == nil {
+		return // the occurrence is complete
+	}
+	task := &run.Steps[a.Task.Step].Tasks[a.Task.Index]
+	if task.Phase == TaskDone || a.Number > task.Attempt {
+		return
+	}
+	if a.Number == task.Attempt && incarnation.Worker != task.Incarnation.Worker {
+		return // not the worker that the attempt was assigned to
+	}
+	if task.Phase == TaskOpen {
+		s.removeOpen(Attempt{a.Task, task.Attempt}, task.Incarnation)
+	}
+	s.completeTask(now, job, a.Task)
+}
+
+// recordOutcome records how an attempt of a live job ended.
+func (s *State) recordOutcome(now model.Millis, job *Job, key TaskKey, kind EndKind) {
+	longRunning := job.Steps[key.Step].LongRunning
+	task := &job.Runs[key.Occurrence].Steps[key.Step].Tasks[key.Index]
+	switch kind {
 	case EndDone:
-		if !step.LongRunning {
-			s.completeTask(now, job, a.Task)
+		if !longRunning {
+			s.completeTask(now, job, key)
 		}
 	case EndFailed:
 		task.Failures++
-		if !step.LongRunning && job.MaxFailures > 0 && task.Failures >= job.MaxFailures {
-			s.endJob(job, PhaseFailed, now, fmt.Sprintf("task %s failed %d times", a.Task, task.Failures))
+		if !longRunning && job.MaxFailures > 0 && task.Failures >= job.MaxFailures {
+			s.endJob(job, PhaseFailed, now, fmt.Sprintf("task %s failed %d times", key, task.Failures))
 		}
 	}
 }
--- a/core/workflow/workflow_test.go
+++ b/core/workflow/workflow_test.go
@@ -276,3 +276,48 @@
 		t.Error("the end of another worker has closed the attempt")
 	}
 }
+
+// Guards against running a task again that has run to its end: the end may be listed after its
+// attempt was recorded as lost, with no later attempt, or with one that runs or has ended.
+func TestEndListedAfterLossCompletesTheTask(t *testing.T) {
+	for name, later := range map[string]func(s *State, b Incarnation, k TaskKey){
+		"no later attempt": func(*State, Incarnation, TaskKey) {},
+		"a later attempt is open": func(s *State, b Incarnation, k TaskKey) {
+			batch(t, s, 4, Batch{Assign: []Assignment{assign(k, 2, b)}})
+		},
+		"a later attempt has failed": func(s *State, b Incarnation, k TaskKey) {
+			batch(t, s, 4, Batch{Assign: []Assignment{assign(k, 2, b)}})
+			batch(t, s, 5, Batch{Ends: []End{end(k, 2, b, 1, EndFailed)}})
+		},
+	} {
+		s, a, k := newOpenTask(t)
+		b := worker("b", 10).Incarnation
+		batch(t, s, 3, Batch{Lost: []LostAttempt{{Incarnation: a, Attempt: Attempt{k, 1}}}})
+		later(s, b, k)
+		batch(t, s, 6, Batch{Ends: []End{end(k, 1, a, 1, EndDone)}})
+		batch(t, s, 7, Batch{Assign: []Assignment{assign(k, 3, b)}})
+		if status, _ := s.StatusOf("j"); status != StatusCompleted || s.HasOpen(b) {
+			t.Errorf("%s: the job is %s, an attempt is open: %v", name, status, s.HasOpen(b))
+		}
+	}
+}
+
+// Guards against completing a task by an end that is not one of its attempts, and against
+// completing one that lasts.
+func TestLateEndsThatCompleteNothing(t *testing.T) {
+	s, a, b := newState(t)
+	submit(t, s, "lasting", StepSpec{Count: 1, LongRunning: true})
+	submit(t, s, "j", StepSpec{Count: 1})
+	lasting, k := key("lasting", 0, 0), key("j", 0, 0)
+	batch(t, s, 2, Batch{Assign: []Assignment{assign(lasting, 1, a), assign(k, 1, a)}})
+	batch(t, s, 3, Batch{Lost: []LostAttempt{{Incarnation: a, Attempt: Attempt{lasting, 1}}, {Incarnation: a, Attempt: Attempt{k, 1}}}})
+	batch(t, s, 4, Batch{Ends: []End{
+		end(lasting, 1, a, 1, EndDone), end(k, 2, a, 2, EndDone), end(k, 1, a, 3, EndStopped), end(key("j", 7, 7), 1, a, 4, EndDone),
+	}})
+	batch(t, s, 5, Batch{Assign: []Assignment{assign(lasting, 2, b), assign(k, 2, b)}})
+	for _, attempt := range []Attempt{{lasting, 2}, {k, 2}} {
+		if open, _ := s.IsOpen(b, attempt); !open {
+			t.Errorf("attempt %v was not opened", attempt)
+		}
+	}
+}
