Pass the leader's calls to workers through agents, within a descriptor budget

Change: - daemon/agent: the leader keeps one stream with each other controller and sends its calls to workers over it in batches; a controller in the worker's zone makes the call. The leader still decides on every call, its lease and its fencing token, so a call through an agent is no more than a call that the network delays. Agents drop calls that reach them late and calls of earlier leaders. From 128 workers on; below, and without agents, the leader calls workers itself. - Connections to workers take at most half of the descriptors, those from outside at most 0.3; two connections to each worker in place of four. - A call that got no connection is "not sent": no stop is needed and it is no evidence against the worker. - State files wait for a descriptor for up to 10 s in place of ending the process. - Ends are queued in the order of their numbers. - The address of a session is read under the lock (it was a data race).

--- a/daemon/fleet/engine.go
+++ b/daemon/fleet/engine.go
@@ -17,10 +17,13 @@
 
 // Options are the settings of an Engine.
 type Options struct {
-	Log         replica.Log
-	Workers     WorkerClient
-	Logger      zerolog.Logger
-	Metrics     *Metrics      // a new set if nil
+	Log     replica.Log
+	Workers WorkerClient
+	Logger  zerolog.Logger
+	Metrics *Metrics // a new set if nil
+	// Leading is called in a goroutine of its own when this controller begins to lead. ctx is done
+	// when the term ends; workers returns the number of workers. It may be nil.
+	Leading     func(ctx context.Context, workers func() int)
 	LeaderLease time.Duration // must be less than the shortest election timeout
 	WorkerLease time.Duration // lease of the tasks on a worker; at most the workers' own limit
 }
@@ -147,12 +150,25 @@
 		defer l.wg.Done()
 		l.lease.renew(ctx, e.opts.Log, e.opts.LeaderLease)
 	}()
+	if e.opts.Leading != nil {
+		l.wg.Add(1)
+		go func() {
+			defer l.wg.Done()
+			e.opts.Leading(ctx, e.workerCount)
+		}()
+	}
 	l.runPasses()
 	l.resign()
 	l.wg.Wait()
 	l.logger.Info().Msg("no longer leading")
 }
 
+func (e *Engine) workerCount() int {
+	count := 0
+	e.opts.Log.View(func(st *state.State) { count = len(st.Workflows.Workers) })
+	return count
+}
+
 func (e *Engine) setLeadership(l *leadership) {
 	e.mu.Lock()
 	defer e.mu.Unlock()
--- a/daemon/fleet/orders.go
+++ b/daemon/fleet/orders.go
@@ -21,12 +21,13 @@
 	}
 	o.phase = startSent
 	call := StartCall{Attempt: a, Payload: payload, Checkpoint: checkpoint, LeaseUntil: s.extendLease(now), Token: l.token}
+	to := s.endpoint()
 	l.wg.Add(1)
 	go func() {
 		defer l.wg.Done()
 		ctx, cancel := context.WithTimeout(l.ctx, orderTimeout)
 		defer cancel()
-		clock, err := l.engine.opts.Workers.Start(ctx, s.endpoint(), call)
+		clock, err := l.engine.opts.Workers.Start(ctx, to, call)
 		l.mu.Lock()
 		defer l.mu.Unlock()
 		answered := bootclock.Now()
@@ -55,6 +56,8 @@
 			s.pauseUntil = now.Add(noCapacityPause)
 		case errors.Is(err, ErrWorkerUnavailable):
 			s.pauseUntil = now.Add(unavailablePause)
+		case errors.Is(err, ErrNotSent):
+			s.pauseUntil = now.Add(notSentPause)
 		case errors.Is(err, ErrFenced):
 			l.resign()
 		case errors.Is(err, ErrWrongWorker):
@@ -74,6 +77,8 @@
 	switch {
 	case err == nil:
 		return "answered"
+	case errors.Is(err, ErrNotSent):
+		return "not_sent"
 	case rejected(err):
 		return "refused"
 	}
@@ -90,13 +95,14 @@
 	o.stopSentAt = now
 	s.changed = true
 	l.engine.opts.Metrics.count("stops", "sent", 1)
+	to := s.endpoint()
 	p.calls = append(p.calls, func() {
 		ctx, cancel := context.WithTimeout(l.ctx, orderTimeout)
 		defer cancel()
 		if !l.lease.valid(bootclock.Now()) {
 			return
 		}
-		clock, err := l.engine.opts.Workers.Stop(ctx, s.endpoint(), a, l.token)
+		clock, err := l.engine.opts.Workers.Stop(ctx, to, a, l.token)
 		l.mu.Lock()
 		defer l.mu.Unlock()
 		answered := bootclock.Now()
@@ -120,10 +126,11 @@
 	}
 	o.paceInFlight = true
 	l.engine.opts.Metrics.count("paces", "sent", 1)
+	to := s.endpoint()
 	p.calls = append(p.calls, func() {
 		ctx, cancel := context.WithTimeout(l.ctx, orderTimeout)
 		defer cancel()
-		err := l.engine.opts.Workers.Pace(ctx, s.endpoint(), order.Attempt, order.Percent, l.token)
+		err := l.engine.opts.Workers.Pace(ctx, to, order.Attempt, order.Percent, l.token)
 		l.mu.Lock()
 		defer l.mu.Unlock()
 		o.paceInFlight = false
--- a/daemon/fleet/session.go
+++ b/daemon/fleet/session.go
@@ -1,8 +1,10 @@
 package fleet
 
 import (
+	"cmp"
 	"context"
 	"errors"
+	"slices"
 	"time"
 
 	"samphirepaddle.example/core/dispatch"
@@ -30,6 +32,7 @@
 	leaseExpiryMargin   = 300 * time.Millisecond  // safety margin after the end of a lease
 	noCapacityPause     = 300 * time.Millisecond  // without starts after the worker refused one that did not fit
 	unavailablePause    = 1000 * time.Millisecond // without starts after the worker refused one as unavailable
+	notSentPause        = 100 * time.Millisecond  // without starts after one could not be sent
 	deregistrationGrace = 1000 * time.Millisecond // from a worker's deregistration until its tasks count as lost
 )
 
@@ -60,11 +63,12 @@
 )
 
 // session is the leader's view of one worker process. Its fields are guarded by leadership.mu,
-// except for the first group, of which only addr changes after the session is opened.
+// except for those of the first group that do not change after the session is opened: all but addr.
 type session struct {
 	leadership  *leadership
 	incarnation workflow.Incarnation
 	addr        string
+	zone        model.Zone
 	cancel      context.CancelFunc
 	wake        chan struct{}
 
@@ -102,7 +106,7 @@
 func (l *leadership) newSession(w workflow.Worker) *session {
 	ctx, cancel := context.WithCancel(l.ctx)
 	s := &session{
-		leadership: l, incarnation: w.Incarnation, addr: w.Addr, cancel: cancel, wake: make(chan struct{}, 1),
+		leadership: l, incarnation: w.Incarnation, addr: w.Addr, zone: w.Zone, cancel: cancel, wake: make(chan struct{}, 1),
 		openedAt: bootclock.Now(), recordedThrough: w.LastRecordedEnd,
 		running: map[workflow.Attempt]RunningAttempt{}, orders: map[workflow.Attempt]*order{},
 	}
@@ -112,7 +116,10 @@
 	return s
 }
 
-func (s *session) endpoint() Endpoint { return Endpoint{Incarnation: s.incarnation, Addr: s.addr} }
+// endpoint returns the address of the worker; leadership.mu must be held.
+func (s *session) endpoint() Endpoint {
+	return Endpoint{Incarnation: s.incarnation, Addr: s.addr, Zone: s.zone}
+}
 
 // run keeps one hold call open until the session ends.
 func (s *session) run(ctx context.Context) {
@@ -134,7 +141,7 @@
 
 // hold makes one hold call and returns how long to wait before the next one.
 func (s *session) hold(ctx context.Context) time.Duration {
-	call, ok := s.prepareHold()
+	to, call, ok := s.prepareHold()
 	if !ok {
 		return holdRetryDelay
 	}
@@ -142,27 +149,27 @@
 	callCtx, cancel := context.WithTimeout(ctx, timeout)
 	defer cancel()
 	sentAt := bootclock.Now()
-	listing, err := s.leadership.engine.opts.Workers.Hold(callCtx, s.endpoint(), call)
+	listing, err := s.leadership.engine.opts.Workers.Hold(callCtx, to, call)
 	if ctx.Err() != nil {
 		return 0
 	}
 	return s.handleHoldResult(sentAt, call, listing, err)
 }
 
-func (s *session) prepareHold() (HoldCall, bool) {
+func (s *session) prepareHold() (Endpoint, HoldCall, bool) {
 	l := s.leadership
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	now := bootclock.Now()
 	if s.replaced || !l.lease.valid(now) {
-		return HoldCall{}, false
+		return Endpoint{}, HoldCall{}, false
 	}
 	call := HoldCall{Token: l.token}
 	if s.failing || !s.tokenAccepted {
 		// No lease is sent until the worker has answered, because an unanswered call may take effect
 		// late. No ends are acknowledged either: a new process of the worker, whose end numbers start
 		// again at 1, may receive the call.
-		return call, true
+		return s.endpoint(), call, true
 	}
 	call.AckedThrough = s.recordedThrough
 	call.Wait = model.Millis(holdWait.Milliseconds())
@@ -173,7 +180,7 @@
 		call.Wait = 0
 	}
 	call.LeaseUntil = s.extendLease(now)
-	return call, true
+	return s.endpoint(), call, true
 }
 
 // colocatedWait returns the wait of a hold call to a worker on which best-effort tasks run beside
@@ -231,6 +238,9 @@
 		l.logger.Warn().Str("worker", string(s.incarnation.Worker)).Uint64("token", l.token).Msg("the worker has seen a higher fencing token")
 		l.resign()
 		return time.Second
+	case errors.Is(err, ErrNotSent):
+		l.engine.opts.Metrics.count("holds", "not_sent", 1)
+		return holdRetryDelay
 	case err != nil:
 		if !s.failing {
 			l.logger.Info().Err(err).Str("worker", string(s.incarnation.Worker)).Int64("silent_ms", now.Sub(s.answeredAt).Milliseconds()).
@@ -282,6 +292,8 @@
 	if !listing.Truncated {
 		s.fullListSentAt = sentAt
 	}
+	// An acknowledgement covers all lower numbers, so the ends are queued in the order of theirs.
+	slices.SortFunc(listing.Ended, func(a, b EndedAttempt) int { return cmp.Compare(a.Number, b.Number) })
 	for _, e := range listing.Ended {
 		if e.Number <= s.endsQueued || e.Number <= s.recordedThrough {
 			continue
--- a/daemon/fleet/session_test.go
+++ b/daemon/fleet/session_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"testing"
 	"time"
 
@@ -173,3 +174,28 @@
 		}
 	}
 }
+
+// Guards against losing an end that a worker lists behind one with a higher number: the
+// acknowledgement of the higher number covers it, and its task would run again.
+func TestEndsAreQueuedInTheOrderOfTheirNumbers(t *testing.T) {
+	s := &session{orders: map[workflow.Attempt]*order{}}
+	s.applyListing(1, 2, Listing{Ended: []EndedAttempt{{Number: 3}, {Number: 1}, {Number: 2}}})
+	for i, e := range s.ends {
+		if e.Number != uint64(i+1) {
+			t.Errorf("end %d is queued at position %d", e.Number, i+1)
+		}
+	}
+	if len(s.ends) != 3 {
+		t.Errorf("%d ends are queued, want 3", len(s.ends))
+	}
+}
+
+// Guards against taking a shortage on the leader's VM for a silent worker.
+func TestHoldThatWasNotSentIsNoEvidenceAgainstTheWorker(t *testing.T) {
+	l := &leadership{engine: NewEngine(Options{}), sessions: map[workflow.Incarnation]*session{}, passRequests: make(chan struct{}, 1)}
+	s := &session{leadership: l, tokenAccepted: true, answeredAt: bootclock.Now(), orders: map[workflow.Attempt]*order{}}
+	s.handleHoldResult(bootclock.Now(), HoldCall{}, Listing{}, fmt.Errorf("%w: no descriptor", ErrNotSent))
+	if s.failing {
+		t.Error("the worker counts as failing")
+	}
+}
--- a/daemon/fleet/worker.go
+++ b/daemon/fleet/worker.go
@@ -16,6 +16,7 @@
 type Endpoint struct {
 	Incarnation workflow.Incarnation
 	Addr        string
+	Zone        model.Zone
 }
 
 // StartCall is the request to start an attempt.
@@ -80,11 +81,12 @@
 	ErrLeaseExpired      = errors.New("the lease in the call has expired")
 	ErrNoCapacity        = errors.New("the task does not fit on the worker")
 	ErrMalformed         = errors.New("the worker could not decode the call")
+	ErrNotSent           = errors.New("the call was not sent to the worker") // says nothing about the worker
 )
 
 // rejected reports whether the error guarantees that a start was not and will not be executed.
 func rejected(err error) bool {
-	for _, known := range []error{ErrWrongWorker, ErrWorkerUnavailable, ErrFenced, ErrStaleAttempt, ErrLeaseExpired, ErrNoCapacity, ErrMalformed} {
+	for _, known := range []error{ErrWrongWorker, ErrWorkerUnavailable, ErrFenced, ErrStaleAttempt, ErrLeaseExpired, ErrNoCapacity, ErrMalformed, ErrNotSent} {
 		if errors.Is(err, known) {
 			return true
 		}
--- a/daemon/fleetd/controller.go
+++ b/daemon/fleetd/controller.go
@@ -10,6 +10,7 @@
 	"github.com/rs/zerolog"
 
 	"samphirepaddle.example/core/model"
+	"samphirepaddle.example/daemon/agent"
 	"samphirepaddle.example/daemon/fleet"
 	"samphirepaddle.example/daemon/replica"
 	"samphirepaddle.example/daemon/rpc"
@@ -40,6 +41,7 @@
 	logger zerolog.Logger
 	dir    directory
 	client *fleet.Client
+	agent  *agent.Server
 }
 
 func (d *Daemon) buildController(adapter Adapter) ([]net.Listener, error) {
@@ -54,6 +56,10 @@
 	for _, addr := range s.Controllers {
 		options.InitialControllers = append(options.InitialControllers, replica.Controller{Gateway: model.GatewayID(addr), Addr: addr})
 	}
+	workers, err := d.workerTransport()
+	if err != nil {
+		return nil, err
+	}
 	log, err := replica.Open(options)
 	if err != nil {
 		return nil, err
@@ -61,16 +67,22 @@
 	node := &controllerNode{log: log, logger: d.logger, dir: directory{log: log}}
 	d.client = fleet.NewControllerClient(s.Controllers, d.transport(maxControllerConns), node.dir.MemberAddrs, d.logger)
 	node.client = d.client
+	direct := adapter.WorkerClient(workers, d.logger)
+	node.agent = agent.NewServer(direct, s.Zone, d.logger)
+	pool := agent.NewPool(agent.Options{
+		Self: s.ControlAddr, Direct: direct, Members: node.dir.MemberAddrs, Dial: dialer(s.SourceIP).DialContext, Logger: d.logger,
+	})
 	metrics := fleet.NewMetrics()
 	node.engine = fleet.NewEngine(fleet.Options{
 		Metrics: metrics,
-		Log:     log, Workers: adapter.WorkerClient(d.transport(maxWorkerConns), d.logger), Logger: d.logger,
+		Log:     log, Workers: pool, Leading: pool.Run, Logger: d.logger,
 		LeaderLease: leaderLease, WorkerLease: time.Duration(s.WorkerLeaseMs) * time.Millisecond,
 	})
 	d.node = node
 	mux := http.NewServeMux()
 	mux.Handle(rpc.ConsensusPathPrefix, log.Handler())
 	mux.Handle(fleet.PathPrefix, fleet.Handler(node.engine, &node.dir, d.logger))
+	mux.Handle("GET "+agent.StreamPath, node.agent)
 	mux.Handle("GET /metrics", metrics.Handler())
 	adapter.RegisterControl(mux, d.client, node.dir.LeaderAddr, d.logger)
 	return d.listen(map[string]http.Handler{s.ControlListen: mux})
@@ -98,6 +110,7 @@
 
 // transferLeadership stops all activity as the leader and transfers the leadership.
 func (n *controllerNode) transferLeadership(force context.Context) {
+	n.agent.Drain()
 	n.engine.Resign()
 	if !n.log.Leader().Self {
 		return
--- a/daemon/fleetd/daemon.go
+++ b/daemon/fleetd/daemon.go
@@ -29,7 +29,7 @@
 // Maximum connections to one address.
 const (
 	maxControllerConns = 64
-	maxWorkerConns     = 4 // one hold call and up to three other calls
+	maxWorkerConns     = 2 // one for the hold call, one for all other calls
 )
 
 // memoryLimitShare is the soft memory limit of the Go runtime, as a share of the VM's memory.
@@ -123,13 +123,18 @@
 }
 
 func (d *Daemon) listen(handlers map[string]http.Handler) ([]net.Listener, error) {
+	limit, err := descriptorLimit()
+	if err != nil {
+		return nil, err
+	}
+	budget := newDescriptorBudget(int(inboundDescriptorShare * float64(limit)))
 	var listeners []net.Listener
 	for addr, handler := range handlers {
 		listener, err := net.Listen("tcp", addr)
 		if err != nil {
 			return nil, err
 		}
-		listeners = append(listeners, listener)
+		listeners = append(listeners, &budgetedListener{listener, budget})
 		d.servers = append(d.servers, &http.Server{
 			Handler: handler, ReadHeaderTimeout: headerTimeout, ReadTimeout: bodyTimeout,
 			IdleTimeout: idleTimeout, MaxHeaderBytes: maxHeaderBytes, ErrorLog: nil,
--- a/daemon/fleetd/transport.go
+++ b/daemon/fleetd/transport.go
@@ -45,8 +45,25 @@
 
 // transport returns an HTTP transport with at most perHost connections to one address.
 func (d *Daemon) transport(perHost int) *http.Transport {
+	return newTransport(dialer(d.settings.SourceIP).DialContext, perHost)
+}
+
+// workerTransport returns the HTTP transport to workers. On a shortage of descriptors it closes the
+// connections that are idle.
+func (d *Daemon) workerTransport() (*http.Transport, error) {
+	limit, err := descriptorLimit()
+	if err != nil {
+		return nil, err
+	}
+	transport := newTransport(nil, maxWorkerConns)
+	budget := newDescriptorBudget(int(workerDescriptorShare * float64(limit)))
+	transport.DialContext = withinBudget(dialer(d.settings.SourceIP).DialContext, budget, transport.CloseIdleConnections)
+	return transport, nil
+}
+
+func newTransport(dial dialFunc, perHost int) *http.Transport {
 	return &http.Transport{
-		DialContext:         dialer(d.settings.SourceIP).DialContext,
+		DialContext:         dial,
 		MaxConnsPerHost:     perHost,
 		MaxIdleConnsPerHost: perHost,
 		IdleConnTimeout:     idleConnTimeout,
--- a/daemon/storage/store.go
+++ b/daemon/storage/store.go
@@ -12,6 +12,7 @@
 	"io"
 	"strings"
 	"sync"
+	"time"
 
 	"samphirepaddle.example/core/consensus"
 )
@@ -77,7 +78,7 @@
 	if o.SegmentBytes == 0 {
 		o.SegmentBytes = DefaultSegmentBytes
 	}
-	s := &Store{dir: o.Dir, files: o.FileSystem, segmentBytes: o.SegmentBytes}
+	s := &Store{dir: o.Dir, files: patientFiles{o.FileSystem, time.Sleep}, segmentBytes: o.SegmentBytes}
 	if err := s.files.MkdirAll(s.dir); err != nil {
 		return nil, err
 	}
@@ -303,6 +304,7 @@
 	if o.FileSystem == nil {
 		o.FileSystem = OS{}
 	}
+	o.FileSystem = patientFiles{o.FileSystem, time.Sleep}
 	s := &Store{dir: o.Dir, files: o.FileSystem}
 	lock, err := o.FileSystem.Lock(s.path(lockName))
 	if err != nil {
