Rank the workers once for each step, not for each task

Change: the workers are rated once for each step and kept in a heap; an assignment rates one worker again. Coefficients of interference are read from a row for each best-effort image. The leader writes one line on its passes every 5 s.

--- a/core/dispatch/bench_test.go
+++ b/core/dispatch/bench_test.go
@@ -9,27 +9,29 @@
 	"samphirepaddle.example/core/workflow"
 )
 
-// largestDeployment returns the largest supported deployment: 490 workers full of serving and
+const largestWorkers = 1100
+
+// largestDeployment returns the largest supported deployment: workers full of serving and
 // best-effort tasks, and waiting steps of short tasks, some with reserved CPU and some that use
 // spare CPU.
 func largestDeployment() (*Snapshot, *PlannerState) {
 	rng := rand.New(rand.NewPCG(1, 1))
 	state := NewPlannerState()
 	p := &Snapshot{Now: 1000}
-	for i := range 490 {
+	for i := range largestWorkers {
 		w := testWorker(fmt.Sprintf("w%03d", i), workerCPUMillis, 64_000)
-		for j := range 6 {
+		for j := range 3 {
 			step := &workflow.StepSpec{Count: 6, CPUMillis: 2500, MemoryMiB: 5000, LongRunning: true, TailTargetMs: tailTarget, Image: fmt.Sprintf("s%d", (i+j)%5)}
-			w.Allocations = append(w.Allocations, allocation(w, fmt.Sprintf("serving%d", (6*i+j)/8), j, step))
+			w.Allocations = append(w.Allocations, allocation(w, fmt.Sprintf("serving%d", (3*i+j)/24), j, step))
 		}
-		for j := range 6 {
+		for j := range rng.IntN(7) {
 			step := &workflow.StepSpec{Count: 1, CPUMillis: 1800, MemoryMiB: 3000, UsesSpareCPU: true, Image: fmt.Sprintf("f%d", rng.IntN(9))}
 			w.Allocations = append(w.Allocations, allocation(w, fmt.Sprintf("best-effort%d-%d", i, j), 0, step))
 		}
 		p.Workers = append(p.Workers, w)
 	}
 	for i := range 80 {
-		step := workflow.StepSpec{Count: 8, CPUMillis: 1500 + rng.Int64N(1000), MemoryMiB: 3000, EstimateMs: 2500, UsesSpareCPU: i%4 > 0, Image: fmt.Sprintf("f%d", i%9)}
+		step := workflow.StepSpec{Count: 40, CPUMillis: 1500 + rng.Int64N(1000), MemoryMiB: 3000, EstimateMs: 2500, UsesSpareCPU: i%4 > 0, Image: fmt.Sprintf("f%d", i%9)}
 		p.PendingRuns = append(p.PendingRuns, PendingRun{Job: testJob(fmt.Sprintf("j%d", i), i%4, step)})
 	}
 	return p, state
--- a/core/dispatch/candidate.go
+++ b/core/dispatch/candidate.go
@@ -16,6 +16,7 @@
 // candidate is a usable worker with the resources that are still free on it in this pass.
 type candidate struct {
 	worker *Worker
+	index  int // in pass.candidates
 
 	freeCPU          int64 // unreserved, in millicores
 	freeMemory       int64 // unreserved, in MiB
@@ -23,8 +24,7 @@
 	spareCPU         int64      // millicores expected to be left for best-effort tasks
 	longRunning      int        // number of long-running tasks that reserve CPU
 	assigned         []assigned // tasks assigned in this pass
-	headrooms        []headroom // of the serving tasks; read through cachedHeadrooms
-	headroomsKnown   bool       // whether headrooms has been computed
+	headrooms        []headroom // of the serving tasks; set by pass.buildHeadrooms
 }
 
 // assigned is a task that this pass has assigned to a worker.
@@ -42,14 +42,19 @@
 
 func stepKeyOf(k workflow.TaskKey) stepKey { return stepKey{k.Job, k.Occurrence, k.Step} }
 
-func newCandidate(w *Worker) *candidate {
-	c := &candidate{worker: w, freeCPU: w.CPUMillis, freeMemory: w.MemoryMiB, freeAccelerators: w.Accelerators, spareCPU: w.CPUMillis}
+func newCandidate(w *Worker, index int) *candidate {
+	c := &candidate{worker: w, index: index, freeCPU: w.CPUMillis, freeMemory: w.MemoryMiB, freeAccelerators: w.Accelerators, spareCPU: w.CPUMillis}
 	for i := range w.Allocations {
 		c.account(w.Allocations[i].Step, 1)
 	}
 	return c
 }
 
+// shareOf returns the share of the worker's cores that a task of the step declares.
+func (c *candidate) shareOf(step *workflow.StepSpec) float64 {
+	return float64(step.CPUMillis) / float64(max(1, c.worker.CPUMillis))
+}
+
 // taskCount returns the number of tasks of a step on the worker.
 func (c *candidate) taskCount(key stepKey) int {
 	count := 0
--- a/core/dispatch/plan.go
+++ b/core/dispatch/plan.go
@@ -29,7 +29,9 @@
 	starvationTimeout model.Millis
 	firstStartBudget  map[string]int64 // for first starts of long-running tasks, by service
 	usable            []*Worker
-	candidates        []*candidate // the usable workers; set by buildCandidates
+	candidates        []*candidate         // the usable workers; set by buildCandidates
+	servingImages     map[string]int       // index by image of a serving task; set by buildHeadrooms
+	coefficients      map[string][]float64 // by best-effort image; indexed by servingImages
 	unplaced          []unplaced
 	assignments       []workflow.Assignment
 	waits             []WaitingStep
@@ -101,9 +103,14 @@
 		p.waits = append(p.waits, WaitingStep{q.Job.ID, q.Occurrence, ready.step, reason})
 		return
 	}
+	n := p.needsOf(q, ready.step)
+	var ranking *ranking
 	for _, waiting := range ready.tasks {
 		key := workflow.TaskKey{Job: q.Job.ID, Occurrence: q.Occurrence, Step: ready.step, Index: waiting.index}
-		best, reason := p.best(q.Job, spec, key, waiting.task, starved)
+		if ranking == nil && !starved && waiting.task.Failures == 0 {
+			ranking = p.newRanking(n)
+		}
+		best, reason := p.bestFor(ranking, n, waiting.task, starved)
 		if best == nil && !starved {
 			p.unplaced = append(p.unplaced, unplaced{q.Job.Service, spec, reason})
 		}
@@ -118,7 +125,10 @@
 			return // the other tasks of the step have the same requirements
 		}
 		best.reserve(spec, key)
-		best.consumeHeadroom(p.interference, spec)
+		best.consumeHeadroom(&n)
+		if ranking != nil {
+			ranking.update(best)
+		}
 		starved = false
 		number := max(minAttempt, waiting.task.Attempt+1)
 		p.assignments = append(p.assignments, workflow.Assignment{
@@ -136,8 +146,8 @@
 	if p.candidates != nil {
 		return
 	}
-	for _, w := range p.usable {
-		p.candidates = append(p.candidates, newCandidate(w))
+	for i, w := range p.usable {
+		p.candidates = append(p.candidates, newCandidate(w, i))
 	}
 }
 
@@ -221,47 +231,80 @@
 	return p.now-since > p.starvationTimeout
 }
 
+// needs is what the tasks of one step require of a worker.
+type needs struct {
+	service      string
+	spec         *workflow.StepSpec
+	step         stepKey
+	coefficients []float64 // of interference with the images of serving tasks; nil unless the step uses spare CPU
+}
+
+func (p *pass) needsOf(q PendingRun, step int) needs {
+	n := needs{service: q.Job.Service, spec: &q.Job.Steps[step], step: stepKey{q.Job.ID, q.Occurrence, step}}
+	if n.spec.UsesSpareCPU {
+		n.coefficients = p.coefficientsOf(n.spec.Image)
+	}
+	return n
+}
+
+// bestFor returns the worker for a task, or nil and the reason why none is feasible. It uses the
+// ranking of the step, if there is one, for a task without a rating of its own.
+func (p *pass) bestFor(r *ranking, n needs, task workflow.Task, starved bool) (*candidate, WaitReason) {
+	if r != nil && !starved && task.Failures == 0 {
+		if best := r.best(); best != nil {
+			return best, 0
+		}
+	}
+	return p.best(n, task, starved)
+}
+
 // best returns the feasible worker with the highest score, or nil and the reason why none
 // is feasible. A starved task ignores interference and missing spare CPU.
-func (p *pass) best(job *workflow.Job, spec *workflow.StepSpec, key workflow.TaskKey, task workflow.Task, starved bool) (best *candidate, reason WaitReason) {
+func (p *pass) best(n needs, task workflow.Task, starved bool) (best *candidate, reason WaitReason) {
 	bestScore := 0.0
 	for _, c := range p.candidates {
-		if c.worker.Service != job.Service {
-			continue
-		}
-		if obstacle, ok := feasible(c, spec, key); !ok {
+		score, obstacle, ok := c.rate(&n, task, starved)
+		switch {
+		case !ok:
 			reason = max(reason, obstacle)
-			continue
-		}
-		cost := 0.0
-		if spec.UsesSpareCPU {
-			var tolerable bool
-			if cost, tolerable = c.interferenceCost(p.interference, spec); !tolerable && !starved {
-				reason = max(reason, WaitInterference)
-				continue
-			}
-			if c.spareCPU < spec.CPUMillis && !starved {
-				reason = max(reason, WaitNoSpareCPU)
-				continue
-			}
-		}
-		score := score(c, spec, key, task, cost)
-		if best == nil || score > bestScore {
+		case best == nil || score > bestScore:
 			best, bestScore = c, score
 		}
 	}
 	return best, reason
 }
 
+// rate returns the score of a worker for a task, or the obstacle if the worker is not feasible.
+func (c *candidate) rate(n *needs, task workflow.Task, starved bool) (value float64, obstacle WaitReason, ok bool) {
+	if c.worker.Service != n.service {
+		return 0, WaitNoWorker, false
+	}
+	if obstacle, ok := c.feasible(n); !ok {
+		return 0, obstacle, false
+	}
+	cost := 0.0
+	if n.spec.UsesSpareCPU {
+		var tolerable bool
+		if cost, tolerable = c.interferenceCost(n); !tolerable && !starved {
+			return 0, WaitInterference, false
+		}
+		if c.spareCPU < n.spec.CPUMillis && !starved {
+			return 0, WaitNoSpareCPU, false
+		}
+	}
+	return c.score(n, task, cost), 0, true
+}
+
 // feasible reports whether the worker meets the requirements of the step and has the resources
 // free, and if not, which obstacle it found first.
-func feasible(c *candidate, spec *workflow.StepSpec, key workflow.TaskKey) (obstacle WaitReason, ok bool) {
+func (c *candidate) feasible(n *needs) (obstacle WaitReason, ok bool) {
+	spec := n.spec
 	switch {
 	case spec.RequiredLabel != "" && !c.worker.HasLabel(spec.RequiredLabel):
 		return WaitNoLabel, false
 	case !c.fits(spec):
 		return WaitNoCapacity, false
-	case spec.MaxPerWorker != 0 && c.taskCount(stepKeyOf(key)) >= spec.MaxPerWorker:
+	case spec.MaxPerWorker != 0 && c.taskCount(n.step) >= spec.MaxPerWorker:
 		return WaitMaxPerWorker, false
 	}
 	return 0, true
@@ -269,11 +312,11 @@
 
 // interferenceCost returns the utilization that a best-effort task would add to the serving tasks
 // of the worker in total, and whether each of them has the headroom for it.
-func (c *candidate) interferenceCost(m *InterferenceModel, spec *workflow.StepSpec) (cost float64, tolerable bool) {
+func (c *candidate) interferenceCost(n *needs) (cost float64, tolerable bool) {
 	tolerable = true
-	share := float64(spec.CPUMillis) / float64(max(1, c.worker.CPUMillis))
-	for _, h := range c.cachedHeadrooms(m) {
-		coeff := m.coefficient(h.image, spec.Image)
+	share := c.shareOf(n.spec)
+	for _, h := range c.headrooms {
+		coeff := n.coefficients[h.image]
 		if coeff < negligibleCoefficient {
 			continue
 		}
@@ -289,24 +332,42 @@
 
 // consumeHeadroom subtracts the expected interference of a new best-effort task from the headroom
 // of the serving tasks.
-func (c *candidate) consumeHeadroom(m *InterferenceModel, spec *workflow.StepSpec) {
-	if !spec.UsesSpareCPU {
+func (c *candidate) consumeHeadroom(n *needs) {
+	if !n.spec.UsesSpareCPU {
 		return
 	}
-	share := float64(spec.CPUMillis) / float64(max(1, c.worker.CPUMillis))
-	headrooms := c.cachedHeadrooms(m)
-	for i := range headrooms {
-		headrooms[i].free -= m.coefficient(headrooms[i].image, spec.Image) * share
+	share := c.shareOf(n.spec)
+	for i := range c.headrooms {
+		h := &c.headrooms[i]
+		h.free -= n.coefficients[h.image] * share
+	}
+}
+
+// coefficientsOf returns the coefficients of a best-effort image, by the index of the serving
+// image. They do not change within a pass.
+func (p *pass) coefficientsOf(bestEffort string) []float64 {
+	p.buildHeadrooms()
+	if row, ok := p.coefficients[bestEffort]; ok {
+		return row
+	}
+	row := make([]float64, len(p.servingImages))
+	for image, i := range p.servingImages {
+		row[i] = p.interference.coefficient(image, bestEffort)
 	}
+	p.coefficients[bestEffort] = row
+	return row
 }
 
-// cachedHeadrooms returns the headroom of each serving task of the worker, computed at the first
-// call in a pass.
-func (c *candidate) cachedHeadrooms(m *InterferenceModel) []headroom {
-	if !c.headroomsKnown {
-		c.headrooms, c.headroomsKnown = m.headrooms(c.worker), true
+// buildHeadrooms computes the headrooms of the candidates at its first call in a pass, so that a
+// pass without best-effort tasks to place skips this work.
+func (p *pass) buildHeadrooms() {
+	if p.servingImages != nil {
+		return
+	}
+	p.servingImages, p.coefficients = map[string]int{}, map[string][]float64{}
+	for _, c := range p.candidates {
+		c.headrooms = p.interference.headrooms(c.worker, p.servingImages)
 	}
-	return c.headrooms
 }
 
 // Weights of the score. Only their order of magnitude matters: running near the data saves half
@@ -321,7 +382,8 @@
 )
 
 // score rates a feasible worker; higher is better. cost is the result of interferenceCost.
-func score(c *candidate, spec *workflow.StepSpec, key workflow.TaskKey, task workflow.Task, cost float64) float64 {
+func (c *candidate) score(n *needs, task workflow.Task, cost float64) float64 {
+	spec := n.spec
 	value := 0.0
 	if spec.DataRack != "" && c.worker.HasLabel(spec.DataRack) {
 		value += dataRackWeight
@@ -338,7 +400,7 @@
 		}
 	case spec.LongRunning:
 		value -= float64(c.freeCPU) / capacity // bin packing, so that other workers stay free of serving tasks
-		if c.taskCount(stepKeyOf(key)) > 0 {
+		if c.taskCount(n.step) > 0 {
 			value += sameJobWeight
 		}
 		switch {
--- a/daemon/fleet/engine.go
+++ b/daemon/fleet/engine.go
@@ -107,6 +107,7 @@
 	lastFullPass bootclock.Time // time of the last pass that examined every worker
 	lastPlanEnd  bootclock.Time // when the last pass finished planning
 	planDuration time.Duration
+	passStats    passStats
 
 	mu           sync.Mutex // guards the fields below and those of the sessions
 	sessions     map[workflow.Incarnation]*session
@@ -222,6 +223,7 @@
 		case <-l.passRequests:
 		case <-ticker.C:
 			l.limiter.reportDropped(l.logger)
+			l.passStats.log(l.logger, bootclock.Now())
 		}
 		if l.lease.valid(bootclock.Now()) {
 			l.runPass()
--- a/daemon/fleet/pass.go
+++ b/daemon/fleet/pass.go
@@ -41,6 +41,7 @@
 	l.lastPlanEnd = bootclock.Now()
 	l.planDuration = l.lastPlanEnd.Sub(started)
 	l.engine.opts.Metrics.observe("pass_plan_ms", l.planDuration)
+	l.passStats.planned(l.planDuration)
 	for _, call := range p.calls {
 		go call()
 	}
@@ -55,6 +56,7 @@
 		l.logger.Error().Str("code", string(result.Code)).Str("detail", result.Message).Msg("batch not applied")
 	}
 	l.engine.opts.Metrics.observe("pass_commit_ms", bootclock.Since(began))
+	l.passStats.committed(bootclock.Since(began), len(p.batch.Assign))
 	l.handleCommitResult(p, err)
 	l.requestPass()
 }
