Answer heartbeats without news on every controller

Cause: all workers were told to send their heartbeats to the leader, which took 730 calls a second and as many connections at 1,100 workers.

Change: a controller answers a heartbeat that changes nothing in its own state and passes any other on to the leader, also each one of a draining worker, so that news is acknowledged only once it is committed. Workers are told to stay with the controller that answered; relays spread them over the controllers. `platform` gets what its handlers need as one value.

--- a/daemon/fleetd/controller.go
+++ b/daemon/fleetd/controller.go
@@ -10,6 +10,7 @@
 	"github.com/rs/zerolog"
 
 	"samphirepaddle.example/core/model"
+	"samphirepaddle.example/core/workflow"
 	"samphirepaddle.example/daemon/agent"
 	"samphirepaddle.example/daemon/fleet"
 	"samphirepaddle.example/daemon/replica"
@@ -84,7 +85,10 @@
 	mux.Handle(fleet.PathPrefix, fleet.Handler(node.engine, &node.dir, d.logger))
 	mux.Handle("GET "+agent.StreamPath, node.agent)
 	mux.Handle("GET /metrics", metrics.Handler())
-	adapter.RegisterControl(mux, d.client, node.dir.LeaderAddr, d.logger)
+	adapter.RegisterControl(mux, fleet.Control{
+		Client: d.client, Reporter: fleet.LocalReporter{Log: log, Leader: d.client},
+		HeartbeatAddr: func(workflow.WorkerID) string { return s.ControlAddr },
+	}, d.logger)
 	return d.listen(map[string]http.Handler{s.ControlListen: mux})
 }
 
--- a/daemon/fleetd/daemon.go
+++ b/daemon/fleetd/daemon.go
@@ -54,7 +54,7 @@
 // Adapter implements the platform's protocol for callers, operators and workers.
 type Adapter interface {
 	CallerHandler(*fleet.Client, zerolog.Logger) http.Handler
-	RegisterControl(mux *http.ServeMux, c *fleet.Client, leader func() string, logger zerolog.Logger)
+	RegisterControl(mux *http.ServeMux, c fleet.Control, logger zerolog.Logger)
 	WorkerClient(transport http.RoundTripper, logger zerolog.Logger) fleet.WorkerClient
 }
 
@@ -106,7 +106,7 @@
 func (d *Daemon) buildRelay(adapter Adapter) ([]net.Listener, error) {
 	mux := http.NewServeMux()
 	mux.Handle(fleet.PathPrefix, fleet.RedirectHandler(d.client))
-	adapter.RegisterControl(mux, d.client, d.client.LeaderAddr, d.logger)
+	adapter.RegisterControl(mux, fleet.Control{Client: d.client, Reporter: d.client, HeartbeatAddr: d.client.HeartbeatMember}, d.logger)
 	return d.listen(map[string]http.Handler{d.settings.ControlListen: mux})
 }
 
