--- a/spec/check.sh
+++ b/spec/check.sh
@@ -26,6 +26,8 @@
     *'objectNumber<=1'*) echo NO_REVERT ;;
     *'applied1<=1'*) echo APPLIED_ONCE ;;
     *'clog['*) echo COMMITTED_STAYS ;;
+    *'running[(1-w)]==0'*) echo ONE_RUN ;;
+    *'violated done '*) echo END_COUNTS ;;
     *) echo unnamed ;;
   esac
 }
@@ -62,6 +64,10 @@
 
 cases=(
   'attempts holds'
+  'calls holds'
+  'calls ONE_RUN -DNO_STOP_GUARD'
+  'calls ONE_RUN -DNO_TOKEN_GUARD'
+  'calls END_COUNTS -DNO_LATE_END_GUARD'
   'ownership holds'
   'tickets holds -DMAXLOG=2 -DMAXTERM=3'
   'tickets holds -DMAXLOG=3 -DMAXTERM=2'
