Recover from panics in handlers and calls; let the soak use agents

A panic in a goroutine that calls a worker ended the leader; one in a handler left the caller without an answer. And the soak has fewer workers than agents are used for.

Change: a panicking handler answers with "outcome unknown" (504), or breaks off a response that has begun; a panicking call to a worker is one that may have run. Both are logged with path or worker and stack; calls are counted. Setting agent_workers, 1 in the soak.

--- a/daemon/agent/agent_test.go
+++ b/daemon/agent/agent_test.go
@@ -86,12 +86,12 @@
 	direct := &fakeWorkers{}
 	p := NewPool(Options{
 		Self: "self", Direct: direct, Members: func() []string { return append([]string{"self"}, addrs...) },
-		Dial: (&net.Dialer{}).DialContext, Logger: zerolog.Nop(),
+		MinWorkers: 5, Dial: (&net.Dialer{}).DialContext, Logger: zerolog.Nop(),
 	})
 	ctx, cancel := context.WithCancel(context.Background())
 	done := make(chan struct{})
 	go func() {
-		p.Run(ctx, func() int { return minDelegatedWorkers })
+		p.Run(ctx, func() int { return 5 })
 		close(done)
 	}()
 	t.Cleanup(func() {
@@ -333,11 +333,11 @@
 func TestPoolConnectsForLargeFleetsOnly(t *testing.T) {
 	a := newTestAgent(t, "z")
 	looked := make(chan struct{}, 1000)
-	p := NewPool(Options{Members: func() []string { return []string{a.addr} }, Dial: (&net.Dialer{}).DialContext})
+	p := NewPool(Options{MinWorkers: 5, Members: func() []string { return []string{a.addr} }, Dial: (&net.Dialer{}).DialContext})
 	ctx, cancel := context.WithCancel(t.Context())
 	done := make(chan struct{})
 	go func() {
-		p.Run(ctx, func() int { looked <- struct{}{}; return minDelegatedWorkers - 1 })
+		p.Run(ctx, func() int { looked <- struct{}{}; return 4 })
 		close(done)
 	}()
 	<-looked
--- a/daemon/agent/pool.go
+++ b/daemon/agent/pool.go
@@ -15,10 +15,6 @@
 	"samphirepaddle.example/daemon/wait"
 )
 
-// minDelegatedWorkers is the number of workers from which the leader delegates its calls. Below it
-// the leader has the processor time for them, and an agent would only add a hop.
-const minDelegatedWorkers = 128
-
 // Intervals of the pool.
 const (
 	membersInterval = 100 * time.Millisecond // between two looks at the controllers and the number of workers
@@ -33,6 +29,8 @@
 	Self    string             // own address, which is not an agent
 	Direct  fleet.WorkerClient // makes the calls for which there is no agent
 	Members func() []string    // addresses of the controllers
+	// MinWorkers is the number of workers from which the calls pass through agents.
+	MinWorkers int
 	Dial    func(ctx context.Context, network, addr string) (net.Conn, error)
 	Logger  zerolog.Logger
 }
@@ -58,7 +56,7 @@
 	defer open.Wait()
 	known := map[string]context.CancelFunc{}
 	for ; ctx.Err() == nil; wait.For(ctx, membersInterval) {
-		if len(known) == 0 && workers() < minDelegatedWorkers {
+		if len(known) == 0 && workers() < p.opts.MinWorkers {
 			continue
 		}
 		members := p.opts.Members()
--- a/daemon/fleet/engine.go
+++ b/daemon/fleet/engine.go
@@ -42,6 +42,7 @@
 	if o.Metrics == nil {
 		o.Metrics = NewMetrics()
 	}
+	o.Workers = protectedClient{o.Workers, o.Logger, o.Metrics}
 	return &Engine{opts: o}
 }
 
--- a/daemon/fleet/fakeworker_test.go
+++ b/daemon/fleet/fakeworker_test.go
@@ -31,6 +31,7 @@
 	holds      int                         // number of hold calls
 	overlap    int                         // starts of a task while another attempt of it was running
 	silent     bool                        // responds to no calls
+	panics     bool                        // the next start panics after it was executed
 	delayStart func(workflow.Attempt) bool // selects starts that get no response and are executed by runDelayed
 	delayed    []StartCall                 // to be executed by runDelayed
 	starts     map[workflow.Attempt]int    // number of executed starts
@@ -128,7 +129,12 @@
 		w.delayed = append(w.delayed, call)
 		return 0, errSilent
 	}
-	return w.clock(), w.start(call)
+	err = w.start(call)
+	if w.panics {
+		w.panics = false
+		panic("test")
+	}
+	return w.clock(), err
 }
 
 func (w *fakeWorker) start(call StartCall) error {
--- a/daemon/fleetd/controller.go
+++ b/daemon/fleetd/controller.go
@@ -71,7 +71,7 @@
 	direct := adapter.WorkerClient(workers, d.logger)
 	node.agent = agent.NewServer(direct, s.Zone, d.logger)
 	pool := agent.NewPool(agent.Options{
-		Self: s.ControlAddr, Direct: direct, Members: node.dir.MemberAddrs, Dial: dialer(s.SourceIP).DialContext, Logger: d.logger,
+		Self: s.ControlAddr, Direct: direct, Members: node.dir.MemberAddrs, MinWorkers: s.AgentWorkers, Dial: dialer(s.SourceIP).DialContext, Logger: d.logger,
 	})
 	metrics := fleet.NewMetrics()
 	node.engine = fleet.NewEngine(fleet.Options{
--- a/daemon/fleetd/daemon.go
+++ b/daemon/fleetd/daemon.go
@@ -136,7 +136,7 @@
 		}
 		listeners = append(listeners, &budgetedListener{listener, budget})
 		d.servers = append(d.servers, &http.Server{
-			Handler: handler, ReadHeaderTimeout: headerTimeout, ReadTimeout: bodyTimeout,
+			Handler: recoverPanics(handler, d.logger), ReadHeaderTimeout: headerTimeout, ReadTimeout: bodyTimeout,
 			IdleTimeout: idleTimeout, MaxHeaderBytes: maxHeaderBytes, ErrorLog: nil,
 		})
 	}
--- a/daemon/settings/fleet.go
+++ b/daemon/settings/fleet.go
@@ -37,6 +37,7 @@
 	ToleratedVMs int    `json:"tolerated_vms,omitempty" validate:"omitempty,min=0,max=3"` // number of controllers whose simultaneous loss is tolerated
 
 	WorkerLeaseMs model.Millis `json:"worker_lease_ms,omitempty" validate:"omitempty,min=1000,max=60000"` // lease of the tasks on a worker
+	AgentWorkers  int          `json:"agent_workers,omitempty" validate:"omitempty,min=1"`                // number of workers from which the leader calls them through the other controllers
 	MemoryMiB     int64        `json:"memory_mib,omitempty" validate:"omitempty,min=32"`                  // memory available to the process
 	DrainMs       model.Millis `json:"drain_ms,omitempty" validate:"omitempty,min=0,max=60000"`           // time from the shutdown signal until no connections are accepted any more
 	LogLevel      string       `json:"log_level,omitempty" validate:"omitempty,oneof=debug info warn error"`
@@ -47,6 +48,9 @@
 	// DefaultWorkerLeaseMs is long enough for tasks to keep running during a leader change or a
 	// restart of all controllers, and stays below the workers' limit of 10 s.
 	DefaultWorkerLeaseMs = model.Millis(9000)
+	// DefaultAgentWorkers is the number of workers for whose calls the leader needs about a quarter of
+	// a core. An agent would only add a hop for fewer.
+	DefaultAgentWorkers = 128
 	// DefaultDrainMs covers the 2 s that a load balancer takes to notice a draining gateway, and
 	// stays within the 6 s after which the platform kills the process.
 	DefaultDrainMs = model.Millis(3000)
@@ -73,6 +77,7 @@
 	}
 	setDefault(&s.ControlAddr, s.ControlListen)
 	setDefault(&s.WorkerLeaseMs, DefaultWorkerLeaseMs)
+	setDefault(&s.AgentWorkers, DefaultAgentWorkers)
 	setDefault(&s.DrainMs, DefaultDrainMs)
 	setDefault(&s.LogLevel, "info")
 	return s, s.validate()
--- a/test/soak/system.go
+++ b/test/soak/system.go
@@ -98,6 +98,7 @@
 		n.settings["role"], n.settings["data_dir"], n.settings["may_found"] = "controller", n.DataDir, true
 		n.settings["control_listen"], n.settings["control_addr"] = n.Listen, n.Relay.Addr()
 		n.settings["worker_lease_ms"] = workerLeaseMs
+		n.settings["agent_workers"] = 1 // every call passes through another controller
 	} else {
 		n.settings["role"], n.settings["callers_listen"], n.settings["ready_listen"] = "gateway", n.Listen, ports[1]
 	}
