--- a/daemon/agent/pool.go
+++ b/daemon/agent/pool.go
@@ -31,8 +31,8 @@
 	Members func() []string    // addresses of the controllers
 	// MinWorkers is the number of workers from which the calls pass through agents.
 	MinWorkers int
-	Dial    func(ctx context.Context, network, addr string) (net.Conn, error)
-	Logger  zerolog.Logger
+	Dial       func(ctx context.Context, network, addr string) (net.Conn, error)
+	Logger     zerolog.Logger
 }
 
 // Pool is the leader's client of the workers. It passes each call to an agent in the worker's
