Let the urgent jobs of the streams test outlast the evictions

Cause (known red, three sightings): six urgent jobs of 1 s were to evict all six batch jobs. Traced in eight plays at a time: in each failure four or five were evicted, because an urgent job had ended and left its slot to the last one; victims are the youngest first, so the oldest job, which the test follows, was spared. The product was right, the test's premise not.

Change: the urgent jobs run for 6 s and the followed one for 12 s, so that all six must be evicted; the check is the same.

--- a/test/streams_test.go
+++ b/test/streams_test.go
@@ -37,7 +37,7 @@
 		applyTicket(c.Daemons[0], testTicket(1, "1"))
 		targets := startTargets(c, 1)
 		const lines = 60
-		submitJob(c.Daemons[0], "labels", streamRequest("labels", 8*time.Second, lines))
+		submitJob(c.Daemons[0], "labels", streamRequest("labels", 12*time.Second, lines))
 		waitRunning(c.Daemons[0], "labels", targets)
 		followed := make(chan requestRecord, 1)
 		go func() {
@@ -49,9 +49,11 @@
 			submitJob(c.Daemons[0], id, jobRequest(id, 20*time.Second, ""))
 			waitRunning(c.Daemons[0], id, targets)
 		}
-		// All slots available to batch work are in use, so that urgent jobs must evict some of it.
+		// All slots available to batch work are in use, and the urgent jobs outlast the evictions: an
+		// urgent job that ended early would leave its slot to the next one and spare the oldest job,
+		// which is the one that is followed.
 		for _, id := range []string{"urgent-1", "urgent-2", "urgent-3", "urgent-4", "urgent-5", "urgent-6"} {
-			submitJob(c.Daemons[0], id, jobRequest(id, time.Second, `,"urgent":true`))
+			submitJob(c.Daemons[0], id, jobRequest(id, 6*time.Second, `,"urgent":true`))
 		}
 		r := <-followed
 		Expect(r.err).NotTo(HaveOccurred())
