--- a/daemon/fleet/reports_test.go
+++ b/daemon/fleet/reports_test.go
@@ -33,7 +33,8 @@
 	}
 	left := with(func(w *workflow.Worker) { w.Incarnation.Worker, w.Deregistered = "left", true })
 	st := state.New()
-	st.Workflows.Apply(1, nil, &workflow.Command{Batch: &workflow.Batch{Workers: []workflow.Worker{known, left}}})
+	drains := with(func(w *workflow.Worker) { w.Incarnation.Worker, w.Draining = "drains", true })
+	st.Workflows.Apply(1, nil, &workflow.Command{Batch: &workflow.Batch{Workers: []workflow.Worker{known, left, drains}}})
 	returned := left
 	returned.Deregistered = false
 	for name, test := range map[string]struct {
@@ -47,6 +48,7 @@
 		"new address":                {with(func(w *workflow.Worker) { w.Addr = "b:1" }), true},
 		"new capacity":               {with(func(w *workflow.Worker) { w.CPUMillis = 8 }), true},
 		"new label":                  {with(func(w *workflow.Worker) { w.Labels = []string{"m"} }), true},
+		"still draining":             {drains, true}, // with less time left
 		"draining":                   {with(func(w *workflow.Worker) { w.Draining = true }), true},
 		"a worker that has left":     {returned, true},
 		"a worker that leaves again": {left, true},
