Plan short jobs while best-effort work waits for its pass

Cause: in the busiest seconds of the large site a pass over all pending work takes 10 to 20 ms and is followed by a pause of twice that, in which nothing is planned; a stock check waits for it once for each of its steps.

Change: on request, passes during the pause plan the runs that come before the first best-effort one: short jobs and restarts. They rate no interference and set no paces. A request during the pause stays one for the next full pass. Benchmarks and tests share one fixture.

--- a/core/dispatch/plan.go
+++ b/core/dispatch/plan.go
@@ -1,6 +1,8 @@
 package dispatch
 
 import (
+	"slices"
+
 	"samphirepaddle.example/core/model"
 	"samphirepaddle.example/core/workflow"
 )
@@ -17,11 +19,18 @@
 		}
 	}
 	for _, run := range sortRuns(p) {
+		if p.BeforeBestEffort && usesSpareCPU(run.Job) {
+			break
+		}
 		pass.placeRun(run)
 	}
 	return pass.assignments, pass.waits
 }
 
+func usesSpareCPU(job *workflow.Job) bool {
+	return slices.ContainsFunc(job.Steps, func(step workflow.StepSpec) bool { return step.UsesSpareCPU })
+}
+
 // pass is the working state of one call of Plan.
 type pass struct {
 	now               model.Millis
--- a/core/dispatch/plan_test.go
+++ b/core/dispatch/plan_test.go
@@ -327,3 +327,21 @@
 		t.Errorf("%d tasks of two images placed on the only worker, want 2", len(assigned))
 	}
 }
+
+// Guards against a short pass that places work ahead of best-effort work that comes before it.
+func TestPassBeforeBestEffort(t *testing.T) {
+	reserved := workflow.StepSpec{Count: 1, CPUMillis: 1000, MemoryMiB: 100, EstimateMs: 500}
+	bestEffort := reserved
+	bestEffort.UsesSpareCPU = true
+	p := newSnapshot([]*Worker{testWorker("a", workerCPUMillis, 64_000)},
+		testJob("urgent", 0, reserved), testJob("filler", 1, bestEffort), testJob("later", 2, reserved), testJob("mixed", 0, reserved, bestEffort))
+	p.BeforeBestEffort = true
+	assigned, _ := Plan(p, NewPlannerState())
+	if len(assigned) != 1 || assigned[0].Attempt.Task.Job != "urgent" {
+		t.Errorf("assigned %v, want only the task of job urgent", assigned)
+	}
+	p.BeforeBestEffort = false
+	if assigned, _ := Plan(p, NewPlannerState()); len(assigned) != 5 {
+		t.Errorf("a full pass assigned %v, want a task of each step", assigned)
+	}
+}
--- a/core/dispatch/types.go
+++ b/core/dispatch/types.go
@@ -44,4 +44,8 @@
 	Now         model.Millis
 	Workers     []*Worker
 	PendingRuns []PendingRun // in order of acceptance
+
+	// BeforeBestEffort limits the pass to the runs that come before the first one with a best-effort
+	// step. Such a pass rates no interference, so it takes a fraction of the time of a full one.
+	BeforeBestEffort bool
 }
--- a/daemon/fleet/bench_test.go
+++ b/daemon/fleet/bench_test.go
@@ -30,23 +30,26 @@
 	benchChanged     = 150 // workers that answered since the last pass
 )
 
-func applyOrFail(b *testing.B, st *state.State, c workflow.Command) {
+func applyOrFail(b testing.TB, st *state.State, c workflow.Command) {
 	b.Helper()
 	if outcome, message := st.Workflows.Apply(1, st.Config.Routing, &c); outcome != workflow.Accepted {
 		b.Fatalf("%v: %s", outcome, message)
 	}
 }
 
-// largestLeadership returns the leadership of a fleet whose workers run serving and best-effort
-// tasks, while as many best-effort tasks wait.
-func largestLeadership(b *testing.B) (*leadership, *state.State) {
+// planningLeadership returns the leadership of a fleet whose workers run serving and best-effort
+// tasks, while twice as many best-effort tasks wait. It makes no calls.
+func planningLeadership(b testing.TB, workers, lastingJobs, timedJobs int) (*leadership, *state.State) {
 	st := state.New()
 	st.Config.Routing = &model.Routing{
-		Routes:   []model.Route{{Name: "q", Host: "h", PathPrefix: "/q/", Service: "s", TimeoutMs: 1000, MaxAttempts: 2, SlackFactor: 2, TargetCompletionMs: 1000}},
+		Routes: []model.Route{
+			{Name: "q", Host: "h", PathPrefix: "/q/", Service: "s", Priority: 2, TimeoutMs: 1000, MaxAttempts: 2, SlackFactor: 2, TargetCompletionMs: 1000},
+			{Name: "u", Host: "h", PathPrefix: "/u/", Service: "s", TimeoutMs: 1000, MaxAttempts: 2, SlackFactor: 2, TargetCompletionMs: 250},
+		},
 		Services: []model.WorkerService{{Name: "s"}},
 	}
 	var batch workflow.Batch
-	for i := range benchWorkers {
+	for i := range workers {
 		batch.Workers = append(batch.Workers, workflow.Worker{
 			Incarnation: workflow.Incarnation{Worker: workflow.WorkerID(fmt.Sprintf("i-%08x", i*7919)), StartedAt: 1}, Addr: "w:1", Service: "s",
 			CPUMillis: 64_000, MemoryMiB: 256_000, Zone: "z", Rack: fmt.Sprintf("r%d", i/8), Labels: []string{"a", fmt.Sprintf("r%d", i/8)},
@@ -57,16 +60,16 @@
 		applyOrFail(b, st, workflow.Command{Submit: &workflow.Submission{Host: "h", Path: "/q/" + id, Steps: []workflow.StepSpec{step}}})
 		for t := range running {
 			attempt := workflow.Attempt{Task: workflow.TaskKey{Job: workflow.JobID(id), Index: t}, Number: 1}
-			batch.Assign = append(batch.Assign, workflow.Assignment{Attempt: attempt, Incarnation: batch.Workers[next%benchWorkers].Incarnation})
+			batch.Assign = append(batch.Assign, workflow.Assignment{Attempt: attempt, Incarnation: batch.Workers[next%workers].Incarnation})
 			next++
 		}
 	}
-	for i := range benchLastingJobs {
+	for i := range lastingJobs {
 		submit(fmt.Sprintf("lasting%d", i), 24, workflow.StepSpec{
 			Count: 24, CPUMillis: 13_000, MemoryMiB: 26_000, LongRunning: true, TailTargetMs: 18, Image: fmt.Sprintf("s%d", i%16),
 		})
 	}
-	for i := range benchTimedJobs {
+	for i := range timedJobs {
 		submit(fmt.Sprintf("timed%d", i), 13, workflow.StepSpec{
 			Count: 40, CPUMillis: 7000, MemoryMiB: 13_000, EstimateMs: 2700, UsesSpareCPU: true, Checkpoints: true, Image: fmt.Sprintf("f%d", i%30),
 		})
@@ -74,7 +77,7 @@
 	applyOrFail(b, st, workflow.Command{Batch: &batch})
 	l := &leadership{
 		engine: NewEngine(Options{Log: fixedLog{state: st}}), ctx: b.Context(), logger: zerolog.Nop(), limiter: &logLimiter{},
-		sampledLogger: zerolog.Nop(), since: bootclock.Now(), sessions: map[workflow.Incarnation]*session{},
+		sampledLogger: zerolog.Nop(), passRequests: make(chan struct{}, 1), since: bootclock.Now(), sessions: map[workflow.Incarnation]*session{},
 		reports: map[workflow.WorkerID]*pendingReport{}, seenAt: newSeenAt(), waits: map[waitKey]*waitLog{}, plannerState: dispatch.NewPlannerState(),
 	}
 	for _, w := range st.Workflows.Workers {
@@ -99,19 +102,23 @@
 
 // BenchmarkBuildPlan plans passes in which a part of the workers has answered since the last one.
 func BenchmarkBuildPlan(b *testing.B) {
-	l, st := largestLeadership(b)
-	sessions := make([]*session, 0, len(l.sessions))
-	for _, s := range l.sessions {
-		sessions = append(sessions, s)
-	}
-	round := 0
-	for b.Loop() {
-		round++
-		b.StopTimer()
-		for i := range benchChanged {
-			answer(st, sessions[(round*benchChanged+i)%len(sessions)], round)
-		}
-		b.StartTimer()
-		l.buildPlan(st, &passPlan{})
+	for name, kind := range map[string]passKind{"full": fullPass, "reserved": reservedPass} {
+		b.Run(name, func(b *testing.B) {
+			l, st := planningLeadership(b, benchWorkers, benchLastingJobs, benchTimedJobs)
+			sessions := make([]*session, 0, len(l.sessions))
+			for _, s := range l.sessions {
+				sessions = append(sessions, s)
+			}
+			round := 0
+			for b.Loop() {
+				round++
+				b.StopTimer()
+				for i := range benchChanged {
+					answer(st, sessions[(round*benchChanged+i)%len(sessions)], round)
+				}
+				b.StartTimer()
+				l.buildPlan(st, &passPlan{kind: kind})
+			}
+		})
 	}
 }
--- a/daemon/fleet/engine.go
+++ b/daemon/fleet/engine.go
@@ -105,11 +105,11 @@
 	passRequests  chan struct{}
 
 	// Owned by the goroutine that runs the passes.
-	lastFullPass bootclock.Time // time of the last pass that examined every worker
-	lastPlanEnd  bootclock.Time // when the last pass finished planning
-	planDuration time.Duration
-	passStats    passStats
-	workerOrder  []workflow.WorkerID // result of sortedWorkers in the last pass
+	lastFullCheck bootclock.Time // time of the last pass that examined every worker
+	lastPlanEnd   bootclock.Time // when the last full pass finished planning
+	planDuration  time.Duration
+	passStats     passStats
+	workerOrder   []workflow.WorkerID // result of sortedWorkers in the last pass
 
 	mu           sync.Mutex // guards the fields below and those of the sessions
 	sessions     map[workflow.Incarnation]*session
@@ -228,7 +228,7 @@
 			l.passStats.log(l.logger, bootclock.Now())
 		}
 		if l.lease.valid(bootclock.Now()) {
-			l.runPass()
+			l.runPass(fullPass)
 			l.pauseAfterPass()
 		}
 	}
@@ -244,10 +244,27 @@
 	maxPlanPause    = 40 * time.Millisecond
 )
 
-// pauseAfterPass waits until the next pass may start.
+// pauseAfterPass waits until the next full pass may start. On request it plans meanwhile what comes
+// before best-effort work, so that short jobs do not wait for the pause and for a full pass.
 func (l *leadership) pauseAfterPass() {
-	pause := min(maxPlanPause, planPauseFactor*l.planDuration) - bootclock.Since(l.lastPlanEnd)
-	if pause > 0 {
-		wait.For(l.ctx, pause)
+	for {
+		pause := min(maxPlanPause, planPauseFactor*l.planDuration) - bootclock.Since(l.lastPlanEnd)
+		if pause <= 0 {
+			return
+		}
+		timer := time.NewTimer(pause)
+		select {
+		case <-l.ctx.Done():
+			timer.Stop()
+			return
+		case <-timer.C:
+			return
+		case <-l.passRequests:
+			timer.Stop()
+			defer l.requestPass() // the request is also for the full pass
+		}
+		if l.lease.valid(bootclock.Now()) {
+			l.runPass(reservedPass)
+		}
 	}
 }
--- a/daemon/fleet/pass.go
+++ b/daemon/fleet/pass.go
@@ -22,6 +22,7 @@
 
 // passPlan is the result of planning one pass.
 type passPlan struct {
+	kind    passKind
 	batch   workflow.Batch
 	reports []*pendingReport
 	calls   []func() // stop and pace calls, which are not recorded in the log
@@ -32,17 +33,31 @@
 	return len(b.Workers) == 0 && len(b.Ends) == 0 && len(b.Lost) == 0 && len(b.Assign) == 0
 }
 
+// passKind is the extent of a pass.
+type passKind uint8
+
+const (
+	// fullPass plans all pending runs and sets paces.
+	fullPass passKind = iota
+	// reservedPass plans the runs that come before best-effort work only: short jobs, for which a
+	// caller waits, and restarts of lasting tasks.
+	reservedPass
+)
+
 // runPass plans one pass, commits its batch to the log, and then executes it.
-func (l *leadership) runPass() {
-	p := &passPlan{}
+func (l *leadership) runPass(kind passKind) {
+	p := &passPlan{kind: kind}
 	started := bootclock.Now()
 	l.mu.Lock()
 	l.engine.opts.Log.View(func(st *state.State) { l.buildPlan(st, p) })
 	l.mu.Unlock()
-	l.lastPlanEnd = bootclock.Now()
-	l.planDuration = l.lastPlanEnd.Sub(started)
-	l.engine.opts.Metrics.observe("pass_plan_ms", l.planDuration)
-	l.passStats.planned(l.planDuration)
+	planEnd := bootclock.Now()
+	planDuration := planEnd.Sub(started)
+	if kind == fullPass {
+		l.lastPlanEnd, l.planDuration = planEnd, planDuration
+	}
+	l.engine.opts.Metrics.observe("pass_plan_ms", planDuration)
+	l.passStats.planned(planDuration)
 	for _, call := range p.calls {
 		go call()
 	}
@@ -69,29 +84,34 @@
 	l.addReports(p)
 	l.syncSessions(workflows)
 	ended := l.addEnds(workflows, now, p)
-	full := now.Sub(l.lastFullPass) >= maxPassInterval
-	if full {
-		l.lastFullPass = now
+	checkAll := now.Sub(l.lastFullCheck) >= maxPassInterval
+	if checkAll {
+		l.lastFullCheck = now
 	}
-	for _, incarnation := range l.incarnationsToReconcile(workflows, full) {
+	for _, incarnation := range l.incarnationsToReconcile(workflows, checkAll) {
 		l.reconcileWorker(workflows, incarnation, now, ended, p)
 	}
-	l.stopOrphans(workflows, full, now, p)
+	l.stopOrphans(workflows, checkAll, now, p)
 	l.plannerState.InterferenceModel.Forget(workflows.IsLive)
 	plannerInput := l.plannerInput(st, now)
-	l.adjustPaces(plannerInput, now, p)
+	if p.kind == fullPass {
+		l.adjustPaces(plannerInput, now, p)
+	}
+	plannerInput.BeforeBestEffort = p.kind == reservedPass
 	assigned, waits := dispatch.Plan(plannerInput, l.plannerState)
 	p.batch.Assign = assigned
-	l.logWaits(waits, now)
+	if p.kind == fullPass {
+		l.logWaits(waits, now)
+	}
 	for _, a := range p.batch.Assign {
 		l.sessions[a.Incarnation].orders[a.Attempt] = &order{phase: startPlanned, pace: 100}
 	}
 }
 
 // incarnationsToReconcile returns the worker processes with open attempts whose listing or orders
-// have changed. Timeouts of the others are checked in full passes only.
-func (l *leadership) incarnationsToReconcile(workflows *workflow.State, full bool) []workflow.Incarnation {
-	if full {
+// have changed. Timeouts of the others are checked every maxPassInterval only.
+func (l *leadership) incarnationsToReconcile(workflows *workflow.State, all bool) []workflow.Incarnation {
+	if all {
 		return workflows.OpenIncarnations()
 	}
 	var changed []workflow.Incarnation
--- a/daemon/fleet/reconcile.go
+++ b/daemon/fleet/reconcile.go
@@ -235,9 +235,9 @@
 
 // stopOrphans stops running attempts that are not open, such as those of starts that were executed
 // late.
-func (l *leadership) stopOrphans(workflows *workflow.State, full bool, now bootclock.Time, p *passPlan) {
+func (l *leadership) stopOrphans(workflows *workflow.State, all bool, now bootclock.Time, p *passPlan) {
 	for _, s := range l.sessions {
-		if s.failing || !s.tokenAccepted || (!full && !s.changed) {
+		if s.failing || !s.tokenAccepted || (!all && !s.changed) {
 			continue
 		}
 		for a := range s.running {
