--- a/core/dispatch/plan.go
+++ b/core/dispatch/plan.go
@@ -113,13 +113,13 @@
 		return
 	}
 	n := p.needsOf(q, ready.step)
-	var ranking *ranking
+	var ranked *ranking
 	for _, waiting := range ready.tasks {
 		key := workflow.TaskKey{Job: q.Job.ID, Occurrence: q.Occurrence, Step: ready.step, Index: waiting.index}
-		if ranking == nil && !starved && waiting.task.Failures == 0 {
-			ranking = p.newRanking(n)
+		if ranked == nil && !starved && waiting.task.Failures == 0 {
+			ranked = p.newRanking(n)
 		}
-		best, reason := p.bestFor(ranking, n, waiting.task, starved)
+		best, reason := p.bestFor(ranked, n, waiting.task, starved)
 		if best == nil && !starved {
 			p.unplaced = append(p.unplaced, unplaced{q.Job.Service, spec, reason})
 		}
@@ -135,8 +135,8 @@
 		}
 		best.reserve(spec, key)
 		best.consumeHeadroom(&n)
-		if ranking != nil {
-			ranking.update(best)
+		if ranked != nil {
+			ranked.update(best)
 		}
 		starved = false
 		number := max(minAttempt, waiting.task.Attempt+1)
