Ignore heartbeats from before a recorded one after a change of leader

Callers would see: on a worker that does not guard its capacity, tasks of more than its cores after the capacity has shrunk.

Cause: only the leader's session knows the number of the last heartbeat. The next leader begins at 0, so a heartbeat that was delayed past the change of leader is taken as news and restores the earlier capacity and address until the next one arrives.

Change: the record of a worker carries the number of its heartbeat. The state keeps the later report of the same process, and a new session begins at the recorded number. Draining and deregistration still count from any heartbeat.

Measured: TestLateHeartbeatAfterLeaderChangeDoesNotRestoreCapacity failed before with "the recorded capacity is 4000 millicores after a heartbeat from before it shrank, want 1000"; the tests of core/workflow and daemon/fleet pass.

--- a/core/workflow/apply.go
+++ b/core/workflow/apply.go
@@ -139,6 +139,7 @@
 		return
 	}
 	if ok && known.Incarnation == w.Incarnation {
+		w.keepLaterReport(known)
 		w.Draining = w.Draining || known.Draining
 		w.Deregistered = w.Deregistered || known.Deregistered
 		w.LastRecordedEnd = known.LastRecordedEnd
@@ -150,6 +151,17 @@
 	s.Workers[w.Incarnation.Worker] = &w
 }
 
+// keepLaterReport replaces the reported attributes by the recorded ones if these are from a later
+// heartbeat.
+func (w *Worker) keepLaterReport(known *Worker) {
+	if w.ReportSequence != 0 && w.ReportSequence < known.ReportSequence {
+		later := *known
+		later.Draining, later.Deregistered = w.Draining, w.Deregistered
+		*w = later
+	}
+	w.ReportSequence = max(w.ReportSequence, known.ReportSequence)
+}
+
 // recordEnd records an end and closes its attempt. Workers repeat an end until it is acknowledged;
 // repeated ends are ignored by their number.
 func (s *State) recordEnd(now model.Millis, e End) {
--- a/core/workflow/types.go
+++ b/core/workflow/types.go
@@ -227,6 +227,7 @@
 	Deregistered    bool         `cbor:"10,keyasint,omitempty"`
 	DeregisteredAt  model.Millis `cbor:"11,keyasint,omitempty"`
 	LastRecordedEnd uint64       `cbor:"12,keyasint,omitempty"` // number of the last recorded end of this incarnation
+	ReportSequence  uint64       `cbor:"14,keyasint,omitempty"` // sequence number of the heartbeat that the record is from; 0 if not known
 }
 
 // HasLabel reports whether the worker has the label.
--- a/daemon/fleet/service.go
+++ b/daemon/fleet/service.go
@@ -207,7 +207,7 @@
 		if r.Sequence != 0 && r.Sequence <= s.sequence {
 			return nil // an outdated heartbeat is ignored
 		}
-		s.sequence = r.Sequence
+		s.sequence = max(s.sequence, r.Sequence)
 		if s.clock == 0 {
 			s.updateClock(r.Clock, now)
 		}
@@ -221,10 +221,11 @@
 	if !changed && pending == nil {
 		return nil
 	}
-	if pending != nil && (pending.worker.Incarnation.StartedAt > incarnation.StartedAt || sameReport(pending.worker, r.Worker)) {
+	if pending != nil && (pending.supersedes(r) || sameReport(pending.worker, r.Worker)) {
 		return pending.done
 	}
 	next := &pendingReport{worker: r.Worker, done: make(chan struct{})}
+	next.worker.ReportSequence = r.Sequence
 	if pending != nil && pending.worker.Incarnation == incarnation {
 		next.worker.Draining = next.worker.Draining || pending.worker.Draining
 		next.worker.Deregistered = next.worker.Deregistered || pending.worker.Deregistered
@@ -235,6 +236,15 @@
 	return next.done
 }
 
+// supersedes reports whether the heartbeat is from an earlier process of the worker, or was sent
+// before the one that is pending.
+func (p *pendingReport) supersedes(r WorkerReport) bool {
+	if p.worker.Incarnation != r.Worker.Incarnation {
+		return p.worker.Incarnation.StartedAt > r.Worker.Incarnation.StartedAt
+	}
+	return r.Sequence != 0 && r.Sequence < p.worker.ReportSequence
+}
+
 // changesState reports whether the report changes the recorded worker.
 func changesState(workflows *workflow.State, w workflow.Worker) bool {
 	known, ok := workflows.Workers[w.Incarnation.Worker]
--- a/daemon/fleet/session.go
+++ b/daemon/fleet/session.go
@@ -107,7 +107,7 @@
 	ctx, cancel := context.WithCancel(l.ctx)
 	s := &session{
 		leadership: l, incarnation: w.Incarnation, addr: w.Addr, zone: w.Zone, cancel: cancel, wake: make(chan struct{}, 1),
-		openedAt: bootclock.Now(), recordedThrough: w.LastRecordedEnd,
+		openedAt: bootclock.Now(), recordedThrough: w.LastRecordedEnd, sequence: w.ReportSequence,
 		running: map[workflow.Attempt]RunningAttempt{}, orders: map[workflow.Attempt]*order{},
 	}
 	l.sessions[w.Incarnation] = s
