Plan with the capacity that a worker has reported since the last commit

Callers would see: a task on a worker that does not guard its capacity, although its last heartbeat says that the task does not fit any more.

Cause: a pass records new reports and plans assignments in one batch, but plans on the capacities recorded before it. A worker that has shrunk is overcommitted by the pass that records it.

Change: a pending report's capacity counts in the pass that records it.

Measured: TestPassDoesNotOverloadWorkerThatReportsLessCapacity failed before with "a task of 3000 millicores is assigned to a worker that reports 1000"; it passes with the change.

--- a/daemon/fleet/capacity_test.go
+++ b/daemon/fleet/capacity_test.go
@@ -5,6 +5,8 @@
 	"testing"
 
 	"samphirepaddle.example/core/state"
+	"samphirepaddle.example/core/workflow"
+	"samphirepaddle.example/daemon/bootclock"
 )
 
 // reportCapacity reports the worker with a capacity in millicores.
@@ -39,3 +41,46 @@
 		t.Errorf("the recorded capacity is %d millicores after it grew again, want 4000", got)
 	}
 }
+
+func TestPassDoesNotOverloadWorkerThatReportsLessCapacity(t *testing.T) {
+	r := newRig(t)
+	w := r.addWorker("a", 1)
+	l := r.engine.currentLeadership()
+	s := r.pauseStarts(l, w)
+	r.submit("j", workflow.StepSpec{Count: 1, CPUMillis: 3000})
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	s.pauseUntil = 0
+	smaller := w.worker
+	smaller.CPUMillis = 1000
+	l.reports["a"] = &pendingReport{worker: smaller, done: make(chan struct{})}
+	if assigned := planPass(r, l); len(assigned) > 0 {
+		t.Errorf("a task of 3000 millicores is assigned to a worker that reports 1000: %v", assigned)
+	}
+}
+
+// pauseStarts waits until the worker takes tasks and then keeps the engine from starting any on it.
+func (r *rig) pauseStarts(l *leadership, w *fakeWorker) *session {
+	r.t.Helper()
+	var s *session
+	r.until("the worker takes tasks", func() bool {
+		l.mu.Lock()
+		defer l.mu.Unlock()
+		s = l.sessions[w.worker.Incarnation]
+		return s != nil && s.tokenAccepted
+	})
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	s.pauseUntil = bootclock.Now().Add(testPause)
+	return s
+}
+
+// testPause exceeds the duration of a test.
+const testPause = 1 << 50
+
+// planPass plans one pass without committing it; l.mu must be held.
+func planPass(r *rig, l *leadership) []workflow.Assignment {
+	p := &passPlan{kind: fullPass}
+	r.log.View(func(st *state.State) { l.buildPlan(st, p) })
+	return p.batch.Assign
+}
--- a/daemon/fleet/pass.go
+++ b/daemon/fleet/pass.go
@@ -299,6 +299,7 @@
 
 func (l *leadership) describeWorker(workflows *workflow.State, s *session, w *workflow.Worker, now bootclock.Time) *dispatch.Worker {
 	d := &dispatch.Worker{Worker: *w, Usable: s.usable(w, now), Latency: s.latency}
+	l.applyPendingCapacity(&d.Worker)
 	if openVersion := workflows.OpenVersion(s.incarnation); s.changed || s.openVersion != openVersion {
 		s.cachedAllocations, s.openVersion, s.changed = l.allocations(workflows, s), openVersion, false
 	}
@@ -306,6 +307,14 @@
 	return d
 }
 
+// applyPendingCapacity sets the capacity that the worker has reported since the last commit. The
+// batch of this pass records it, so its assignments must fit as well.
+func (l *leadership) applyPendingCapacity(w *workflow.Worker) {
+	if report := l.reports[w.Incarnation.Worker]; report != nil && report.worker.Incarnation == w.Incarnation {
+		w.CPUMillis, w.MemoryMiB, w.Accelerators = report.worker.CPUMillis, report.worker.MemoryMiB, report.worker.Accelerators
+	}
+}
+
 // allocations lists the attempts that hold resources on a worker, sorted by task.
 func (l *leadership) allocations(workflows *workflow.State, s *session) []dispatch.Allocation {
 	allocations := make([]dispatch.Allocation, 0, len(s.cachedAllocations)+1)
