Start nothing beside an attempt whose needs are not accounted for

Callers would see: tasks of more than a worker's capacity, if the worker does not guard it. Where it does, the start is refused and the task waits for another pass.

Cause: the planner accounts for open attempts. An attempt that is closed while it runs, because its task was done by an earlier attempt or because a start was executed late, is being stopped and still holds its resources, but is not open. Its job may have ended, so that its needs are no longer known.

Measured: TestStoppingAttemptOfClosedTaskHoldsItsWorker failed before with "a task is assigned beside an attempt that still runs and whose needs are not known"; the tests of daemon/fleet pass.

--- a/daemon/fleet/capacity_test.go
+++ b/daemon/fleet/capacity_test.go
@@ -59,6 +59,26 @@
 	}
 }
 
+func TestStoppingAttemptOfClosedTaskHoldsItsWorker(t *testing.T) {
+	r := newRig(t)
+	w := r.addWorker("a", 1)
+	l := r.engine.currentLeadership()
+	s := r.pauseStarts(l, w)
+	r.submit("j", workflow.StepSpec{Count: 1, CPUMillis: 3000})
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	s.pauseUntil = 0
+	closed := workflow.Attempt{Task: workflow.TaskKey{Job: "closed"}, Number: 2}
+	s.running, s.changed = map[workflow.Attempt]RunningAttempt{closed: {Attempt: closed}}, true
+	if assigned := planPass(r, l); len(assigned) > 0 {
+		t.Errorf("a task is assigned beside an attempt that still runs and whose needs are not known: %v", assigned)
+	}
+	s.running, s.changed = map[workflow.Attempt]RunningAttempt{}, true
+	if assigned := planPass(r, l); len(assigned) != 1 {
+		t.Errorf("%d tasks are assigned once the attempt has ended, want 1", len(assigned))
+	}
+}
+
 // pauseStarts waits until the worker takes tasks and then keeps the engine from starting any on it.
 func (r *rig) pauseStarts(l *leadership, w *fakeWorker) *session {
 	r.t.Helper()
--- a/daemon/fleet/reconcile.go
+++ b/daemon/fleet/reconcile.go
@@ -234,14 +234,16 @@
 }
 
 // stopOrphans stops running attempts that are not open, such as those of starts that were executed
-// late.
+// late. Their workers take no tasks meanwhile, because the orphans still hold resources.
 func (l *leadership) stopOrphans(workflows *workflow.State, all bool, now bootclock.Time, p *passPlan) {
 	for _, s := range l.sessions {
 		if s.failing || !s.tokenAccepted || (!all && !s.changed) {
 			continue
 		}
+		s.runsOrphan = false
 		for a := range s.running {
 			if open, _ := workflows.IsOpen(s.incarnation, a); !open && !s.hasEnd(a) {
+				s.runsOrphan = true
 				l.sendStop(s, a, now, p)
 			}
 		}
--- a/daemon/fleet/session.go
+++ b/daemon/fleet/session.go
@@ -87,6 +87,7 @@
 	listReceivedAt    bootclock.Time // when the last list was received
 	running           map[workflow.Attempt]RunningAttempt
 	changed           bool                  // the listing or an order has changed since the last pass
+	runsOrphan        bool                  // the worker lists an attempt that is not open, so its needs are not accounted for
 	cachedAllocations []dispatch.Allocation // result of leadership.allocations in the last pass
 	openVersion       uint64                // version of the state's open attempts that cachedAllocations reflects
 	orders            map[workflow.Attempt]*order
@@ -352,7 +353,7 @@
 
 // usable reports whether tasks may be started on the worker.
 func (s *session) usable(w *workflow.Worker, now bootclock.Time) bool {
-	if s.replaced || !s.tokenAccepted || s.failing || w.Draining || w.Deregistered || now < s.pauseUntil {
+	if s.replaced || !s.tokenAccepted || s.failing || s.runsOrphan || w.Draining || w.Deregistered || now < s.pauseUntil {
 		return false
 	}
 	return now.Sub(s.answeredAt) < unreachableAfter && !s.quarantine.active(now)
