--- a/core/dispatch/plan.go
+++ b/core/dispatch/plan.go
@@ -109,12 +109,12 @@
 		minAttempt = nextGangAttempt(q, ready.step)
 	}
 	if reason, known := p.knownUnplaced(q.Job.Service, spec); known && !starved {
-		p.waits = append(p.waits, WaitingStep{q.Job.ID, q.Occurrence, ready.step, reason})
+		p.recordWait(q, ready.step, ready.tasks, reason)
 		return
 	}
 	n := p.needsOf(q, ready.step)
 	var ranked *ranking
-	for _, waiting := range ready.tasks {
+	for i, waiting := range ready.tasks {
 		key := workflow.TaskKey{Job: q.Job.ID, Occurrence: q.Occurrence, Step: ready.step, Index: waiting.index}
 		if ranked == nil && !starved && waiting.task.Failures == 0 {
 			ranked = p.newRanking(n)
@@ -127,7 +127,7 @@
 			best, reason = nil, WaitShortTaskReserve
 		}
 		if best == nil {
-			p.waits = append(p.waits, WaitingStep{q.Job.ID, q.Occurrence, ready.step, reason})
+			p.recordWait(q, ready.step, ready.tasks[i:], reason)
 			if spec.Gang {
 				p.undoAssignments(first, spec)
 			}
@@ -149,6 +149,19 @@
 	}
 }
 
+// recordWait records that the tasks of a step wait, and how many of them are restarts.
+func (p *pass) recordWait(q PendingRun, step int, tasks []readyTask, reason WaitReason) {
+	wait := WaitingStep{Job: q.Job.ID, Occurrence: q.Occurrence, Step: step, Reason: reason}
+	if q.Job.Steps[step].LongRunning {
+		for _, waiting := range tasks {
+			if waiting.task.Attempt > 0 {
+				wait.Restarts++
+			}
+		}
+	}
+	p.waits = append(p.waits, wait)
+}
+
 // buildCandidates computes the free resources of the usable workers at its first call in a pass,
 // so that a pass without tasks to place skips this work.
 func (p *pass) buildCandidates() {
--- a/core/dispatch/plan_test.go
+++ b/core/dispatch/plan_test.go
@@ -286,6 +286,22 @@
 	}
 }
 
+// Guards against a wait that does not tell how many long-running tasks are down.
+func TestWaitsCountRestarts(t *testing.T) {
+	for _, c := range []struct {
+		longRunning bool
+		want        int
+	}{{true, 2}, {false, 0}} {
+		job := testJob("j", 0, workflow.StepSpec{Count: 4, CPUMillis: 3000, LongRunning: c.longRunning})
+		tasks := []workflow.Task{{Attempt: 1}, {Attempt: 1}, {Attempt: 3}, {}}
+		job.Runs = map[int]*workflow.Run{0: {Steps: []workflow.StepRun{{Tasks: tasks}}}}
+		_, waits := Plan(newSnapshot([]*Worker{testWorker("w", 4000, 1000)}, job), NewPlannerState())
+		if len(waits) != 1 || waits[0].Restarts != c.want {
+			t.Errorf("long-running %v: waits %+v, want %d restarts", c.longRunning, waits, c.want)
+		}
+	}
+}
+
 // Guards against a wait that is reported for only one of two equal steps. The planner skips the
 // second one, because it has found no feasible worker for the first.
 func TestEqualStepsReportTheirWaits(t *testing.T) {
--- a/core/dispatch/wait.go
+++ b/core/dispatch/wait.go
@@ -31,4 +31,5 @@
 	Occurrence int
 	Step       int
 	Reason     WaitReason
+	Restarts   int // long-running tasks of the step that ran before and wait
 }
--- a/daemon/fleet/waits.go
+++ b/daemon/fleet/waits.go
@@ -43,8 +43,12 @@
 			continue
 		}
 		entry.loggedAt = now
-		l.sampledLogger.Info().Str("job", string(w.Job)).Int("occurrence", w.Occurrence).Int("step", w.Step).Stringer("reason", w.Reason).
-			Int64("waited_ms", now.Sub(entry.since).Milliseconds()).Int("workers", len(l.sessions)).Int("waiting", len(waits)).Msg("tasks wait")
+		logger := &l.sampledLogger
+		if w.Restarts > 0 {
+			logger = &l.logger // few steps are long-running, and their callers see each one that is down
+		}
+		logger.Info().Str("job", string(w.Job)).Int("occurrence", w.Occurrence).Int("step", w.Step).Stringer("reason", w.Reason).
+			Int("restarts", w.Restarts).Int64("waited_ms", now.Sub(entry.since).Milliseconds()).Int("workers", len(l.sessions)).Int("waiting", len(waits)).Msg("tasks wait")
 	}
 	for key, entry := range l.waits {
 		if !entry.seen {
--- a/daemon/fleet/waits_test.go
+++ b/daemon/fleet/waits_test.go
@@ -12,6 +12,21 @@
 	"samphirepaddle.example/daemon/bootclock"
 )
 
+// Guards against long-running tasks that are down without a log line: it is written even where the
+// lines about other steps are dropped.
+func TestWaitsOfRestartsAreNotSampled(t *testing.T) {
+	var out bytes.Buffer
+	logger := zerolog.New(&out)
+	l := &leadership{logger: logger, sampledLogger: logger.Sample(&logLimiter{}), waits: map[waitKey]*waitLog{}}
+	waits := []dispatch.WaitingStep{{Job: "short", Reason: dispatch.WaitNoCapacity}, {Job: "lasting", Reason: dispatch.WaitNoCapacity, Restarts: 2}}
+	begin := bootclock.Now()
+	l.logWaits(waits, begin)
+	l.logWaits(waits, begin.Add(minLoggedWait))
+	if got := out.String(); strings.Count(got, "\n") != 1 || !strings.Contains(got, `"job":"lasting"`) || !strings.Contains(got, `"restarts":2`) {
+		t.Errorf("the log is %q, want one line about the job whose tasks ran before", got)
+	}
+}
+
 // Guards against late jobs without a log line that explains the wait, and against a line for every
 // pass.
 func TestWaitsAreLogged(t *testing.T) {
