Restart long-running tasks before the first starts of their step

Cause: the tasks of a step are placed in the order of their index, and the first one that can't be placed ends the step's turn, on the ground that all have the same requirements. That does not hold for the reserve for short tasks, which holds back first starts but not restarts. A task that never ran before one that did arises when the state refuses the assignment of a first start alone: a pass plans it on a worker whose report that it drains, or of a new process, is committed in the same batch. While the reserve is used up, no later task of that step was restarted, without any bound on the wait. Evidence: both new tests fail without the change: "tasks [] were assigned, want [1 3]", "tasks [0] were assigned, want [1]", and "task 5 is not restarted; waits [... the remaining cores are reserved for short tasks Restarts:1]". Change: restarts of a step come first, as jobs with restarts come before jobs that have not started. Whatever holds back a task then holds back those after it.

--- a/core/dispatch/plan.go
+++ b/core/dispatch/plan.go
@@ -95,10 +95,17 @@
 		last.tasks = append(last.tasks, readyTask{index, task})
 	})
 	for _, ready := range steps {
+		ready.putRestartsFirst()
 		p.placeStep(q, ready)
 	}
 }
 
+// putRestartsFirst moves the tasks that ran before to the front, because the reserve for short tasks may
+// hold back the others.
+func (r *readyStep) putRestartsFirst() {
+	slices.SortStableFunc(r.tasks, func(a, b readyTask) int { return compareBool(a.task.Attempt == 0, b.task.Attempt == 0) })
+}
+
 func (p *pass) placeStep(q PendingRun, ready readyStep) {
 	p.buildCandidates()
 	spec := &q.Job.Steps[ready.step]
@@ -131,7 +138,7 @@
 			if spec.Gang {
 				p.undoAssignments(first, spec)
 			}
-			return // the other tasks of the step have the same requirements
+			return // the tasks that follow need the same, and none of them is a restart if this one is not
 		}
 		best.reserve(spec, key)
 		best.consumeHeadroom(&n)
--- a/core/dispatch/plan_test.go
+++ b/core/dispatch/plan_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"slices"
 	"testing"
 
 	"samphirepaddle.example/core/model"
@@ -147,6 +148,35 @@
 	}
 }
 
+// Guards against a long-running task that stays down beside free cores because a task of its step that
+// never ran has to leave them to short tasks, and against a first start that takes its place.
+func TestRestartsComeBeforeFirstStartsOfTheirStep(t *testing.T) {
+	for name, c := range map[string]struct {
+		demand float64 // recent peak of short tasks
+		memory int64   // of the worker
+		want   []int
+		reason WaitReason
+	}{
+		"the reserve holds back first starts": {1500, 1000, []int{1, 3}, WaitShortTaskReserve},
+		"room for one task":                   {0, 30, []int{1}, WaitNoCapacity},
+	} {
+		w := testWorker("w", 10_000, c.memory)
+		w.Allocations = []Allocation{allocation(w, "other", 0, &workflow.StepSpec{Count: 1, CPUMillis: 7900, LongRunning: true})}
+		job := testJob("j", 0, workflow.StepSpec{Count: 4, CPUMillis: 700, MemoryMiB: 20, LongRunning: true})
+		job.Runs = map[int]*workflow.Run{0: {Steps: []workflow.StepRun{{Tasks: []workflow.Task{{}, {Attempt: 1}, {}, {Attempt: 2}}}}}}
+		state := NewPlannerState()
+		state.ShortTaskReserve.peaks["s"] = &peak{demand: c.demand, at: 1000}
+		assigned, waits := Plan(newSnapshot([]*Worker{w}, job), state)
+		var got []int
+		for _, a := range assigned {
+			got = append(got, a.Attempt.Task.Index)
+		}
+		if !slices.Equal(got, c.want) || len(waits) != 1 || waits[0].Reason != c.reason {
+			t.Errorf("%s: tasks %v were assigned, want %v; waits %+v, want %v", name, got, c.want, waits, c.reason)
+		}
+	}
+}
+
 // Guards against an order that makes every job late when there are more heavy jobs than fit. With
 // the least remaining work first, more jobs end in time than in order of arrival. The largest job
 // must still run.
--- a/daemon/fleet/pass_test.go
+++ b/daemon/fleet/pass_test.go
@@ -4,6 +4,7 @@
 	"testing"
 	"time"
 
+	"samphirepaddle.example/core/dispatch"
 	"samphirepaddle.example/core/workflow"
 	"samphirepaddle.example/daemon/bootclock"
 )
@@ -50,3 +51,34 @@
 		t.Error("no pass was run during the pause")
 	}
 }
+
+// Guards against a long-running task that stays down beside free cores because an earlier task of its
+// step has not started: the worker of that first start began to drain while the start was committed.
+func TestRestartIsNotHeldBackByARefusedFirstStart(t *testing.T) {
+	l, st := planningLeadership(t, 2, 0, 0)
+	applyOrFail(t, st, workflow.Command{Submit: &workflow.Submission{Host: "h", Path: "/u/lasting", Steps: []workflow.StepSpec{{Count: 8, CPUMillis: 16_000, LongRunning: true}}}})
+	draining := *st.Workflows.Workers[l.sortedWorkers(st.Workflows)[0]]
+	stays := *st.Workflows.Workers[l.sortedWorkers(st.Workflows)[1]]
+	draining.Draining = true
+	l.reports[draining.Incarnation.Worker] = &pendingReport{worker: draining, done: make(chan struct{})}
+	p := &passPlan{}
+	l.buildPlan(st, p)
+	applyOrFail(t, st, workflow.Command{Batch: &p.batch})
+	task := func(index int) *workflow.Task { return &st.Workflows.Jobs["lasting"].Runs[0].Steps[0].Tasks[index] }
+	if task(0).Attempt != 0 || task(5).Incarnation != stays.Incarnation {
+		t.Fatalf("task 0 is %+v, task 5 is %+v", *task(0), *task(5))
+	}
+	failed := workflow.End{Incarnation: stays.Incarnation, Number: 1, Attempt: workflow.Attempt{Task: workflow.TaskKey{Job: "lasting", Index: 5}, Number: 1}, Kind: workflow.EndFailed}
+	applyOrFail(t, st, workflow.Command{Batch: &workflow.Batch{Ends: []workflow.End{failed}}})
+	answer(st, l.sessions[stays.Incarnation], 0)
+	for range 3 {
+		p = &passPlan{}
+		l.buildPlan(st, p)
+		applyOrFail(t, st, workflow.Command{Batch: &p.batch})
+	}
+	if task(5).Phase != workflow.TaskOpen {
+		var waits []dispatch.WaitingStep
+		_, waits = dispatch.Plan(l.plannerInput(st, bootclock.Now()), l.plannerState)
+		t.Errorf("task 5 is not restarted; waits %+v", waits)
+	}
+}
