Restart long-running tasks on quarantined workers if no other has room

Cause: a quarantined worker was excluded for every task. The quarantine lasts for 10 s from each failure after the first quarantine, also if the worker has recovered meanwhile, and a task that is down may wait for less than that. When most workers with room are quarantined, restarts waited for the quarantine beside free cores. The class: a protection without regard to what waits for it, where a preference is enough. Change: a restart of a long-running task for which no usable worker has room is placed on a quarantined one, at most one a second on each. Such tasks may fail any number of times, so a worker that still fails costs a start a second; short tasks, which may not, and first starts still avoid it.

--- a/core/dispatch/candidate.go
+++ b/core/dispatch/candidate.go
@@ -16,7 +16,7 @@
 // candidate is a usable worker with the resources that are still free on it in this pass.
 type candidate struct {
 	worker *Worker
-	index  int // in pass.candidates
+	index  int // in pass.candidates; notRanked for a worker of last resort
 
 	freeCPU          int64 // unreserved, in millicores
 	freeMemory       int64 // unreserved, in MiB
@@ -27,6 +27,9 @@
 	headrooms        []headroom // of the serving tasks; set by pass.buildHeadrooms
 }
 
+// notRanked is the index of a candidate that is not in pass.candidates.
+const notRanked = -1
+
 // assigned is a task that this pass has assigned to a worker.
 type assigned struct {
 	key  workflow.TaskKey
--- a/core/dispatch/plan.go
+++ b/core/dispatch/plan.go
@@ -14,8 +14,11 @@
 func Plan(p *Snapshot, state *PlannerState) (assign []workflow.Assignment, waits []WaitingStep) {
 	pass := &pass{now: p.Now, interference: state.InterferenceModel, starvationTimeout: starvationTimeout(p), firstStartBudget: state.ShortTaskReserve.firstStartBudget(p)}
 	for _, w := range p.Workers {
-		if w.Usable {
+		switch {
+		case w.Usable:
 			pass.usable = append(pass.usable, w)
+		case w.LastResort:
+			pass.lastResorts = append(pass.lastResorts, w)
 		}
 	}
 	for _, run := range sortRuns(p) {
@@ -38,6 +41,7 @@
 	starvationTimeout model.Millis
 	firstStartBudget  map[string]int64 // for first starts of long-running tasks, by service
 	usable            []*Worker
+	lastResorts       []*Worker            // those that have no task of this pass
 	candidates        []*candidate         // the usable workers; set by buildCandidates
 	servingImages     map[string]int       // index by image of a serving task; set by buildHeadrooms
 	coefficients      map[string][]float64 // by best-effort image; indexed by servingImages
@@ -115,7 +119,7 @@
 	if spec.Gang {
 		minAttempt = nextGangAttempt(q, ready.step)
 	}
-	if reason, known := p.knownUnplaced(q.Job.Service, spec); known && !starved {
+	if reason, known := p.knownUnplaced(q.Job.Service, spec); known && !starved && !p.mayUseLastResort(spec, ready.tasks[0].task) {
 		p.recordWait(q, ready.step, ready.tasks, reason)
 		return
 	}
@@ -130,6 +134,9 @@
 		if best == nil && !starved {
 			p.unplaced = append(p.unplaced, unplaced{q.Job.Service, spec, reason})
 		}
+		if best == nil {
+			best = p.takeLastResort(n, waiting.task)
+		}
 		if best != nil && !p.takeFirstStartBudget(q.Job, spec, waiting.task) {
 			best, reason = nil, WaitShortTaskReserve
 		}
--- a/core/dispatch/ranking.go
+++ b/core/dispatch/ranking.go
@@ -55,6 +55,9 @@
 
 // update rates a worker again after a task was assigned to it.
 func (r *ranking) update(c *candidate) {
+	if c.index == notRanked {
+		return
+	}
 	place := r.places[c.index]
 	if place < 0 {
 		return // an assignment makes no worker feasible
--- a/core/dispatch/types.go
+++ b/core/dispatch/types.go
@@ -27,6 +27,7 @@
 type Worker struct {
 	workflow.Worker
 	Usable      bool // new tasks may start on the worker
+	LastResort  bool // not usable, but a long-running task may be restarted on it if no usable worker has room
 	Allocations []Allocation
 	Latency     LatencyState
 }
--- a/daemon/fleet/pass.go
+++ b/daemon/fleet/pass.go
@@ -104,7 +104,11 @@
 		l.logWaits(waits, now)
 	}
 	for _, a := range p.batch.Assign {
-		l.sessions[a.Incarnation].orders[a.Attempt] = &order{phase: startPlanned, pace: 100}
+		s := l.sessions[a.Incarnation]
+		s.orders[a.Attempt] = &order{phase: startPlanned, pace: 100}
+		if s.quarantine.active(now) {
+			s.pauseUntil = now.Add(quarantineStartInterval)
+		}
 	}
 }
 
@@ -298,7 +302,8 @@
 }
 
 func (l *leadership) describeWorker(workflows *workflow.State, s *session, w *workflow.Worker, now bootclock.Time) *dispatch.Worker {
-	d := &dispatch.Worker{Worker: *w, Usable: s.usable(w, now), Latency: s.latency}
+	accepts, quarantined := s.acceptsStarts(w, now), s.quarantine.active(now)
+	d := &dispatch.Worker{Worker: *w, Usable: accepts && !quarantined, LastResort: accepts && quarantined, Latency: s.latency}
 	if openVersion := workflows.OpenVersion(s.incarnation); s.changed || s.openVersion != openVersion {
 		s.cachedAllocations, s.openVersion, s.changed = l.allocations(workflows, s), openVersion, false
 	}
--- a/daemon/fleet/quarantine.go
+++ b/daemon/fleet/quarantine.go
@@ -8,11 +8,14 @@
 )
 
 // Quarantine of workers on which tasks fail. Without it, a worker that fails every task attracts
-// more tasks, because it is always free.
+// more tasks, because it is always free. Long-running tasks are still restarted there, one at a time,
+// if no other worker has room: they may wait for less time than a quarantine lasts.
 const (
 	quarantineThreshold = 3                // consecutive jobs with a failed task
 	initialQuarantine   = 4 * time.Second  // faults of workers last about 5 s
 	repeatQuarantine    = 10 * time.Second // if a task fails after a quarantine too
+
+	quarantineStartInterval = time.Second // between two starts on a quarantined worker
 )
 
 // quarantine tracks the recent task outcomes on one worker process. No task starts there before
--- a/daemon/fleet/session.go
+++ b/daemon/fleet/session.go
@@ -350,10 +350,10 @@
 	return s.minClock(now) > s.leaseUntil+model.Millis(leaseExpiryMargin.Milliseconds())
 }
 
-// usable reports whether tasks may be started on the worker.
-func (s *session) usable(w *workflow.Worker, now bootclock.Time) bool {
+// acceptsStarts reports whether the worker is expected to accept starts.
+func (s *session) acceptsStarts(w *workflow.Worker, now bootclock.Time) bool {
 	if s.replaced || !s.tokenAccepted || s.failing || w.Draining || w.Deregistered || now < s.pauseUntil {
 		return false
 	}
-	return now.Sub(s.answeredAt) < unreachableAfter && !s.quarantine.active(now)
+	return now.Sub(s.answeredAt) < unreachableAfter
 }
