Test that no restart waits beside a worker with room

The reasons why a step is skipped in a pass were only tested one by one. What: 5,000 random passes with labels, limits per worker, gangs, priorities and tasks that ran and never ran; afterwards no waiting restart fits on any usable worker.

--- /dev/null
+++ b/core/dispatch/restart_test.go
@@ -0,0 +1,75 @@
+package dispatch
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"testing"
+
+	"samphirepaddle.example/core/workflow"
+)
+
+// Guards against a restart of a long-running task that waits although a usable worker has room for it,
+// for whatever else of the pass was or was not placed.
+func TestNoRestartWaitsBesideRoom(t *testing.T) {
+	for seed := range uint64(5000) {
+		rng := rand.New(rand.NewPCG(seed, 1))
+		p := randomRestarts(rng)
+		assigned, waits := Plan(p, NewPlannerState())
+		free := map[workflow.Incarnation]*candidate{}
+		for i, w := range p.Workers {
+			free[w.Incarnation] = newCandidate(w, i)
+		}
+		placed := map[workflow.TaskKey]bool{}
+		for _, a := range assigned {
+			key := a.Attempt.Task
+			placed[key] = true
+			for _, q := range p.PendingRuns {
+				if q.Job.ID == key.Job {
+					free[a.Incarnation].reserve(&q.Job.Steps[key.Step], key)
+				}
+			}
+		}
+		for _, q := range p.PendingRuns {
+			n := needs{service: "s", spec: &q.Job.Steps[0], step: stepKey{job: q.Job.ID}}
+			if !n.spec.LongRunning || n.spec.Gang {
+				continue
+			}
+			for i, task := range q.Run.Steps[0].Tasks {
+				if task.Attempt == 0 || placed[workflow.TaskKey{Job: q.Job.ID, Index: i}] {
+					continue
+				}
+				for _, c := range free {
+					if _, ok := c.feasible(&n); ok {
+						t.Fatalf("seed %d: task %d of job %s waits although worker %s has room; waits %+v", seed, i, q.Job.ID, c.worker.Incarnation.Worker, waits)
+					}
+				}
+			}
+		}
+	}
+}
+
+// randomRestarts returns a few workers and jobs whose tasks wait; some of the tasks ran before.
+func randomRestarts(rng *rand.Rand) *Snapshot {
+	var workers []*Worker
+	for i := range 1 + rng.IntN(4) {
+		workers = append(workers, testWorker(fmt.Sprint("w", i), int64(4+rng.IntN(8))*1000, int64(4+rng.IntN(8))*1000))
+		if rng.IntN(2) == 0 {
+			workers[i].Labels = []string{"x"}
+		}
+	}
+	var jobs []*workflow.Job
+	for i := range 2 + rng.IntN(6) {
+		step := workflow.StepSpec{Count: 1 + rng.IntN(4), CPUMillis: int64(1+rng.IntN(5)) * 1000, MemoryMiB: int64(rng.IntN(4)) * 1000, LongRunning: rng.IntN(2) == 0, Gang: rng.IntN(5) == 0, MaxPerWorker: max(0, rng.IntN(6)-3)}
+		if rng.IntN(4) == 0 {
+			step.RequiredLabel = "x"
+		}
+		job := testJob(fmt.Sprint("j", i), rng.IntN(3), step)
+		tasks := make([]workflow.Task, step.Count)
+		for k := range tasks {
+			tasks[k] = workflow.Task{Attempt: uint32(rng.IntN(3)), Failures: uint32(rng.IntN(2)), WaitingAt: 900}
+		}
+		job.Runs = map[int]*workflow.Run{0: {Steps: []workflow.StepRun{{Tasks: tasks}}}}
+		jobs = append(jobs, job)
+	}
+	return newSnapshot(workers, jobs...)
+}
