--- a/core/dispatch/plan.go
+++ b/core/dispatch/plan.go
@@ -14,8 +14,11 @@
 func Plan(p *Snapshot, state *PlannerState) (assign []workflow.Assignment, waits []WaitingStep) {
 	pass := &pass{now: p.Now, interference: state.InterferenceModel, starvationTimeout: starvationTimeout(p), firstStartBudget: state.ShortTaskReserve.firstStartBudget(p)}
 	for _, w := range p.Workers {
-		if w.Usable {
+		switch {
+		case w.Usable:
 			pass.usable = append(pass.usable, w)
+		case w.LastResort:
+			pass.lastResorts = append(pass.lastResorts, w)
 		}
 	}
 	for _, run := range sortRuns(p) {
@@ -38,6 +41,7 @@
 	starvationTimeout model.Millis
 	firstStartBudget  map[string]int64 // for first starts of long-running tasks, by service
 	usable            []*Worker
+	lastResorts       []*Worker            // those that have no task of this pass
 	candidates        []*candidate         // the usable workers; set by buildCandidates
 	servingImages     map[string]int       // index by image of a serving task; set by buildHeadrooms
 	coefficients      map[string][]float64 // by best-effort image; indexed by servingImages
@@ -95,10 +99,17 @@
 		last.tasks = append(last.tasks, readyTask{index, task})
 	})
 	for _, ready := range steps {
+		ready.putRestartsFirst()
 		p.placeStep(q, ready)
 	}
 }
 
+// putRestartsFirst moves the tasks that ran before to the front, because the reserve for short tasks may
+// hold back the others.
+func (r *readyStep) putRestartsFirst() {
+	slices.SortStableFunc(r.tasks, func(a, b readyTask) int { return compareBool(a.task.Attempt == 0, b.task.Attempt == 0) })
+}
+
 func (p *pass) placeStep(q PendingRun, ready readyStep) {
 	p.buildCandidates()
 	spec := &q.Job.Steps[ready.step]
@@ -108,13 +119,13 @@
 	if spec.Gang {
 		minAttempt = nextGangAttempt(q, ready.step)
 	}
-	if reason, known := p.knownUnplaced(q.Job.Service, spec); known && !starved {
-		p.waits = append(p.waits, WaitingStep{q.Job.ID, q.Occurrence, ready.step, reason})
+	if reason, known := p.knownUnplaced(q.Job.Service, spec); known && !starved && !p.mayUseLastResort(spec, ready.tasks[0].task) {
+		p.recordWait(q, ready.step, ready.tasks, reason)
 		return
 	}
 	n := p.needsOf(q, ready.step)
 	var ranked *ranking
-	for _, waiting := range ready.tasks {
+	for i, waiting := range ready.tasks {
 		key := workflow.TaskKey{Job: q.Job.ID, Occurrence: q.Occurrence, Step: ready.step, Index: waiting.index}
 		if ranked == nil && !starved && waiting.task.Failures == 0 {
 			ranked = p.newRanking(n)
@@ -123,15 +134,18 @@
 		if best == nil && !starved {
 			p.unplaced = append(p.unplaced, unplaced{q.Job.Service, spec, reason})
 		}
+		if best == nil {
+			best = p.takeLastResort(n, waiting.task)
+		}
 		if best != nil && !p.takeFirstStartBudget(q.Job, spec, waiting.task) {
 			best, reason = nil, WaitShortTaskReserve
 		}
 		if best == nil {
-			p.waits = append(p.waits, WaitingStep{q.Job.ID, q.Occurrence, ready.step, reason})
+			p.recordWait(q, ready.step, ready.tasks[i:], reason)
 			if spec.Gang {
 				p.undoAssignments(first, spec)
 			}
-			return // the other tasks of the step have the same requirements
+			return // the tasks that follow need the same, and none of them is a restart if this one is not
 		}
 		best.reserve(spec, key)
 		best.consumeHeadroom(&n)
@@ -149,6 +163,19 @@
 	}
 }
 
+// recordWait records that the tasks of a step wait, and how many of them are restarts.
+func (p *pass) recordWait(q PendingRun, step int, tasks []readyTask, reason WaitReason) {
+	wait := WaitingStep{Job: q.Job.ID, Occurrence: q.Occurrence, Step: step, Reason: reason}
+	if q.Job.Steps[step].LongRunning {
+		for _, waiting := range tasks {
+			if waiting.task.Attempt > 0 {
+				wait.Restarts++
+			}
+		}
+	}
+	p.waits = append(p.waits, wait)
+}
+
 // buildCandidates computes the free resources of the usable workers at its first call in a pass,
 // so that a pass without tasks to place skips this work.
 func (p *pass) buildCandidates() {
