Restart the long-running task that has waited longest first

Cause: restarts were placed in the order of their remaining work and the age of their job, within a step in the order of their index. Long-running tasks may fail any number of times, so one that fails at each start came first in every pass and took the room each time; another one that fits in the same room waited without bound. On a quarantined worker, where one restart a second is allowed, it took each of these. Change: restarts of the same priority are placed in the order in which they began to wait. A task that has just failed comes after those that were down before it, so each of them gets a turn before it is started again. Remains: the order is that of runs and of steps. In a run with several long-running steps, a task that fails shares the place of the task of that run which has waited longest.

--- a/core/dispatch/plan.go
+++ b/core/dispatch/plan.go
@@ -1,6 +1,7 @@
 package dispatch
 
 import (
+	"cmp"
 	"slices"
 
 	"samphirepaddle.example/core/model"
@@ -105,9 +106,11 @@
 }
 
 // putRestartsFirst moves the tasks that ran before to the front, because the reserve for short tasks may
-// hold back the others.
+// hold back the others. Those that have waited longest come first, as in sortRuns.
 func (r *readyStep) putRestartsFirst() {
-	slices.SortStableFunc(r.tasks, func(a, b readyTask) int { return compareBool(a.task.Attempt == 0, b.task.Attempt == 0) })
+	slices.SortStableFunc(r.tasks, func(a, b readyTask) int {
+		return cmp.Or(compareBool(a.task.Attempt == 0, b.task.Attempt == 0), cmp.Compare(a.task.WaitingAt, b.task.WaitingAt))
+	})
 }
 
 func (p *pass) placeStep(q PendingRun, ready readyStep) {
