--- a/core/dispatch/order.go
+++ b/core/dispatch/order.go
@@ -5,7 +5,6 @@
 	"slices"
 
 	"samphirepaddle.example/core/model"
-	"samphirepaddle.example/core/workflow"
 )
 
 // sortKey holds the fields by which pending runs are ordered.
@@ -13,17 +12,15 @@
 	run      PendingRun
 	priority int
 	rank     rank
-	downFrom model.Millis // when the restart that has waited longest began to wait; 0 for ranks other than rankRestart
-	late     bool         // the run can no longer meet its completion objective
-	started  bool         // a task of the run was assigned before
-	workLeft float64      // in core-milliseconds
+	late     bool    // the run can no longer meet its completion objective
+	started  bool    // a task of the run was assigned before
+	workLeft float64 // in core-milliseconds
 }
 
-// sortRuns orders the runs by priority, then by rank, then restarts by how long they have waited, so
-// that a task that fails at each start does not take the room each time, then jobs that can still
-// meet their objective first, then runs that have started, then the least remaining work. When there
-// are more heavy jobs than the workers can finish in time, running them in order of arrival would
-// make all of them late.
+// sortRuns orders the runs by priority, then by rank, then jobs that can still meet their
+// objective first, then runs that have started, then the least remaining work. When there are
+// more heavy jobs than the workers can finish in time, running them in order of arrival would make
+// all of them late.
 func sortRuns(p *Snapshot) []PendingRun {
 	keys := make([]sortKey, 0, len(p.PendingRuns))
 	for _, q := range p.PendingRuns {
@@ -33,7 +30,6 @@
 		return cmp.Or(
 			cmp.Compare(a.priority, b.priority),
 			cmp.Compare(a.rank, b.rank),
-			cmp.Compare(a.downFrom, b.downFrom),
 			compareBool(a.late, b.late),
 			compareBool(b.started, a.started),
 			cmp.Compare(a.workLeft, b.workLeft),
@@ -59,25 +55,10 @@
 
 func newSortKey(now model.Millis, q PendingRun) sortKey {
 	longRunning := q.Job.Steps[0].LongRunning
-	key := sortKey{
+	return sortKey{
 		run: q, priority: q.Job.Priority, rank: rankOf(q), started: q.Run != nil,
 		late: !longRunning && isLate(now, q), workLeft: remainingWork(q),
 	}
-	if key.rank == rankRestart {
-		key.downFrom = downFrom(now, q)
-	}
-	return key
-}
-
-// downFrom returns when the first of the restarts of the run began to wait, and now if there is none.
-func downFrom(now model.Millis, q PendingRun) model.Millis {
-	first := now
-	q.Job.ReadyTasks(q.Run, func(_, _ int, task workflow.Task) {
-		if task.Attempt > 0 {
-			first = min(first, task.WaitingAt)
-		}
-	})
-	return first
 }
 
 // isLate reports whether the run would miss its completion objective even if no task had to wait
--- a/core/dispatch/plan.go
+++ b/core/dispatch/plan.go
@@ -1,7 +1,6 @@
 package dispatch
 
 import (
-	"cmp"
 	"slices"
 
 	"samphirepaddle.example/core/model"
@@ -106,11 +105,9 @@
 }
 
 // putRestartsFirst moves the tasks that ran before to the front, because the reserve for short tasks may
-// hold back the others. Those that have waited longest come first, as in sortRuns.
+// hold back the others.
 func (r *readyStep) putRestartsFirst() {
-	slices.SortStableFunc(r.tasks, func(a, b readyTask) int {
-		return cmp.Or(compareBool(a.task.Attempt == 0, b.task.Attempt == 0), cmp.Compare(a.task.WaitingAt, b.task.WaitingAt))
-	})
+	slices.SortStableFunc(r.tasks, func(a, b readyTask) int { return compareBool(a.task.Attempt == 0, b.task.Attempt == 0) })
 }
 
 func (p *pass) placeStep(q PendingRun, ready readyStep) {
