Tell lost attempts of ended processes from those of expired leases

Cause: one reason, "the worker process has ended or its lease has expired", stands for three causes. Change: each cause has a reason of its own in the line `attempt lost`.

--- a/daemon/fleet/reconcile.go
+++ b/daemon/fleet/reconcile.go
@@ -36,12 +36,20 @@
 		l.closeWithoutSession(workflows, incarnation, now, ended, p)
 		return
 	}
-	dead := s.replaced && s.otherWorker || s.leaseExpired(now) || (known && current.Deregistered && l.deregisteredFor(current, now) > deregistrationGrace)
+	lossReason := ""
+	switch {
+	case s.replaced && s.otherWorker:
+		lossReason = "the worker process has ended"
+	case s.leaseExpired(now):
+		lossReason = "the worker's lease has expired"
+	case known && current.Deregistered && l.deregisteredFor(current, now) > deregistrationGrace:
+		lossReason = "the worker has deregistered"
+	}
 	workflows.VisitOpenAttempts(incarnation, func(a workflow.OpenAttempt) {
 		switch {
 		case ended[a.Attempt]:
-		case dead:
-			l.recordLoss(s, a.Attempt, "the worker process has ended or its lease has expired", p)
+		case lossReason != "":
+			l.recordLoss(s, a.Attempt, lossReason, p)
 		default:
 			l.reconcileAttempt(s, current, a, now, p)
 		}
