Give up tasks that crash the workers that start them

Cause: only ends of kind "failed" count as attempts. An attempt that is lost with its worker was repeated without any limit, because losses were taken for faults of workers. The class: retries without a budget for a failure that the work itself may cause.

Change: - core/workflow counts the crashes of workers under each task and fails the job after three if the task was the sole suspect in two of them, else after five. Suspects are the attempts that ran for less than 0.5 s; one that was suspect before stands out against those that were not. A task that ran for 10 s, failed or was done is cleared. - A crash is the end of a process that had not announced it, proven by the process that follows at its address or under its id.

In 100 random runs of planner and state with deadly tasks and workers that crash by themselves no sound job is given up and no deadly task starts more than five times.

--- a/core/dispatch/candidate.go
+++ b/core/dispatch/candidate.go
@@ -22,6 +22,7 @@
 	freeMemory       int64 // unreserved, in MiB
 	freeAccelerators int64
 	spareCPU         int64      // millicores expected to be left for best-effort tasks
+	isolated         bool       // no further task may start, so that a crash has only one suspect
 	longRunning      int        // number of long-running tasks that reserve CPU
 	assigned         []assigned // tasks assigned in this pass
 	headrooms        []headroom // of the serving tasks; set by pass.buildHeadrooms
@@ -46,7 +47,7 @@
 func stepKeyOf(k workflow.TaskKey) stepKey { return stepKey{k.Job, k.Occurrence, k.Step} }
 
 func newCandidate(w *Worker, index int) *candidate {
-	c := &candidate{worker: w, index: index, freeCPU: w.CPUMillis, freeMemory: w.MemoryMiB, freeAccelerators: w.Accelerators, spareCPU: w.CPUMillis}
+	c := &candidate{worker: w, index: index, freeCPU: w.CPUMillis, freeMemory: w.MemoryMiB, freeAccelerators: w.Accelerators, spareCPU: w.CPUMillis, isolated: w.Isolated}
 	for i := range w.Allocations {
 		c.account(w.Allocations[i].Step, 1)
 	}
--- /dev/null
+++ b/core/dispatch/isolation.go
@@ -0,0 +1,24 @@
+package dispatch
+
+import "samphirepaddle.example/core/workflow"
+
+// leastLoaded returns the feasible worker with the fewest attempts, and among those the one with the
+// highest score. A task that is suspected of crashing workers starts there, because a crash ends
+// everything that runs beside it.
+func (p *pass) leastLoaded(n needs, task workflow.Task, starved bool) *candidate {
+	var best *candidate
+	bestScore := 0.0
+	for _, c := range p.candidates {
+		score, _, ok := c.rate(&n, task, starved)
+		if !ok {
+			continue
+		}
+		if best == nil || c.attempts() < best.attempts() || (c.attempts() == best.attempts() && score > bestScore) {
+			best, bestScore = c, score
+		}
+	}
+	return best
+}
+
+// attempts returns the number of attempts on the worker, with those of this pass.
+func (c *candidate) attempts() int { return len(c.worker.Allocations) + len(c.assigned) }
--- a/core/dispatch/plan.go
+++ b/core/dispatch/plan.go
@@ -130,10 +130,14 @@
 		if ranked == nil && !starved && waiting.task.Failures == 0 {
 			ranked = p.newRanking(n)
 		}
+		suspect := !spec.Gang && q.Job.IsSuspect(key)
 		best, reason := p.bestFor(ranked, n, waiting.task, starved)
 		if best == nil && !starved {
 			p.unplaced = append(p.unplaced, unplaced{q.Job.Service, spec, reason})
 		}
+		if best != nil && suspect {
+			best = p.leastLoaded(n, waiting.task, starved)
+		}
 		if best == nil {
 			best = p.takeLastResort(n, waiting.task)
 		}
@@ -149,6 +153,7 @@
 		}
 		best.reserve(spec, key)
 		best.consumeHeadroom(&n)
+		best.isolated = suspect
 		if ranked != nil {
 			ranked.update(best)
 		}
@@ -340,6 +345,8 @@
 		return WaitNoCapacity, false
 	case spec.MaxPerWorker != 0 && c.taskCount(n.step) >= spec.MaxPerWorker:
 		return WaitMaxPerWorker, false
+	case c.isolated:
+		return WaitIsolation, false
 	}
 	return 0, true
 }
--- a/core/dispatch/wait.go
+++ b/core/dispatch/wait.go
@@ -12,6 +12,7 @@
 	WaitNoLabel                            // no worker has the required label
 	WaitNoCapacity                         // no worker has the reservation free
 	WaitMaxPerWorker                       // each worker with free capacity runs the maximum number of tasks of the step
+	WaitIsolation                          // each worker with free capacity runs a suspect that has not survived yet
 	WaitInterference                       // the task would interfere with serving tasks
 	WaitNoSpareCPU                         // no spare CPU is expected on any worker
 	WaitShortTaskReserve                   // the remaining cores are reserved for short tasks
@@ -21,6 +22,7 @@
 func (r WaitReason) String() string {
 	return [...]string{
 		"no worker takes tasks", "no worker has the required label", "no worker has the capacity free", "max_per_worker is reached on each worker with free capacity",
+		"each worker with free capacity has just started a task that is suspected of crashing workers",
 		"it would interfere with serving tasks", "no spare CPU", "the remaining cores are reserved for short tasks",
 	}[r]
 }
--- a/core/workflow/apply.go
+++ b/core/workflow/apply.go
@@ -113,6 +113,7 @@
 	job.Runs = nil
 	job.Steps = nil
 	job.CompletedRuns = nil
+	job.Suspects = nil
 }
 
 func (s *State) applyBatch(now model.Millis, b *Batch) {
@@ -122,6 +123,12 @@
 	for _, end := range b.Ends {
 		s.recordEnd(now, end)
 	}
+	for _, silent := range b.Lapsed {
+		s.recordLapsed(silent)
+	}
+	for _, crash := range b.Crashes {
+		s.recordCrash(now, crash)
+	}
 	for _, loss := range b.Lost {
 		s.closeAttempt(now, loss.Attempt, loss.Incarnation, End{Checkpoint: loss.Checkpoint, Kind: EndLeaseExpired})
 	}
@@ -144,6 +151,13 @@
 		w.Deregistered = w.Deregistered || known.Deregistered
 		w.LastRecordedEnd = known.LastRecordedEnd
 		w.DeregisteredAt = known.DeregisteredAt
+		w.Crashed, w.Lapsed, w.PredecessorLeft = known.Crashed, known.Lapsed, known.PredecessorLeft
+	} else if ok {
+		w.PredecessorLeft = known.announcedEnd()
+		if !w.PredecessorLeft && !known.Crashed {
+			s.addSuspects(known.Lapsed)
+			s.countCrash(now, known.Lapsed)
+		}
 	}
 	if w.Deregistered && w.DeregisteredAt == 0 {
 		w.DeregisteredAt = now
@@ -246,6 +260,9 @@
 func (s *State) recordOutcome(now model.Millis, job *Job, key TaskKey, kind EndKind) {
 	longRunning := job.Steps[key.Step].LongRunning
 	task := &job.Runs[key.Occurrence].Steps[key.Step].Tasks[key.Index]
+	if kind == EndDone || kind == EndFailed {
+		job.clearSuspicion(key) // the worker has survived the attempt
+	}
 	switch kind {
 	case EndDone:
 		if !longRunning {
--- a/core/workflow/commands.go
+++ b/core/workflow/commands.go
@@ -15,13 +15,15 @@
 }
 
 // Batch holds the changes of one scheduling pass of the leader. The changes are applied in the
-// order of the fields, so that assignments can use workers that Workers reports and tasks whose
+// order of the fields unless a field says otherwise, so that assignments can use workers that Workers reports and tasks whose
 // attempts Ends and Lost close.
 type Batch struct {
 	Workers []Worker      `cbor:"1,keyasint,omitempty"` // incarnations that are new or whose report changed
 	Ends    []End         `cbor:"2,keyasint,omitempty"`
 	Lost    []LostAttempt `cbor:"3,keyasint,omitempty"`
 	Assign  []Assignment  `cbor:"4,keyasint,omitempty"`
+	Crashes []Crash       `cbor:"5,keyasint,omitempty"` // worker processes that have ended unannounced; applied before Lost
+	Lapsed  []Crash       `cbor:"6,keyasint,omitempty"` // silent workers, whose attempts Lost closes; applied before Lost
 }
 
 // EndKind tells how an attempt ended on its worker.
--- /dev/null
+++ b/core/workflow/crash.go
@@ -0,0 +1,214 @@
+package workflow
+
+import (
+	"fmt"
+	"slices"
+
+	"samphirepaddle.example/core/model"
+)
+
+// Limits on the crashes of workers under one task. An attempt that is lost with its worker may be
+// repeated, and so are those beside it: a task that crashes every worker that starts it would end
+// all of them in turn. A crash alone does not tell which of the tasks on the worker caused it, so
+// the limits depend on whether others are suspect as well.
+const (
+	// CrashWindow is how long an attempt must run until it no longer counts as the cause of a crash.
+	CrashWindow = model.Millis(500)
+	// maxCrashes is the number of crashes after which a task is given up, whatever ran beside it.
+	maxCrashes = 5
+	// minCrashes is the number of crashes after which a task is given up if it was the only suspect
+	// in minSoleSuspicions of them.
+	minCrashes        = 3
+	minSoleSuspicions = 2
+	// soundRunTime is the run time after which an attempt shows that its task does not crash workers.
+	soundRunTime = model.Millis(10_000)
+)
+
+// Crash reports that a worker process ended without having announced that it leaves, and the
+// attempts that were open on it.
+type Crash struct {
+	Incarnation Incarnation      `cbor:"1,keyasint"`
+	Attempts    []CrashedAttempt `cbor:"2,keyasint,omitempty"`
+}
+
+// CrashedAttempt is an attempt that was open on a worker process when that ended or fell silent.
+type CrashedAttempt struct {
+	Attempt Attempt      `cbor:"1,keyasint"`
+	RanMs   model.Millis `cbor:"2,keyasint,omitempty"` // for how long the attempt ran at least
+}
+
+// Suspect records the crashes of workers under one task of a job.
+type Suspect struct {
+	Occurrence int      `cbor:"1,keyasint,omitempty"`
+	Step       int      `cbor:"2,keyasint,omitempty"`
+	Index      int      `cbor:"3,keyasint,omitempty"`
+	Crashed    []uint32 `cbor:"4,keyasint,omitempty"` // numbers of the attempts whose worker crashed
+	Suspicions int      `cbor:"5,keyasint,omitempty"` // crashes within CrashWindow of the start
+	Sole       int      `cbor:"6,keyasint,omitempty"` // suspicions without another suspect of the same standing
+}
+
+// givenUp reports whether the task is the cause of the crashes by the limits.
+func (s *Suspect) givenUp() bool {
+	crashes := len(s.Crashed)
+	return crashes >= maxCrashes || (crashes >= minCrashes && s.Sole >= minSoleSuspicions)
+}
+
+// cloneSuspects returns a copy that later crashes do not change.
+func cloneSuspects(suspects []Suspect) []Suspect {
+	copied := slices.Clone(suspects)
+	for i := range copied {
+		copied[i].Crashed = slices.Clone(copied[i].Crashed)
+	}
+	return copied
+}
+
+func (j *Job) suspectIndex(key TaskKey) int {
+	return slices.IndexFunc(j.Suspects, func(s Suspect) bool {
+		return s.Index == key.Index && s.Step == key.Step && s.Occurrence == key.Occurrence
+	})
+}
+
+// IsSuspect reports whether a worker has crashed shortly after it started the task, so that the next
+// attempt should start where no other suspect does and little else is harmed.
+func (j *Job) IsSuspect(key TaskKey) bool {
+	i := j.suspectIndex(key)
+	return i >= 0 && j.Suspects[i].Suspicions > 0
+}
+
+// clearSuspicion forgets the crashes under a task that has shown that workers survive it.
+func (j *Job) clearSuspicion(key TaskKey) {
+	if i := j.suspectIndex(key); i >= 0 {
+		j.Suspects = slices.Delete(j.Suspects, i, i+1)
+	}
+}
+
+// recordLapsed keeps the attempts that were lost because their worker was silent: if the process
+// turns out to have ended, they count as crashed with it.
+func (s *State) recordLapsed(c Crash) {
+	worker, ok := s.Workers[c.Incarnation.Worker]
+	if !ok || worker.Incarnation != c.Incarnation || worker.Crashed || worker.announcedEnd() {
+		return
+	}
+	for _, a := range c.Attempts {
+		if !slices.ContainsFunc(worker.Lapsed, func(known CrashedAttempt) bool { return known.Attempt == a.Attempt }) {
+			worker.Lapsed = append(worker.Lapsed, a)
+		}
+	}
+}
+
+// recordCrash counts the crash of a worker process for the tasks on it. Each process counts once,
+// and so does each attempt, because a batch may be applied again.
+func (s *State) recordCrash(now model.Millis, c Crash) {
+	attempts := c.Attempts
+	worker, ok := s.Workers[c.Incarnation.Worker]
+	switch {
+	case ok && worker.Incarnation == c.Incarnation:
+		if worker.Crashed || worker.announcedEnd() {
+			return
+		}
+		worker.Crashed = true
+		attempts = slices.Concat(worker.Lapsed, attempts)
+		worker.Lapsed = nil
+	case ok && worker.PredecessorLeft:
+		return
+	}
+	s.addSuspects(attempts)
+	s.countCrash(now, attempts)
+}
+
+// announcedEnd reports whether the worker process has announced that it leaves, so that its end is
+// no crash.
+func (w *Worker) announcedEnd() bool { return w.Draining || w.Deregistered }
+
+// countCrash counts one crash for the attempts, and gives up the tasks that are over the limits. A
+// sole suspect explains the crash, so it does not count for those that ran for longer.
+func (s *State) countCrash(now model.Millis, attempts []CrashedAttempt) {
+	var recent []*Suspect
+	for _, a := range attempts {
+		if suspect := s.suspectOf(a); suspect != nil && a.RanMs < CrashWindow {
+			recent = append(recent, suspect)
+		}
+	}
+	for _, suspect := range recent {
+		suspect.Suspicions++
+	}
+	sole := soleSuspect(recent)
+	if sole != nil {
+		sole.Sole++
+	}
+	for _, a := range attempts {
+		if suspect := s.suspectOf(a); suspect != nil && (sole == nil || a.RanMs < CrashWindow) {
+			suspect.Crashed = append(suspect.Crashed, a.Attempt.Number)
+		}
+	}
+	for _, a := range attempts {
+		s.giveUpIfOverLimit(now, a.Attempt.Task)
+	}
+}
+
+// addSuspects adds the tasks of the attempts to the suspects of their jobs. Tasks that ran for long
+// are cleared.
+func (s *State) addSuspects(attempts []CrashedAttempt) {
+	for _, a := range attempts {
+		key := a.Attempt.Task
+		job, ok := s.liveJobs[key.Job]
+		switch {
+		case !ok || !job.validKey(key):
+		case a.RanMs >= soundRunTime:
+			job.clearSuspicion(key)
+		case job.suspectIndex(key) < 0:
+			job.Suspects = append(job.Suspects, Suspect{Occurrence: key.Occurrence, Step: key.Step, Index: key.Index})
+		}
+	}
+}
+
+// suspectOf returns the record of the attempt's task, or nil if there is none or it contains the
+// attempt. The pointer is valid until a suspect is added or removed.
+func (s *State) suspectOf(a CrashedAttempt) *Suspect {
+	job, ok := s.liveJobs[a.Attempt.Task.Job]
+	if !ok {
+		return nil
+	}
+	i := job.suspectIndex(a.Attempt.Task)
+	if i < 0 || slices.Contains(job.Suspects[i].Crashed, a.Attempt.Number) {
+		return nil
+	}
+	return &job.Suspects[i]
+}
+
+// soleSuspect returns the suspect that alone explains the crash, or nil: the only one, or the only
+// one that was suspect at an earlier crash.
+func soleSuspect(recent []*Suspect) *Suspect {
+	if len(recent) == 1 {
+		return recent[0]
+	}
+	var sole *Suspect
+	for _, suspect := range recent {
+		if suspect.Suspicions < 2 {
+			continue
+		}
+		if sole != nil {
+			return nil
+		}
+		sole = suspect
+	}
+	return sole
+}
+
+func (s *State) giveUpIfOverLimit(now model.Millis, key TaskKey) {
+	job, ok := s.liveJobs[key.Job]
+	if !ok {
+		return // another task of the job was given up
+	}
+	i := job.suspectIndex(key)
+	switch {
+	case i < 0:
+		return
+	case len(job.Suspects[i].Crashed) == 0:
+		job.clearSuspicion(key) // the crash did not count for the task
+		return
+	case !job.Suspects[i].givenUp():
+		return
+	}
+	s.endJob(job, PhaseFailed, now, fmt.Sprintf("%d workers crashed under task %s", len(job.Suspects[i].Crashed), key))
+}
--- /dev/null
+++ b/core/workflow/crash_test.go
@@ -0,0 +1,200 @@
+package workflow
+
+import (
+	"testing"
+
+	"samphirepaddle.example/core/model"
+)
+
+// crashRig plays attempts on workers that crash. Each worker process is used once.
+type crashRig struct {
+	t       *testing.T
+	state   *State
+	now     model.Millis
+	workers int
+}
+
+func newCrashRig(t *testing.T) *crashRig { return &crashRig{t: t, state: New(), now: 1} }
+
+func (r *crashRig) apply(b Batch) {
+	r.t.Helper()
+	r.now++
+	batch(r.t, r.state, r.now, b)
+}
+
+// start opens the next attempt of each task on a new worker.
+func (r *crashRig) start(tasks ...TaskKey) Crash {
+	r.t.Helper()
+	r.workers++
+	w := worker("w", model.Millis(r.workers))
+	w.Incarnation.Worker = WorkerID(rune('a' + r.workers))
+	b := Batch{Workers: []Worker{w}}
+	crash := Crash{Incarnation: w.Incarnation}
+	for _, k := range tasks {
+		number := uint32(r.workers)
+		b.Assign = append(b.Assign, assign(k, number, w.Incarnation))
+		crash.Attempts = append(crash.Attempts, CrashedAttempt{Attempt: Attempt{k, number}})
+	}
+	r.apply(b)
+	return crash
+}
+
+func lossesOf(c Crash) []LostAttempt {
+	var lost []LostAttempt
+	for _, a := range c.Attempts {
+		lost = append(lost, LostAttempt{Incarnation: c.Incarnation, Attempt: a.Attempt})
+	}
+	return lost
+}
+
+// crash starts the tasks on a new worker that crashes.
+func (r *crashRig) crash(tasks ...TaskKey) {
+	r.t.Helper()
+	c := r.start(tasks...)
+	r.apply(Batch{Crashes: []Crash{c}, Lost: lossesOf(c)})
+}
+
+func (r *crashRig) wantStatus(job JobID, want JobStatus) {
+	r.t.Helper()
+	if got, _ := r.state.StatusOf(job); got != want {
+		r.t.Errorf("job %s is %s, want %s", job, got, want)
+	}
+}
+
+// restart continues with the state of a snapshot, as after a restart or a change of leader.
+func (r *crashRig) restart() {
+	r.t.Helper()
+	data, err := model.Encode(r.state.Capture())
+	if err != nil {
+		r.t.Fatal(err)
+	}
+	var stored Snapshot
+	if err := model.Decode(data, &stored); err != nil {
+		r.t.Fatal(err)
+	}
+	r.state = Restore(&stored)
+}
+
+// Guards against a task that crashes worker after worker without end.
+func TestTaskThatCrashesItsWorkersIsGivenUp(t *testing.T) {
+	r := newCrashRig(t)
+	submit(t, r.state, "poison", StepSpec{Count: 2})
+	submit(t, r.state, "sound", StepSpec{Count: 2})
+	r.crash(key("poison", 0, 0), key("poison", 0, 1), key("sound", 0, 0), key("sound", 0, 1))
+	r.crash(key("poison", 0, 0))
+	r.wantStatus("poison", StatusRunning)
+	r.restart()
+	r.crash(key("poison", 0, 0))
+	r.wantStatus("poison", StatusFailed)
+	r.wantStatus("sound", StatusRunning)
+	if got, want := r.state.Jobs["poison"].Reason, "3 workers crashed under task poison/0/0/0"; got != want {
+		t.Errorf("the reason is %q, want %q", got, want)
+	}
+}
+
+// Guards against a task that is never alone with its worker and so escapes the limit.
+func TestTaskAmongOtherSuspectsIsGivenUp(t *testing.T) {
+	r := newCrashRig(t)
+	for _, job := range []string{"a", "b"} {
+		submit(t, r.state, job, StepSpec{Count: 1, LongRunning: true})
+	}
+	for range maxCrashes - 1 {
+		r.crash(key("a", 0, 0), key("b", 0, 0))
+		r.wantStatus("a", StatusRunning)
+	}
+	r.crash(key("a", 0, 0), key("b", 0, 0))
+	r.wantStatus("a", StatusFailed)
+}
+
+// Guards against sound tasks that are given up because they ran beside a crashing task each time.
+func TestLongRunBeforeCrashClearsSuspicion(t *testing.T) {
+	r := newCrashRig(t)
+	submit(t, r.state, "j", StepSpec{Count: 1, LongRunning: true})
+	for range 2 * maxCrashes {
+		c := r.start(key("j", 0, 0))
+		c.Attempts[0].RanMs = soundRunTime
+		r.apply(Batch{Crashes: []Crash{c}, Lost: lossesOf(c)})
+	}
+	r.wantStatus("j", StatusRunning)
+}
+
+// Guards against a count that goes on after an attempt has shown that workers survive the task.
+func TestFailedAttemptClearsSuspicion(t *testing.T) {
+	r := newCrashRig(t)
+	submit(t, r.state, "j", StepSpec{Count: 1, LongRunning: true})
+	r.crash(key("j", 0, 0))
+	r.crash(key("j", 0, 0))
+	c := r.start(key("j", 0, 0))
+	r.apply(Batch{Ends: []End{{Incarnation: c.Incarnation, Number: 1, Attempt: c.Attempts[0].Attempt, Kind: EndFailed}}})
+	r.crash(key("j", 0, 0))
+	r.wantStatus("j", StatusRunning)
+}
+
+// Guards against counting the end of a worker that had announced it as a crash.
+func TestAnnouncedEndIsNoCrash(t *testing.T) {
+	r := newCrashRig(t)
+	submit(t, r.state, "j", StepSpec{Count: 1, LongRunning: true})
+	for i := range 2 * maxCrashes {
+		c := r.start(key("j", 0, 0))
+		leaving := Worker{Incarnation: c.Incarnation, Service: "s", Draining: i%2 == 0, Deregistered: i%2 == 1}
+		r.apply(Batch{Workers: []Worker{leaving}, Crashes: []Crash{c}, Lost: lossesOf(c)})
+	}
+	r.wantStatus("j", StatusRunning)
+}
+
+// Guards against a crash that counts twice because its batch is applied again.
+func TestCrashCountsOnce(t *testing.T) {
+	r := newCrashRig(t)
+	submit(t, r.state, "j", StepSpec{Count: 1, LongRunning: true})
+	c := r.start(key("j", 0, 0))
+	for range 2 * maxCrashes {
+		r.apply(Batch{Crashes: []Crash{c}, Lost: lossesOf(c)})
+	}
+	r.wantStatus("j", StatusRunning)
+}
+
+// Guards against counting the silence of a worker, and against forgetting the attempts that were
+// lost by silence when the worker turns out to have crashed.
+func TestLapsedAttemptsCountOnceTheCrashIsKnown(t *testing.T) {
+	r := newCrashRig(t)
+	submit(t, r.state, "j", StepSpec{Count: 1, LongRunning: true})
+	var silent []Crash
+	for range 2 * maxCrashes {
+		c := r.start(key("j", 0, 0))
+		r.apply(Batch{Lapsed: []Crash{c}, Lost: lossesOf(c)})
+		silent = append(silent, c)
+	}
+	r.wantStatus("j", StatusRunning)
+	r.restart()
+	for _, i := range []int{2, 0} {
+		r.apply(Batch{Crashes: []Crash{{Incarnation: silent[i].Incarnation}}})
+		r.wantStatus("j", StatusRunning)
+	}
+	r.apply(Batch{Crashes: []Crash{{Incarnation: silent[1].Incarnation}}})
+	r.wantStatus("j", StatusFailed)
+}
+
+// Guards against crashes that are overlooked because the worker starts again under its id.
+func TestCrashesOfOneWorkerUnderItsIDCount(t *testing.T) {
+	for _, draining := range []bool{false, true} {
+		s := New()
+		submit(t, s, "j", StepSpec{Count: 1, LongRunning: true})
+		k := key("j", 0, 0)
+		for i := range minCrashes {
+			number, at := uint32(i+1), model.Millis(10*i)
+			w, next := worker("a", at), worker("a", at+10)
+			batch(t, s, at, Batch{Workers: []Worker{w}, Assign: []Assignment{assign(k, number, w.Incarnation)}})
+			w.Draining = draining
+			batch(t, s, at+1, Batch{Workers: []Worker{w}})
+			c := Crash{Incarnation: w.Incarnation, Attempts: []CrashedAttempt{{Attempt: Attempt{k, number}}}}
+			batch(t, s, at+2, Batch{Workers: []Worker{next}, Crashes: []Crash{c}, Lost: lossesOf(c)})
+		}
+		want := StatusFailed
+		if draining {
+			want = StatusRunning
+		}
+		if got, _ := s.StatusOf("j"); got != want {
+			t.Errorf("draining %v: the job is %s, want %s", draining, got, want)
+		}
+	}
+}
--- a/core/workflow/property_test.go
+++ b/core/workflow/property_test.go
@@ -4,6 +4,7 @@
 	"flag"
 	"fmt"
 	"reflect"
+	"slices"
 	"testing"
 
 	"pgregory.net/rapid"
@@ -95,6 +96,23 @@
 	m.apply(t, Command{Batch: &Batch{Lost: []LostAttempt{{Incarnation: incarnation, Attempt: attempt}}}})
 }
 
+func (m *machine) Crash(t *rapid.T) {
+	attempt, incarnation := m.drawOpen(t)
+	c := Crash{Incarnation: incarnation}
+	m.state.VisitOpenAttempts(incarnation, func(a OpenAttempt) {
+		c.Attempts = append(c.Attempts, CrashedAttempt{Attempt: a.Attempt})
+	})
+	if len(c.Attempts) == 0 {
+		c.Attempts = []CrashedAttempt{{Attempt: attempt}}
+	}
+	slices.SortFunc(c.Attempts, func(a, b CrashedAttempt) int { return a.Attempt.Task.Compare(b.Attempt.Task) })
+	if rapid.Bool().Draw(t, "silent") {
+		m.apply(t, Command{Batch: &Batch{Lapsed: []Crash{c}, Lost: lossesOf(c)}})
+		return
+	}
+	m.apply(t, Command{Batch: &Batch{Crashes: []Crash{c}, Lost: lossesOf(c)}})
+}
+
 // Check verifies the invariants of the state.
 func (m *machine) Check(t *rapid.T) {
 	open := map[TaskKey]int{}
@@ -105,6 +123,13 @@
 		}
 	}
 	m.checkVersions(t)
+	for _, job := range m.state.liveJobs {
+		for _, suspect := range job.Suspects {
+			if suspect.givenUp() {
+				t.Fatalf("workers crashed %d times under task %d of step %d of %s but the job has not ended", len(suspect.Crashed), suspect.Index, suspect.Step, job.ID)
+			}
+		}
+	}
 	restored := Restore(m.state.Capture())
 	if !reflect.DeepEqual(openAttempts(restored), openAttempts(m.state)) || len(restored.liveJobs) != len(m.state.liveJobs) {
 		t.Fatalf("the restored state has other open attempts or live jobs")
@@ -178,8 +203,8 @@
 }
 
 // Guards against sequences of commands after which a task has two open attempts, starts before its
-// dependencies are done, or continues after too many failures, after which a restored state
-// differs, or in which open attempts change without a new version.
+// dependencies are done, or continues after too many failures or crashes, after which a restored
+// state differs, or in which open attempts change without a new version.
 func TestRandomCommands(t *testing.T) {
 	if err := flag.Set("rapid.seed", "1"); err != nil {
 		t.Fatal(err)
@@ -188,7 +213,7 @@
 		m := &machine{state: New(), endNumbers: map[Incarnation]uint64{}, lastAttempt: map[TaskKey]uint32{}, done: map[TaskKey]bool{}}
 		t.Repeat(map[string]func(*rapid.T){
 			"submit": m.Submit, "cancel": m.Cancel, "report": m.Report,
-			"assign": m.Assign, "assign again": m.Assign, "end": m.End, "lose": m.Lose, "": m.Check,
+			"assign": m.Assign, "assign again": m.Assign, "end": m.End, "lose": m.Lose, "crash": m.Crash, "": m.Check,
 		})
 	})
 }
--- a/core/workflow/queries.go
+++ b/core/workflow/queries.go
@@ -79,6 +79,7 @@
 	Route       string
 	Priority    int
 	Ended       bool // the job has ended, so the attempt must be stopped
+	Suspect     bool // a worker has crashed shortly after it started the task
 	Task        Task
 }
 
@@ -124,7 +125,7 @@
 	job := s.Jobs[a.Task.Job]
 	return OpenAttempt{
 		Attempt: a, Incarnation: incarnation, Step: &job.Steps[a.Task.Step], Route: job.Route,
-		Priority: job.Priority, Ended: job.Ended(), Task: *task,
+		Priority: job.Priority, Ended: job.Ended(), Suspect: job.IsSuspect(a.Task), Task: *task,
 	}
 }
 
--- a/core/workflow/state.go
+++ b/core/workflow/state.go
@@ -72,6 +72,7 @@
 	}
 	for id, worker := range s.Workers {
 		copied := *worker
+		copied.Lapsed = slices.Clone(worker.Lapsed)
 		stored.Workers[id] = &copied
 	}
 	return stored
@@ -80,6 +81,7 @@
 func (j *Job) clone() *Job {
 	copied := *j
 	copied.CompletedRuns = maps.Clone(j.CompletedRuns)
+	copied.Suspects = cloneSuspects(j.Suspects)
 	if j.Runs == nil {
 		return &copied
 	}
--- a/core/workflow/types.go
+++ b/core/workflow/types.go
@@ -204,6 +204,7 @@
 	RunsDone      int          `cbor:"19,keyasint,omitempty"` // number of complete runs
 	CompletedRuns map[int]bool `cbor:"20,keyasint,omitempty"` // complete occurrences of a job with a schedule
 	Reason        string       `cbor:"21,keyasint,omitempty"` // why the job failed
+	Suspects      []Suspect    `cbor:"22,keyasint,omitempty"` // tasks under which workers have crashed
 }
 
 // Ended reports whether the job has ended, so that none of its tasks starts any more.
@@ -228,6 +229,10 @@
 	DeregisteredAt  model.Millis `cbor:"11,keyasint,omitempty"`
 	LastRecordedEnd uint64       `cbor:"12,keyasint,omitempty"` // number of the last recorded end of this incarnation
 	ReportSequence  uint64       `cbor:"14,keyasint,omitempty"` // sequence number of the heartbeat that the record is from; 0 if not known
+
+	Crashed         bool             `cbor:"15,keyasint,omitempty"` // the process has ended without having announced it
+	Lapsed          []CrashedAttempt `cbor:"16,keyasint,omitempty"` // attempts that were lost while the worker was silent
+	PredecessorLeft bool             `cbor:"17,keyasint,omitempty"` // the process before, under the same id, had announced its end
 }
 
 // HasLabel reports whether the worker has the label.
--- /dev/null
+++ b/daemon/fleet/crash_test.go
@@ -0,0 +1,138 @@
+package fleet
+
+import (
+	"fmt"
+	"sync"
+	"testing"
+	"time"
+
+	"samphirepaddle.example/core/model"
+	"samphirepaddle.example/core/state"
+	"samphirepaddle.example/core/workflow"
+)
+
+// crashingPool is a set of fake workers of which each crashes when it starts a task of job poison,
+// and is followed by another worker at its address.
+type crashingPool struct {
+	rig *rig
+
+	mu      sync.Mutex
+	next    int
+	crashes int
+}
+
+func newCrashingPool(r *rig, workers int) *crashingPool {
+	p := &crashingPool{rig: r}
+	for i := range workers {
+		p.replace(fmt.Sprintf("addr-%d", i))
+	}
+	return p
+}
+
+// replace adds a worker at the address in place of the one that listens there.
+func (p *crashingPool) replace(addr string) {
+	p.mu.Lock()
+	p.next++
+	id := fmt.Sprintf("w%d", p.next)
+	p.mu.Unlock()
+	w := p.rig.workers.add(id, model.Millis(1))
+	w.worker.Addr = addr
+	w.delayStart = func(a workflow.Attempt) bool {
+		if a.Task.Job != "poison" {
+			return false
+		}
+		go p.crash(w)
+		return true
+	}
+	p.rig.workers.mu.Lock()
+	delete(p.rig.workers.byAddr, "addr-"+id)
+	p.rig.workers.byAddr[addr] = w
+	p.rig.workers.mu.Unlock()
+	p.rig.report(w)
+}
+
+func (p *crashingPool) crash(w *fakeWorker) {
+	p.mu.Lock()
+	p.crashes++
+	p.mu.Unlock()
+	w.withLock(func() { w.silent = true })
+	time.Sleep(crashedFor)
+	p.replace(w.worker.Addr)
+}
+
+// crashedFor is the time between the crash of a worker and the start of the next one at its address.
+const crashedFor = 50 * time.Millisecond
+
+func (p *crashingPool) crashCount() int {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.crashes
+}
+
+func (r *rig) status(job workflow.JobID) (status workflow.JobStatus) {
+	r.log.View(func(st *state.State) { status, _ = st.Workflows.StatusOf(job) })
+	return status
+}
+
+// maxCrashStarts is the number of starts of a task that crashes its workers: three, and two more.
+const maxCrashStarts = 5
+
+// Guards against a task that crashes worker after worker, also when the leader changes meanwhile.
+func TestTaskThatCrashesItsWorkersStopsStarting(t *testing.T) {
+	for _, leaderChanges := range []bool{false, true} {
+		t.Run(fmt.Sprintf("leader changes %v", leaderChanges), func(t *testing.T) {
+			r := newRig(t)
+			p := newCrashingPool(r, 3)
+			r.submit("sound", workflow.StepSpec{Count: 3, CPUMillis: 100, LongRunning: true})
+			r.submit("poison", workflow.StepSpec{Count: 1, CPUMillis: 100})
+			if leaderChanges {
+				r.until("a worker has crashed", func() bool { return p.crashCount() >= 1 })
+				r.stop()
+				r.startEngine()
+			}
+			r.until("the job has failed or its task starts too often", func() bool {
+				return r.status("poison") == workflow.StatusFailed || p.crashCount() > maxCrashStarts
+			})
+			if status, crashes := r.status("poison"), p.crashCount(); status != workflow.StatusFailed || crashes > maxCrashStarts {
+				t.Errorf("the job is %s after %d workers have crashed under its task", status, crashes)
+			}
+			if status := r.status("sound"); status != workflow.StatusRunning {
+				t.Errorf("the job that ran beside it is %s", status)
+			}
+		})
+	}
+}
+
+// maxSilences exceeds the number of crashes after which a sole suspect is given up.
+const maxSilences = 4
+
+// Guards against a silent worker that is taken for a crashed one.
+func TestSilentWorkersAreNotCountedAsCrashed(t *testing.T) {
+	r := newRig(t)
+	workers := []*fakeWorker{r.addWorker("a", 1), r.addWorker("b", 1)}
+	r.submit("j", workflow.StepSpec{Count: 1, CPUMillis: 100, LongRunning: true})
+	runsOn := func() int {
+		for i, w := range workers {
+			if len(w.runningAttempts()) > 0 {
+				return i
+			}
+		}
+		return -1
+	}
+	for range maxSilences {
+		r.until("a worker runs the task", func() bool { return runsOn() >= 0 })
+		silent := workers[runsOn()]
+		other := workers[1-runsOn()]
+		silent.withLock(func() { silent.silent = true })
+		r.until("the other worker runs the task", func() bool { return len(other.runningAttempts()) > 0 })
+		silent.withLock(func() {
+			silent.silent = false
+			for a := range silent.running {
+				silent.end(a, workflow.EndLeaseExpired)
+			}
+		})
+	}
+	if status := r.status("j"); status != workflow.StatusRunning {
+		t.Errorf("the job is %s after its workers were silent", status)
+	}
+}
--- a/daemon/fleet/pass.go
+++ b/daemon/fleet/pass.go
@@ -30,7 +30,7 @@
 
 func (p *passPlan) empty() bool {
 	b := &p.batch
-	return len(b.Workers) == 0 && len(b.Ends) == 0 && len(b.Lost) == 0 && len(b.Assign) == 0
+	return len(b.Workers) == 0 && len(b.Ends) == 0 && len(b.Crashes) == 0 && len(b.Lapsed) == 0 && len(b.Lost) == 0 && len(b.Assign) == 0
 }
 
 // passKind is the extent of a pass.
@@ -88,6 +88,7 @@
 	if checkAll {
 		l.lastFullCheck = now
 	}
+	l.addCrashes(workflows, ended, p)
 	for _, incarnation := range l.incarnationsToReconcile(workflows, checkAll) {
 		l.reconcileWorker(workflows, incarnation, now, ended, p)
 	}
@@ -229,6 +230,7 @@
 	l.engine.opts.Metrics.count("attempts", "lost", len(p.batch.Lost))
 	l.engine.opts.Metrics.count("attempts", "assigned", len(p.batch.Assign))
 	l.markEndsRecorded(p.batch.Ends)
+	l.markCrashesRecorded(p.batch.Crashes)
 	for _, loss := range p.batch.Lost {
 		if s := l.sessions[loss.Incarnation]; s != nil {
 			delete(s.orders, loss.Attempt)
@@ -308,7 +310,7 @@
 	if openVersion := workflows.OpenVersion(s.incarnation); s.changed || s.openVersion != openVersion {
 		s.cachedAllocations, s.openVersion, s.changed = l.allocations(workflows, s), openVersion, false
 	}
-	d.Allocations = s.cachedAllocations
+	d.Allocations, d.Isolated = s.cachedAllocations, s.isolated
 	return d
 }
 
@@ -323,7 +325,7 @@
 // allocations lists the attempts that hold resources on a worker, sorted by task.
 func (l *leadership) allocations(workflows *workflow.State, s *session) []dispatch.Allocation {
 	allocations := make([]dispatch.Allocation, 0, len(s.cachedAllocations)+1)
-	serving, bestEffort := false, false
+	serving, bestEffort, isolated := false, false, false
 	workflows.VisitOpenAttempts(s.incarnation, func(a workflow.OpenAttempt) {
 		r := dispatch.Allocation{OpenAttempt: a, Pace: 100}
 		if o := s.orders[a.Attempt]; o != nil {
@@ -337,11 +339,12 @@
 				r.CPUUsed = run.Usage
 			}
 		}
+		isolated = isolated || (a.Suspect && !s.survives(a.Attempt))
 		serving = serving || a.Step.Serving()
 		bestEffort = bestEffort || a.Step.UsesSpareCPU
 		allocations = append(allocations, r)
 	})
-	s.colocated = serving && bestEffort
+	s.colocated, s.isolated = serving && bestEffort, isolated
 	slices.SortFunc(allocations, func(a, b dispatch.Allocation) int {
 		return a.Attempt.Task.Compare(b.Attempt.Task)
 	})
--- a/daemon/fleet/reconcile.go
+++ b/daemon/fleet/reconcile.go
@@ -42,6 +42,7 @@
 		lossReason = "the worker process has ended"
 	case s.leaseExpired(now):
 		lossReason = "the worker's lease has expired"
+		p.batch.Lapsed = append(p.batch.Lapsed, workflow.Crash{Incarnation: incarnation, Attempts: l.possibleCauses(incarnation, nil, workflows, ended)})
 	case known && current.Deregistered && l.deregisteredFor(current, now) > deregistrationGrace:
 		lossReason = "the worker has deregistered"
 	}
@@ -78,12 +79,15 @@
 	return now.Sub(seen)
 }
 
-// seenAt records when this leader first observed a condition, by worker process.
+// seenAt holds what this leader has observed of worker processes.
 type seenAt struct {
-	deregistered map[workflow.Incarnation]bootclock.Time // deregistered worker processes
+	deregistered map[workflow.Incarnation]bootclock.Time // when a process was first seen to be deregistered
+	crashed      map[workflow.Incarnation]bool           // worker processes whose crash is recorded
 }
 
-func newSeenAt() seenAt { return seenAt{deregistered: map[workflow.Incarnation]bootclock.Time{}} }
+func newSeenAt() seenAt {
+	return seenAt{deregistered: map[workflow.Incarnation]bootclock.Time{}, crashed: map[workflow.Incarnation]bool{}}
+}
 
 // reconcileReplaced closes the attempts of a worker process that was replaced by a new process
 // with the same worker id. Calls carry only the id, so a start that was not answered may still
@@ -97,6 +101,9 @@
 		}
 		return
 	}
+	if !workflows.Workers[incarnation.Worker].PredecessorLeft {
+		l.addCrash(incarnation, next, workflows, ended, p)
+	}
 	workflows.VisitOpenAttempts(incarnation, func(a workflow.OpenAttempt) {
 		if ended[a.Attempt] {
 			return
@@ -147,6 +154,9 @@
 // closeReplaced closes the attempts of a worker process whose replacement does not answer.
 func (l *leadership) closeReplaced(workflows *workflow.State, incarnation workflow.Incarnation, now bootclock.Time, ended map[workflow.Attempt]bool, p *passPlan) {
 	old := l.sessions[incarnation]
+	if !workflows.Workers[incarnation.Worker].PredecessorLeft {
+		l.addCrash(incarnation, nil, workflows, ended, p)
+	}
 	workflows.VisitOpenAttempts(incarnation, func(a workflow.OpenAttempt) {
 		if ended[a.Attempt] || (old != nil && old.mayStartLate(a.Attempt, now)) {
 			return
--- a/daemon/fleet/session.go
+++ b/daemon/fleet/session.go
@@ -19,6 +19,9 @@
 	// holdWaitColocated replaces holdWait while best-effort tasks run beside serving tasks: a reported
 	// tail latency covers 0.5 s, and one over its target must be noticed quickly.
 	holdWaitColocated = 400 * time.Millisecond
+	// holdWaitIsolated replaces holdWait while no task may start beside a suspect, which the next list
+	// may show to have survived.
+	holdWaitIsolated = 250 * time.Millisecond
 	// maxColocatedHoldRate limits the hold calls per second to all such workers together. At 1,225 per
 	// second, to 490 workers, the calls delayed short jobs at the leader.
 	maxColocatedHoldRate = 600
@@ -74,6 +77,7 @@
 
 	openedAt      bootclock.Time
 	answeredAt    bootclock.Time // time of the last answered hold call; zero if none
+	aliveAt       bootclock.Time // when the worker process was last known to be alive
 	failing       bool           // the last hold call was not answered
 	tokenAccepted bool           // the worker has answered a hold call with this leader's token
 	replaced      bool           // another process answers at the address
@@ -89,6 +93,7 @@
 	changed           bool                  // the listing or an order has changed since the last pass
 	runsOrphan        bool                  // the worker lists an attempt that is not open, so its needs are not accounted for
 	cachedAllocations []dispatch.Allocation // result of leadership.allocations in the last pass
+	isolated          bool                  // a suspect attempt runs there and has not survived CrashWindow
 	openVersion       uint64                // version of the state's open attempts that cachedAllocations reflects
 	orders            map[workflow.Attempt]*order
 
@@ -177,6 +182,9 @@
 	if s.colocated {
 		call.Wait = model.Millis(s.colocatedWait().Milliseconds())
 	}
+	if s.isolated {
+		call.Wait = min(call.Wait, model.Millis(holdWaitIsolated.Milliseconds()))
+	}
 	if len(s.ends) > 0 {
 		call.Wait = 0
 	}
@@ -243,6 +251,7 @@
 		l.engine.opts.Metrics.count("holds", "not_sent", 1)
 		return holdRetryDelay
 	case err != nil:
+		s.noteFailure(sentAt, now, call)
 		if !s.failing {
 			l.logger.Info().Err(err).Str("worker", string(s.incarnation.Worker)).Int64("silent_ms", now.Sub(s.answeredAt).Milliseconds()).
 				Msg("worker does not answer")
@@ -253,7 +262,7 @@
 	if s.failing && s.answeredAt != 0 {
 		l.logger.Info().Str("worker", string(s.incarnation.Worker)).Int64("silent_ms", now.Sub(s.answeredAt).Milliseconds()).Msg("worker answers again")
 	}
-	s.failing, s.tokenAccepted, s.answeredAt = false, true, now
+	s.failing, s.tokenAccepted, s.answeredAt, s.aliveAt = false, true, now, now
 	s.updateClock(listing.Clock, now)
 	s.applyListing(sentAt, now, listing)
 	if len(s.ends) > 0 {
