--- a/core/dispatch/restart_test.go
+++ b/core/dispatch/restart_test.go
@@ -3,8 +3,11 @@
 import (
 	"fmt"
 	"math/rand/v2"
+	"os"
+	"strings"
 	"testing"
 
+	"samphirepaddle.example/core/model"
 	"samphirepaddle.example/core/workflow"
 )
 
@@ -48,6 +51,62 @@
 	}
 }
 
+// Guards against a long-running task that stays down because another one, which fails at each start,
+// takes the room every time.
+func TestFailingTaskDoesNotKeepOtherRestartsWaiting(t *testing.T) {
+	spec := workflow.StepSpec{Count: 1, CPUMillis: 1000, LongRunning: true}
+	both := spec
+	both.Count = 2
+	down := workflow.Task{Attempt: 1, WaitingAt: 500}
+	for name, tasks := range map[string]int{"two jobs": 1, "one job": 2} {
+		for _, quarantined := range []bool{false, true} {
+			w := testWorker("w", 1000, 1000)
+			w.Usable, w.LastResort = !quarantined, quarantined
+			jobs := []*workflow.Job{testJob("fails", 0, spec), testJob("sound", 0, spec)}
+			if tasks == 2 {
+				jobs = []*workflow.Job{testJob("fails", 0, both)}
+			}
+			for _, job := range jobs {
+				job.Runs = map[int]*workflow.Run{0: {Steps: []workflow.StepRun{{Tasks: []workflow.Task{down, down}[:tasks]}}}}
+			}
+			failing := &jobs[0].Runs[0].Steps[0].Tasks[0]
+			state, restarted := NewPlannerState(), false
+			for pass := range 3 {
+				snapshot := newSnapshot([]*Worker{w}, jobs...)
+				snapshot.Now = model.Millis(1000 + 100*pass)
+				assigned, _ := Plan(snapshot, state)
+				for _, a := range assigned {
+					if a.Attempt.Task.Job == "fails" && a.Attempt.Task.Index == 0 {
+						failing.Attempt, failing.Failures, failing.WaitingAt = a.Attempt.Number, failing.Failures+1, snapshot.Now+50
+					} else {
+						restarted = true
+					}
+				}
+			}
+			variant := fmt.Sprintf("%s, quarantined worker %v", name, quarantined)
+			reportKnown(t, variant, !restarted, fmt.Sprintf("the failing task was started %d times, the other one never", failing.Failures))
+		}
+	}
+}
+
+// reportKnown fails the test if the failure is not listed in KNOWN-RED.txt, or is listed and did not occur.
+func reportKnown(t *testing.T, variant string, failed bool, text string) {
+	t.Helper()
+	data, err := os.ReadFile("../../KNOWN-RED.txt")
+	if err != nil {
+		t.Fatal(err)
+	}
+	known := strings.Contains(string(data), "\n- core/dispatch "+t.Name()+"\n")
+	switch {
+	case failed && known:
+		fmt.Printf("known red: %s, %s: %s\n", t.Name(), variant, text)
+	case failed:
+		t.Errorf("%s: %s", variant, text)
+	case known:
+		t.Errorf("%s: passes; remove the test from KNOWN-RED.txt", variant)
+	}
+}
+
 // randomRestarts returns a few workers and jobs whose tasks wait; some of the tasks ran before.
 func randomRestarts(rng *rand.Rand) *Snapshot {
 	var workers []*Worker
