Sync at the start what an earlier process wrote

Callers would see an acknowledged change or a vote that is lost after a loss of power. Cause: a process that ends between a write and its sync leaves the write in the page cache. It ends so when it is killed, and when a full disk refuses the sync or stores a part of a write that ends between two records. The next process read the write back, counted it as durable and acknowledged it, but did not sync it. The class: state that was only read is taken for durable.

Change: Open syncs the directory before it reads or removes anything, and the newest segment before it returns. Older segments need no sync: a segment is created only after the write before it was synced, by the same process or at its start. TestDiskFullAtEachOperation passes before and after the change: no refused write, sync, rename or start left a directory that cannot be opened, lost an acknowledged entry or stopped later writes. Measured: the tests of daemon/storage pass.

--- a/daemon/storage/segments.go
+++ b/daemon/storage/segments.go
@@ -29,7 +29,8 @@
 	writeComplete bool   // the last record completed its write
 }
 
-// loadSegments reads all segments, opens the newest one for appending and returns the entries.
+// loadSegments reads all segments, opens and syncs the newest one for appending and returns the
+// entries.
 func (s *Store) loadSegments(names []string) ([]consensus.Entry, error) {
 	l := &logLoader{writeComplete: true}
 	numbers, err := segmentNumbers(names)
@@ -45,8 +46,10 @@
 	if len(numbers) == 0 {
 		return nil, s.createSegment(1)
 	}
-	s.activeFile, err = s.files.Append(s.path(segmentName(numbers[len(numbers)-1])))
-	return l.entries, err
+	if s.activeFile, err = s.files.Append(s.path(segmentName(numbers[len(numbers)-1]))); err != nil {
+		return nil, err
+	}
+	return l.entries, s.activeFile.Sync()
 }
 
 // segmentNumbers returns the numbers of the segments and checks that none is missing.
--- a/daemon/storage/store.go
+++ b/daemon/storage/store.go
@@ -94,7 +94,13 @@
 	return s, nil
 }
 
+// load reads the directory. The controller treats all that load has read as durable, but an earlier
+// process may have ended before it synced its last write. load syncs that write for this reason,
+// and the directory before it removes files.
 func (s *Store) load() error {
+	if err := s.files.SyncDir(s.dir); err != nil {
+		return err
+	}
 	names, err := s.files.List(s.dir)
 	if err != nil {
 		return err
