Let a controller that was replaced while it was silent join again

Cause: with a maximum number of voters, the leader removes a voter without a message for four election timeouts when a learner can take its vote. The removed directory still counts itself as a voter, and the leader refused every directory that ever had a vote. That rule is meant for directories that an operator removed or that another directory of the same VM replaced. Each disk that was full, or each VM that was silent, for a few seconds took one controller out of the group for good; once no learner is left, lost voters are not replaced, and the group loses its quorum while sound controllers run beside it. Callers would see changes refused or unanswered. Change: with MaxVoters and OpenMembership, the leader adds such a directory as a learner, unless its gateway has another member. Groups without MaxVoters, where operators remove members, are not affected.

--- a/daemon/replica/discovery.go
+++ b/daemon/replica/discovery.go
@@ -4,6 +4,7 @@
 	"crypto/rand"
 	"encoding/binary"
 	"encoding/hex"
+	"slices"
 	"time"
 
 	"samphirepaddle.example/core/consensus"
@@ -194,12 +195,13 @@
 }
 
 // mayAutoJoin reports whether the leader adds the directory without an operator. This requires
-// that the directory never had a vote, that its gateway is an initial controller or a member, or
-// the membership is open, and that the gateway is neither the leader nor a live learner.
+// that the directory never had a vote or may return, that its gateway is an initial controller or
+// a member, or the membership is open, and that the gateway is neither the leader nor a live
+// learner.
 func (d *discovery) mayAutoJoin(request discoveryRequest) bool {
 	// A directory that had a vote and is not a member was removed or replaced. It is not notified
 	// of its removal, so it still counts itself as a voter.
-	if !request.NeverVoted {
+	if !request.NeverVoted && !d.mayReturn(request) {
 		d.r.opts.Logger.Warn().Str("gateway", string(request.Gateway)).Str("id", string(request.ID)).
 			Msg("refusing to add a removed data directory; it must be emptied first")
 		return false
@@ -218,6 +220,17 @@
 	return known
 }
 
+// mayReturn reports whether a directory that had a vote may join again as a learner. With a maximum
+// number of voters, the leader removes a voter that is silent, for example because its disk is
+// full. Its directory is intact, so it may vote again after it has caught up. It may not return
+// beside another directory of its gateway.
+func (d *discovery) mayReturn(request discoveryRequest) bool {
+	if d.r.opts.MaxVoters == 0 || !d.r.opts.OpenMembership {
+		return false
+	}
+	return !slices.ContainsFunc(d.r.node.Members(), func(m consensus.Member) bool { return m.Gateway == request.Gateway })
+}
+
 // handleResponse records the members that a response names. While the directory has no group, it
 // enters the group that the response names.
 func (d *discovery) handleResponse(response discoveryResponse) {
--- a/daemon/replica/members.go
+++ b/daemon/replica/members.go
@@ -86,7 +86,8 @@
 	})
 }
 
-// RemoveMember removes a data directory from the group. The directory cannot join again.
+// RemoveMember removes a data directory from the group. The directory cannot join again, except
+// with MaxVoters and OpenMembership, where a running controller asks for it at once.
 func (r *Replica) RemoveMember(ctx context.Context, id consensus.MemberID) error {
 	return r.callNode(ctx, func(n *consensus.Node) error { return n.Remove(id) })
 }
--- a/daemon/replica/options.go
+++ b/daemon/replica/options.go
@@ -40,7 +40,8 @@
 	// JoinOnly prevents a controller with an empty directory from creating a group: it waits
 	// until it is added to the existing one.
 	JoinOnly bool
-	// OpenMembership lets the leader add any controller with an empty directory that asks for it.
+	// OpenMembership lets the leader add any controller with an empty directory that asks for it,
+	// and with MaxVoters also a voter that was replaced while it was silent.
 	// Otherwise it adds only the initial controllers and members that lost their disk.
 	OpenMembership bool
 	// MaxVoters is the maximum number of voters; 0 is unlimited. Further controllers stay
