Test a group whose disks are full one after another

Nothing acknowledged may be lost, and the group must acknowledge afterwards and end with equal states.

--- a/daemon/replica/fulldisk_test.go
+++ b/daemon/replica/fulldisk_test.go
@@ -1,12 +1,46 @@
 package replica
 
 import (
+	"errors"
 	"net"
+	"sync/atomic"
+	"syscall"
 	"testing"
 
 	"samphirepaddle.example/core/model"
+	"samphirepaddle.example/daemon/storage"
 )
 
+// fullFiles is the file system of the operating system, except that the disk can be full. A
+// refused write stores half of its data.
+type fullFiles struct {
+	storage.OS
+	full atomic.Bool
+}
+
+type fullFile struct {
+	storage.File
+	files *fullFiles
+}
+
+func (f fullFile) Write(data []byte) (int, error) {
+	if !f.files.full.Load() {
+		return f.File.Write(data)
+	}
+	n, err := f.File.Write(data[:len(data)/2])
+	return n, errors.Join(err, syscall.ENOSPC)
+}
+
+func (f *fullFiles) Append(path string) (storage.File, error) {
+	file, err := f.OS.Append(path)
+	return fullFile{file, f}, err
+}
+
+func (f *fullFiles) Create(path string) (storage.File, error) {
+	file, err := f.OS.Create(path)
+	return fullFile{file, f}, err
+}
+
 // addController starts a further controller with an empty directory, which asks to be added.
 func (c *cluster) addController(gateway model.GatewayID, dir string) int {
 	c.t.Helper()
@@ -59,3 +93,62 @@
 	c.propose(3)
 	c.checkTickets(3)
 }
+
+// Guards against a group that acknowledges no changes, or has lost some, after the disks of its
+// controllers were full one after another, with restarts on the full disk and snapshots.
+func TestDisksFullOneAfterAnother(t *testing.T) {
+	disks := map[model.GatewayID]*fullFiles{}
+	failed := map[model.GatewayID]chan error{}
+	c := newCluster(t, 3, func(o *Options) {
+		o.SnapshotBytes, o.KeepBytes = 2<<10, 1
+		fatal := make(chan error, 64)
+		disks[o.Gateway], failed[o.Gateway] = &fullFiles{}, fatal
+		o.FileSystem = disks[o.Gateway]
+		o.OnFatal = func(err error) { fatal <- err }
+	})
+	number := 0
+	propose := func() {
+		number++
+		c.propose(number)
+	}
+	for range 40 {
+		propose()
+	}
+	const restarts = 2 // on the full disk
+	for i := range c.controllers {
+		gateway := c.controllers[i].options.Gateway
+		disks[gateway].full.Store(true)
+		for restart := range restarts + 1 {
+			var err error
+			c.waitFor("the failed write", func() bool {
+				select {
+				case err = <-failed[gateway]:
+					return true
+				default:
+					// The proposal makes all controllers write; its outcome does not matter here.
+					for _, ctl := range c.controllers {
+						_, _ = ctl.replica.Propose(t.Context(), ticket(number))
+					}
+					return false
+				}
+			})
+			if !errors.Is(err, syscall.ENOSPC) {
+				t.Fatalf("fatal error: %v", err)
+			}
+			c.kill(i)
+			for range 20 {
+				propose()
+			}
+			if restart == restarts {
+				disks[gateway].full.Store(false)
+			}
+			for len(failed[gateway]) > 0 {
+				<-failed[gateway]
+			}
+			c.start(i)
+		}
+		propose()
+	}
+	c.checkTickets(number)
+	c.waitEqualStates()
+}
