--- a/daemon/fleetd/controller.go
+++ b/daemon/fleetd/controller.go
@@ -49,7 +49,7 @@
 	s := d.settings
 	options := replica.Options{
 		Gateway: model.GatewayID(s.ControlAddr), Addr: s.ControlAddr, Dir: s.DataDir,
-		Client: &http.Client{Transport: d.transport(maxControllerConns)}, Logger: d.logger,
+		Client: &http.Client{Transport: d.transport(maxControllerConns)}, Logger: d.logger, OnFatal: d.onFatal(),
 		JoinOnly: !s.MayFound, OpenMembership: true, MaxVoters: 2*max(1, s.ToleratedVMs) + 1,
 		Tick: groupTick, HeartbeatTicks: heartbeatTicks, ElectionTicks: electionTicks,
 		SnapshotBytes: snapshotBytes, KeepBytes: keepBytes,
--- a/daemon/fleetd/daemon.go
+++ b/daemon/fleetd/daemon.go
@@ -6,6 +6,7 @@
 	"context"
 	"errors"
 	"fmt"
+	"io"
 	"net"
 	"net/http"
 	"runtime/debug"
@@ -45,6 +46,7 @@
 	settings settings.Fleet
 	path     string // of the settings file
 	logger   zerolog.Logger
+	log      io.Closer // flushes the lines of logger
 	client   *fleet.Client
 	servers  []*http.Server
 	node     *controllerNode // nil on gateways
@@ -74,7 +76,7 @@
 		debug.SetGCPercent(gcPercent)
 		debug.SetMemoryLimit(int64(float64(s.MemoryMiB<<20) * memoryLimitShare))
 	}
-	d := &Daemon{settings: s, path: path, logger: logger}
+	d := &Daemon{settings: s, path: path, logger: logger, log: closer}
 	d.client = fleet.NewClient(s.Controllers, d.transport(maxControllerConns), logger)
 	listeners, err := d.build(adapter)
 	if err != nil {
