Repeat the set-up calls of the fleet tests while their outcome is unknown

Cause: a commit whose sync takes longer than commitTimeout (2 s) has an unknown outcome; callers repeat the operation, the tests' set-up did not. Change: submission, cancellation and ticket are repeated while the outcome is unknown. Any other error fails at once, as before, and "repeated" is accepted only after an unknown outcome. The checks are the same.

--- a/daemon/fleet/fleet_test.go
+++ b/daemon/fleet/fleet_test.go
@@ -50,9 +50,10 @@
 		Routes:   []model.Route{{Name: "q", Host: "h", PathPrefix: "/q/", Service: "s", TimeoutMs: 1000, MaxAttempts: 2}},
 		Services: []model.WorkerService{{Name: "s"}},
 	}}
-	if result, err := r.engine.Configure(context.Background(), ticket); err != nil || !result.OK() {
-		t.Fatalf("ticket: %v, %v", result, err)
-	}
+	r.untilKnown("ticket", func() (state.Code, error) {
+		result, err := r.engine.Configure(context.Background(), ticket)
+		return result.Code, err
+	})
 	return r
 }
 
@@ -83,6 +84,26 @@
 	}
 }
 
+// untilKnown repeats an idempotent operation while its outcome is unknown, as callers do. A commit
+// whose sync takes longer than commitTimeout has an unknown outcome.
+func (r *rig) untilKnown(what string, operation func() (state.Code, error)) {
+	r.t.Helper()
+	tries := 0
+	r.until("the outcome is known: "+what, func() bool {
+		tries++
+		code, err := operation()
+		switch {
+		case errors.Is(err, ErrUnknownOutcome):
+			return false
+		case err != nil:
+			r.t.Fatalf("%s: %v", what, err)
+		case code != state.CodeOK && (tries == 1 || code != state.CodeRepeated):
+			r.t.Fatalf("%s: code %s", what, code)
+		}
+		return true
+	})
+}
+
 func (r *rig) report(w *fakeWorker) {
 	r.t.Helper()
 	r.until("the report is recorded", func() bool {
@@ -101,10 +122,10 @@
 
 func (r *rig) submit(id string, steps ...workflow.StepSpec) {
 	r.t.Helper()
-	answer, err := r.engine.Submit(context.Background(), workflow.Submission{Host: "h", Path: "/q/" + id, Payload: "p", Steps: steps})
-	if err != nil || answer.Code != state.CodeOK {
-		r.t.Fatalf("submission: %+v, %v", answer, err)
-	}
+	r.untilKnown("submission", func() (state.Code, error) {
+		answer, err := r.engine.Submit(context.Background(), workflow.Submission{Host: "h", Path: "/q/" + id, Payload: "p", Steps: steps})
+		return answer.Code, err
+	})
 }
 
 // startTask adds a worker and waits until it runs the only task of job j.
@@ -245,9 +266,10 @@
 	a := r.addWorker("a", 1)
 	r.submit("j", workflow.StepSpec{Count: 2, CPUMillis: 100, LongRunning: true})
 	r.until("the tasks run", func() bool { return len(a.runningAttempts()) == 2 })
-	if answer, err := r.engine.Cancel(context.Background(), workflow.Cancel{Host: "h", Path: "/q/j"}); err != nil || answer.Code != state.CodeOK {
-		t.Fatalf("cancellation: %+v, %v", answer, err)
-	}
+	r.untilKnown("cancellation", func() (state.Code, error) {
+		answer, err := r.engine.Cancel(context.Background(), workflow.Cancel{Host: "h", Path: "/q/j"})
+		return answer.Code, err
+	})
 	r.until("the tasks have ended and their attempts are closed", func() bool {
 		open := false
 		r.log.View(func(st *state.State) { open = st.Workflows.HasOpen(a.worker.Incarnation) })
