Serve metrics on every daemon, with job times by route

Change: the setting metrics_listen, served by each role on a listener of its own; a taken address is logged and does not stop the daemon. Gateways count responses by method and status and observe request times. The leader observes by route how long jobs waited for their first start and how long they took, for 64 routes and one label for the others. Measured: tests of daemon/fleet, daemon/fleetd and daemon/settings.

--- a/daemon/fleet/pass.go
+++ b/daemon/fleet/pass.go
@@ -26,6 +26,7 @@
 	batch   workflow.Batch
 	reports []*pendingReport
 	calls   []func() // stop and pace calls, which are not recorded in the log
+	changes jobChanges
 }
 
 func (p *passPlan) empty() bool {
@@ -101,6 +102,7 @@
 	plannerInput.BeforeBestEffort = p.kind == reservedPass
 	assigned, waits := dispatch.Plan(plannerInput, l.plannerState)
 	p.batch.Assign = assigned
+	p.changes = jobChangesOf(workflows, &p.batch)
 	if p.kind == fullPass {
 		l.logWaits(waits, now)
 	}
@@ -237,6 +239,7 @@
 		}
 	}
 	l.sendAssignedStarts(p.batch.Assign)
+	l.observeJobs(p.changes)
 }
 
 func (l *leadership) markEndsRecorded(ends []workflow.End) {
--- a/daemon/fleetd/controller.go
+++ b/daemon/fleetd/controller.go
@@ -73,9 +73,8 @@
 	pool := agent.NewPool(agent.Options{
 		Self: s.ControlAddr, Direct: direct, Members: node.dir.MemberAddrs, MinWorkers: s.AgentWorkers, Dial: dialer(s.SourceIP).DialContext, Logger: d.logger,
 	})
-	metrics := fleet.NewMetrics()
 	node.engine = fleet.NewEngine(fleet.Options{
-		Metrics: metrics,
+		Metrics: d.metrics,
 		Log:     log, Workers: pool, Leading: pool.Run, Logger: d.logger,
 		LeaderLease: leaderLease, WorkerLease: time.Duration(s.WorkerLeaseMs) * time.Millisecond,
 	})
@@ -84,7 +83,7 @@
 	mux.Handle(rpc.ConsensusPathPrefix, log.Handler())
 	mux.Handle(fleet.PathPrefix, fleet.Handler(node.engine, &node.dir, d.logger))
 	mux.Handle("GET "+agent.StreamPath, node.agent)
-	mux.Handle("GET /metrics", metrics.Handler())
+	mux.Handle("GET /metrics", d.metrics.Handler())
 	adapter.RegisterControl(mux, fleet.Control{
 		Client: d.client, Reporter: fleet.LocalReporter{Log: log, Leader: d.client},
 		HeartbeatAddr: func(workflow.WorkerID) string { return s.ControlAddr },
--- a/daemon/fleetd/daemon.go
+++ b/daemon/fleetd/daemon.go
@@ -51,6 +51,9 @@
 	servers  []*http.Server
 	node     *controllerNode // nil on gateways
 	draining drainFlag
+	metrics  *fleet.Metrics
+
+	metricsServer *http.Server
 }
 
 // Adapter implements the platform's protocol for callers, operators and workers.
@@ -76,7 +79,8 @@
 		debug.SetGCPercent(gcPercent)
 		debug.SetMemoryLimit(int64(float64(s.MemoryMiB<<20) * memoryLimitShare))
 	}
-	d := &Daemon{settings: s, path: path, logger: logger, log: closer}
+	d := &Daemon{settings: s, path: path, logger: logger, log: closer, metrics: fleet.NewMetrics()}
+	d.metricsServer = newMetricsServer(d.metrics)
 	d.client = fleet.NewClient(s.Controllers, d.transport(maxControllerConns), logger)
 	listeners, err := d.build(adapter)
 	if err != nil {
@@ -99,7 +103,7 @@
 func (d *Daemon) buildGateway(adapter Adapter) ([]net.Listener, error) {
 	ready := http.NewServeMux()
 	ready.HandleFunc("GET /readyz", d.ready)
-	callers := d.draining.closeAfterResponse(adapter.CallerHandler(d.client, d.logger))
+	callers := d.draining.closeAfterResponse(d.metrics.ObserveRequests(adapter.CallerHandler(d.client, d.logger)))
 	return d.listen(map[string]http.Handler{d.settings.CallersListen: callers, d.settings.ReadyListen: ready})
 }
 
@@ -155,6 +159,8 @@
 	if d.node != nil {
 		d.node.start(background)
 	}
+	go d.serveMetrics()
+	defer d.metricsServer.Close()
 	go d.pollLeader(background)
 	go d.watchSettings(background, reload)
 	d.logger.Info().Str("zone", string(d.settings.Zone)).Strs("controllers", d.settings.Controllers).
--- /dev/null
+++ b/daemon/fleetd/metrics.go
@@ -0,0 +1,35 @@
+package fleetd
+
+import (
+	"errors"
+	"net"
+	"net/http"
+
+	"samphirepaddle.example/daemon/fleet"
+)
+
+// newMetricsServer returns a server of GET /metrics.
+func newMetricsServer(m *fleet.Metrics) *http.Server {
+	mux := http.NewServeMux()
+	mux.Handle("GET /metrics", m.Handler())
+	return &http.Server{
+		Handler: mux, ReadHeaderTimeout: headerTimeout, ReadTimeout: bodyTimeout, WriteTimeout: bodyTimeout,
+		IdleTimeout: idleTimeout, MaxHeaderBytes: maxHeaderBytes,
+	}
+}
+
+// serveMetrics serves the metrics on their own address, if the settings have one. A failure is only
+// logged, because the daemon serves its callers without them.
+func (d *Daemon) serveMetrics() {
+	addr := d.settings.MetricsListen
+	if addr == "" {
+		return
+	}
+	listener, err := net.Listen("tcp", addr)
+	if err == nil {
+		err = d.metricsServer.Serve(listener)
+	}
+	if !errors.Is(err, http.ErrServerClosed) {
+		d.logger.Warn().Err(err).Str("addr", addr).Msg("metrics are not served")
+	}
+}
--- a/daemon/settings/fleet.go
+++ b/daemon/settings/fleet.go
@@ -29,6 +29,8 @@
 	ReadyListen   string `json:"ready_listen,omitempty" validate:"omitempty,hostname_port"`   // gateways
 	ControlListen string `json:"control_listen,omitempty" validate:"omitempty,hostname_port"` // controllers and relays
 
+	MetricsListen string `json:"metrics_listen,omitempty" validate:"omitempty,hostname_port"` // address of GET /metrics; served on control_listen only if empty
+
 	ControlAddr string `json:"control_addr,omitempty" validate:"omitempty,hostname_port"` // address at which other daemons and workers reach control_listen, if it differs
 	SourceIP    string `json:"source_ip,omitempty" validate:"omitempty,ip"`               // source address of outgoing connections; any if empty
 
--- a/daemon/settings/fleet_test.go
+++ b/daemon/settings/fleet_test.go
@@ -53,6 +53,7 @@
 		{validController, `"zone":"z"`, `"zone":"z","source_ip":"here"`, "source_ip"},
 		{validController, `"zone":"z"`, `"zone":"z","control_addr":"10.0.0.1"`, "control_addr"},
 		{validGateway, `,"ready_listen":"10.0.0.1:82"`, ``, "ready_listen"},
+		{validGateway, `"zone":"z"`, `"zone":"z","metrics_listen":"9100"`, "metrics_listen"},
 		{validGateway, `"id"`, `"idd"`, `unknown field "idd"`},
 		{validGateway, `82"}`, `82"} {}`, "unexpected content after the JSON object"},
 	} {
