Fail batch jobs that end the target processes that start them

Callers would see: a batch job that ends each target process that starts it stays queued or assigned for good, and every target of its pool ends in turn, with what runs beside it.

Cause: a lost attempt counts in Losses and is queued again without a limit; only failures have one, and core/health takes no losses. The class: retries without a budget for a failure that the work itself may cause.

Change: - core/state counts the target processes that ended unannounced under a job. The evidence is the next process of the same target; silence, drains, changes of owner and refusals are none. Attempts that were lost by silence count once the next process shows that theirs ended. - A job fails after three such ends if it was the only one on the process in two of them, or after ten. An attempt of ten minutes clears it.

--- a/core/state/attempts.go
+++ b/core/state/attempts.go
@@ -10,7 +10,7 @@
 const (
 	maxResultBytes  = 64 << 10 // bytes; a larger result is dropped and the job still ends
 	maxMessageBytes = 4 << 10  // bytes; a longer failure message is truncated
-	maxFailedOn     = 16       // targets stored per job, those of its latest failed attempts
+	maxFailedOn     = 16       // targets stored per job, the latest on which an attempt failed or whose process ended
 	// MaxCheckpointBytes is the size of the largest checkpoint that the state stores. An owner
 	// must not stop a task whose checkpoint is larger: the state would drop the checkpoint and
 	// requeue the job with its previous one.
@@ -140,6 +140,7 @@
 	case OutcomeLost:
 		job.Losses++
 	}
+	s.updateCrashes(job, c.Outcome)
 	if job.Cancelling {
 		s.endJob(job, JobCancelled)
 		return
@@ -148,6 +149,10 @@
 		s.endJob(job, JobFailed)
 		return
 	}
+	if job.endsTargets() {
+		s.failCrashing(job)
+		return
+	}
 	s.requeue(job)
 }
 
@@ -177,7 +182,11 @@
 func (j *Job) recordFailure(message string) {
 	j.Failures++
 	j.Message = message[:min(len(message), maxMessageBytes)]
-	j.FailedOn = append(j.FailedOn, j.OpenAttempt.Target)
+	j.recordFailedTarget(j.OpenAttempt.Target)
+}
+
+func (j *Job) recordFailedTarget(target model.TargetID) {
+	j.FailedOn = append(j.FailedOn, target)
 	if excess := len(j.FailedOn) - maxFailedOn; excess > 0 {
 		j.FailedOn = append([]model.TargetID(nil), j.FailedOn[excess:]...)
 	}
--- a/core/state/commands.go
+++ b/core/state/commands.go
@@ -147,7 +147,7 @@
 	OutcomeFailed   Outcome = "failed"
 	OutcomeEvicted  Outcome = "evicted"
 	OutcomeRefused  Outcome = "refused" // the owner could not reserve the resources; the attempt never started
-	OutcomeLost     Outcome = "lost"    // the target's lease expired
+	OutcomeLost     Outcome = "lost"    // the target's lease expired, or its process ended
 	OutcomeStopped  Outcome = "stopped" // confirmed stopped after a cancellation
 )
 
--- a/core/state/members.go
+++ b/core/state/members.go
@@ -165,6 +165,7 @@
 	target.Pool = c.Pool
 	target.Capacity = c.Capacity
 	s.index.dropTarget(target)
+	target.Lapsed = nil
 	target.Lost = false
 	target.LostAt = 0
 	target.LostSequence = 0
@@ -190,6 +191,7 @@
 		return resultf(CodeStale, "process %q of target %q was replaced by %q", startID, target.ID, target.StartID)
 	}
 	if target.StartID != "" {
+		s.recordProcessEnd(target)
 		target.PastStartIDs = append(target.PastStartIDs, target.StartID)
 		if excess := len(target.PastStartIDs) - maxPastStartIDs; excess > 0 {
 			target.PastStartIDs = append([]string(nil), target.PastStartIDs[excess:]...)
@@ -222,6 +224,7 @@
 		return Result{Code: CodeRepeated}
 	}
 	s.markTargetChanged(target)
+	s.recordLapsed(target)
 	for _, id := range sortedKeys(s.index.openJobs[c.Target]) {
 		job := s.Jobs[id]
 		s.closeAttempt(job, &EndAttempt{Attempt: job.OpenAttempt.ID, Outcome: OutcomeLost})
--- a/core/state/random_test.go
+++ b/core/state/random_test.go
@@ -119,7 +119,7 @@
 			c.AssignAttempt.Epoch = g.Epoch
 		}
 	case 13, 16, 17, 18, 19:
-		outcome := drawFrom(t, "outcome", OutcomeFinished, OutcomeFailed, OutcomeEvicted, OutcomeRefused, OutcomeStopped)
+		outcome := drawFrom(t, "outcome", OutcomeFinished, OutcomeFailed, OutcomeEvicted, OutcomeRefused, OutcomeStopped, OutcomeLost)
 		c.EndAttempt = &EndAttempt{Attempt: attempt, Epoch: ownershipEpoch, Outcome: outcome, Result: []byte("r"), Checkpoint: []byte("c")}
 	case 14:
 		c.BeginRequest = &BeginRequest{Tenant: "tenant1", Key: key, Request: request, Gateway: gateway, Epoch: sessionEpoch}
--- a/core/state/state.go
+++ b/core/state/state.go
@@ -37,12 +37,14 @@
 	OpenAttempt         *Attempt         `json:"open,omitempty" cbor:"13,keyasint,omitempty"`
 	FailedOn            []model.TargetID `json:"failed_on,omitempty" cbor:"14,keyasint,omitempty"`
 	NeverRunnableReason string           `json:"never_reason,omitempty" cbor:"15,keyasint,omitempty"`
-	Message             string           `json:"message,omitempty" cbor:"16,keyasint,omitempty"` // of the last failure, or why a result or checkpoint was dropped
+	Message             string           `json:"message,omitempty" cbor:"16,keyasint,omitempty"` // of the last failure, why the job was given up, or why a result or checkpoint was dropped
 	Cancelling          bool             `json:"cancelling,omitempty" cbor:"17,keyasint,omitempty"`
 	Checkpoint          []byte           `json:"checkpoint,omitempty" cbor:"18,keyasint,omitempty"`
 	Result              []byte           `json:"result,omitempty" cbor:"19,keyasint,omitempty"`
 	EndedAt             model.Millis     `json:"ended_at,omitempty" cbor:"20,keyasint,omitempty"`
 	ChangedRevision     model.Revision   `json:"changed" cbor:"21,keyasint,omitempty"`
+	Crashes             uint32           `json:"crashes,omitempty" cbor:"22,keyasint,omitempty"`      // target processes that ended unannounced under it, since an attempt ran for SoundRunTime
+	SoleCrashes         uint32           `json:"sole_crashes,omitempty" cbor:"23,keyasint,omitempty"` // those that ran no other job
 }
 
 // Ended reports whether the job will not run again.
@@ -81,6 +83,7 @@
 	Reserved       model.Resources `json:"reserved" cbor:"5,keyasint"`
 	EvictionReason string          `json:"evicting,omitempty" cbor:"6,keyasint,omitempty"` // reason of a requested eviction, else empty
 	AssignedAt     model.Millis    `json:"at" cbor:"7,keyasint,omitempty"`
+	ProcessEnd     *ProcessEnd     `json:"process_end,omitempty" cbor:"8,keyasint,omitempty"` // set once its process has ended unannounced
 }
 
 // Gateway is a gateway's session.
@@ -118,11 +121,12 @@
 	// QuarantinedByOperator is set if only an operator may lift the quarantine.
 	QuarantinedByOperator bool `json:"quarantined_by_operator,omitempty" cbor:"13,keyasint,omitempty"`
 
-	PastStartIDs     []string       `json:"past_start_ids,omitempty" cbor:"14,keyasint,omitempty"` // earlier processes, whose delayed announcements are rejected
-	LostAt           model.Millis   `json:"lost_at,omitempty" cbor:"15,keyasint,omitempty"`
-	LostSequence     uint64         `json:"lost_sequence,omitempty" cbor:"16,keyasint,omitempty"` // position in the order of losses
-	AssignedRevision model.Revision `json:"assigned" cbor:"30,keyasint,omitempty"`                // revision at which the current owner was assigned
-	ChangedRevision  model.Revision `json:"changed" cbor:"17,keyasint,omitempty"`
+	PastStartIDs     []string        `json:"past_start_ids,omitempty" cbor:"14,keyasint,omitempty"` // earlier processes, whose delayed announcements are rejected
+	LostAt           model.Millis    `json:"lost_at,omitempty" cbor:"15,keyasint,omitempty"`
+	LostSequence     uint64          `json:"lost_sequence,omitempty" cbor:"16,keyasint,omitempty"` // position in the order of losses
+	Lapsed           []LapsedAttempt `json:"-" cbor:"31,keyasint,omitempty"`                       // attempts lost because the present process was silent
+	AssignedRevision model.Revision  `json:"assigned" cbor:"30,keyasint,omitempty"`                // revision at which the current owner was assigned
+	ChangedRevision  model.Revision  `json:"changed" cbor:"17,keyasint,omitempty"`
 }
 
 // TicketRecord is the record of an accepted ticket. It holds only a hash of the content, because
--- a/daemon/controller/operators.go
+++ b/daemon/controller/operators.go
@@ -99,6 +99,7 @@
 	Failures            uint32         `json:"failures"`
 	Evictions           uint32         `json:"evictions"`
 	Losses              uint32         `json:"losses"`
+	Crashes             uint32         `json:"crashes"`
 	Target              model.TargetID `json:"target,omitempty"`
 	NeverRunnableReason string         `json:"never_reason,omitempty"`
 	Message             string         `json:"message,omitempty"`
@@ -147,6 +148,7 @@
 		Failures:            job.Failures,
 		Evictions:           job.Evictions,
 		Losses:              job.Losses,
+		Crashes:             job.Crashes,
 		NeverRunnableReason: job.NeverRunnableReason,
 		Message:             job.Message,
 		ChangedRevision:     job.ChangedRevision,
