Let urgent jobs use targets kept free for large jobs

Callers would see: an urgent job waits for up to ten minutes instead of 2.1 s, on a pool in which a target is kept free for a job that has waited for a minute and the other targets have no room.

Cause: a hold blocks its target for all other jobs, for placement and for evictions alike. The class: a protection that concerns other work holds back work without regard to how long it may wait.

Change: an urgent job that fits elsewhere on no target may start on a target that is blocked only by a hold for a job that is not urgent, or evict tasks there. The large job keeps its hold if the urgent job fits at once, and asks for a new one otherwise. A pause after a refusal is now reported before a hold, so that a target opened to urgent jobs is blocked for no other reason.

Evidence: TestHoldForALargeJobDoesNotDelayUrgentJobs failed before with "the urgent job is queued", both with a free slot on the target and with a full one.

--- a/daemon/scheduler/hold.go
+++ b/daemon/scheduler/hold.go
@@ -29,6 +29,7 @@
 )
 
 func (p *planner) holdTarget(target model.TargetID, job placement.Job, until model.Millis) {
+	delete(p.heldFor, p.holds[target].job)
 	p.holds[target] = hold{job: job.ID, pool: job.Pool, urgent: job.Urgent, until: until}
 	p.heldFor[job.ID] = target
 	p.placer.SetBlocked(target, p.holds[target].reason())
@@ -99,6 +100,35 @@
 	}
 }
 
+// openHeldTargets unblocks the targets of a pool that are blocked only because they are kept free
+// for jobs that are not urgent, and returns them. closeTargets must follow before the next job is
+// placed.
+func (p *planner) openHeldTargets(pool model.PoolID, now model.Millis) []model.TargetID {
+	var opened []model.TargetID
+	for id, h := range p.holds {
+		if h.pool == pool && !h.urgent && p.openTarget(id, h.reason(), now) {
+			opened = append(opened, id)
+		}
+	}
+	return opened
+}
+
+// openTarget unblocks a target if it is blocked for the given reason only.
+func (p *planner) openTarget(id model.TargetID, reason string, now model.Millis) bool {
+	if p.blockReason(&p.targets[id].state, p.reports[id], now) != reason {
+		return false
+	}
+	p.placer.SetBlocked(id, "")
+	return true
+}
+
+// closeTargets restores the reasons for which targets take no new work.
+func (p *planner) closeTargets(ids []model.TargetID, now model.Millis) {
+	for _, id := range ids {
+		p.placer.SetBlocked(id, p.blockReason(&p.targets[id].state, p.reports[id], now))
+	}
+}
+
 // hasLongWaitHold reports whether a target of the pool is kept free for a job that is not urgent.
 func (p *planner) hasLongWaitHold(id model.PoolID) bool {
 	for _, h := range p.holds {
--- a/daemon/scheduler/plan.go
+++ b/daemon/scheduler/plan.go
@@ -113,12 +113,38 @@
 		p.recordTooLarge(job)
 	}
 	if job.Urgent {
-		return p.preempt(st, job, now)
+		return p.placeUrgent(st, job, now)
 	}
 	p.holdForLongWaiting(st, job, now)
 	return nil
 }
 
+// assignAmong assigns a job that fits on no other target to one of the opened ones.
+func (p *planner) assignAmong(st *state.State, job placement.Job, opened []model.TargetID) []state.Command {
+	if len(opened) == 0 {
+		return nil
+	}
+	decision, err := p.placer.Place(job)
+	if err != nil {
+		return nil
+	}
+	return p.assign(st, decision)
+}
+
+// placeUrgent decides on an urgent job that fits on no open target. Targets that are kept free for
+// jobs that are not urgent count as well.
+func (p *planner) placeUrgent(st *state.State, job placement.Job, now model.Millis) []state.Command {
+	if _, held := p.heldFor[job.ID]; held {
+		return nil
+	}
+	opened := p.openHeldTargets(job.Pool, now)
+	defer p.closeTargets(opened, now)
+	if command := p.assignAmong(st, job, opened); command != nil {
+		return command
+	}
+	return p.preempt(st, job, now)
+}
+
 // maxTooLarge bounds the sizes in planner.tooLarge for each pool.
 const maxTooLarge = 4
 
@@ -180,9 +206,6 @@
 // preempt frees capacity for an urgent job by evicting the tasks that lose the least work. The
 // target is held for the job until they have stopped, at most for urgentHold.
 func (p *planner) preempt(st *state.State, job placement.Job, now model.Millis) []state.Command {
-	if _, held := p.heldFor[job.ID]; held {
-		return nil
-	}
 	p.setLosses(st, now)
 	plan, err := p.placer.Preempt(job)
 	if err != nil {
--- a/daemon/scheduler/update.go
+++ b/daemon/scheduler/update.go
@@ -209,10 +209,10 @@
 		return "its owner has not reported its free capacity"
 	case !summary.AcceptsWork:
 		return "its owner takes no new work for it"
-	case p.holds[target.ID].job != "":
-		return p.holds[target.ID].reason()
 	case now < p.refusals[target.ID].until:
 		return refusedReason
+	case p.holds[target.ID].job != "":
+		return p.holds[target.ID].reason()
 	default:
 		return ""
 	}
