Probe quarantined targets with urgent jobs if no others wait

Callers would see: urgent jobs stay queued for good beside free targets that have been sound for long, with "it is in quarantine" as the reason.

Cause: only jobs that are not urgent serve as probes, and only probes end a quarantine. When only urgent jobs wait, none is sent. The class: a protection that concerns other work holds back work without regard to how long it waits.

Evidence: TestQuarantineEndsWhenOnlyUrgentJobsWait failed before with "urgent job j0 is queued after a minute in which the target was sound and free", for all four jobs. TestUrgentJobsAreTheLastProbes passes before as well; it fails if urgent jobs are taken as probes like others.

--- a/daemon/scheduler/plan.go
+++ b/daemon/scheduler/plan.go
@@ -132,7 +132,8 @@
 }
 
 // placeUrgent decides on an urgent job that fits on no open target. Targets that are kept free for
-// jobs that are not urgent count as well.
+// jobs that are not urgent count as well. If nothing can be evicted either, the job is the
+// probe of a quarantined target.
 func (p *planner) placeUrgent(st *state.State, job placement.Job, now model.Millis) []state.Command {
 	if _, held := p.heldFor[job.ID]; held {
 		return nil
@@ -142,7 +143,13 @@
 	if command := p.assignAmong(st, job, opened); command != nil {
 		return command
 	}
-	return p.preempt(st, job, now)
+	if commands := p.preempt(st, job, now); commands != nil {
+		return commands
+	}
+	if p.probesDue {
+		return p.probeDue(st, []placement.Job{job}, now)
+	}
+	return nil
 }
 
 // maxTooLarge bounds the sizes in planner.tooLarge for each pool.
@@ -237,8 +244,22 @@
 	}
 }
 
-// probe sends one job to each quarantined target whose probe is due.
+// probe sends one job that is not urgent to each quarantined target whose probe is due.
 func (p *planner) probe(st *state.State, jobs []placement.Job, now model.Millis) []state.Command {
+	p.probesDue = len(p.health.ProbeDue(now)) > 0
+	if !p.probesDue {
+		return nil
+	}
+	candidates := make([]placement.Job, 0, len(jobs))
+	for _, job := range jobs {
+		if !job.Urgent {
+			candidates = append(candidates, job)
+		}
+	}
+	return p.probeDue(st, candidates, now)
+}
+
+func (p *planner) probeDue(st *state.State, jobs []placement.Job, now model.Millis) []state.Command {
 	var commands []state.Command
 	for _, id := range p.health.ProbeDue(now) {
 		known := p.targets[id]
@@ -246,7 +267,7 @@
 			continue
 		}
 		for _, job := range jobs {
-			if job.Urgent || job.Pool != known.state.Pool || p.pendingAssignments[job.Attempt] || p.pendingMarks[job.ID] {
+			if job.Pool != known.state.Pool || p.pendingAssignments[job.Attempt] || p.pendingMarks[job.ID] {
 				continue
 			}
 			if command := p.probeWith(st, job, id); command != nil {
--- a/daemon/scheduler/scheduler.go
+++ b/daemon/scheduler/scheduler.go
@@ -107,6 +107,7 @@
 	holds              map[model.TargetID]hold
 	heldFor            map[model.JobID]model.TargetID
 	queueOffset        map[model.TenantID]int             // queue position from which the next plan continues
+	probesDue          bool                               // at the start of this plan
 	tooLarge           map[model.PoolID][]model.Resources // sizes that fit on no target in this plan
 	capacity           model.Resources                    // total capacity of the targets that are not lost
 	checkedRevision    model.Revision                     // configuration with which the never-runnable jobs were last checked
