Run jobs alone after two targets ended under them

Callers would see: a job that ends its targets ends ten of them before it fails, if others run beside it each time, and their attempts are lost with it.

Cause: only a process that ran a single job is clear evidence, and the scheduler placed a suspect job like any other.

Change: after two ends a job is placed on a target without other tasks, and nothing starts there until its attempt has run for ten minutes. A target is kept free for it like for a large job. No wait is unbounded: after eleven minutes a suspect job starts beside others, and others beside it; urgent jobs do so at once if no other target has room.

--- a/daemon/scheduler/hold.go
+++ b/daemon/scheduler/hold.go
@@ -59,6 +59,10 @@
 		if p.pendingAssignments[candidate.Attempt] || p.tenants.CheckQuota(candidate.Tenant, candidate.Size) != nil {
 			continue
 		}
+		isolated := p.isolations[target].Job != "" || (job.IsSuspect() && len(p.placer.Tasks(target)) > 0)
+		if isolated && !h.urgent {
+			continue
+		}
 		p.placer.SetBlocked(target, "")
 		if command := p.assign(st, placement.Decision{Job: candidate, Target: target}); command != nil {
 			commands = append(commands, command...)
--- a/daemon/scheduler/plan.go
+++ b/daemon/scheduler/plan.go
@@ -105,6 +105,17 @@
 		_, err := p.placer.Place(job)
 		return p.markNeverRunnable(job.ID, neverCapacity+err.Error())
 	}
+	suspect := st.Jobs[job.ID].IsSuspect()
+	if suspect {
+		if command := p.assignAlone(st, job); command != nil {
+			return command
+		}
+	}
+	waited := now - st.Jobs[job.ID].QueuedAt
+	if suspect && !job.Urgent && waited < maxIsolationWait {
+		p.holdForLongWaiting(st, job, now)
+		return nil
+	}
 	if !p.knownTooLarge(job) {
 		decision, err := p.placer.Place(job)
 		if err == nil {
@@ -115,6 +126,13 @@
 	if job.Urgent {
 		return p.placeUrgent(st, job, now)
 	}
+	if waited >= maxIsolationWait {
+		opened := p.openIsolatedTargets(job.Pool, now)
+		defer p.closeTargets(opened, now)
+		if command := p.assignAmong(st, job, opened); command != nil {
+			return command
+		}
+	}
 	p.holdForLongWaiting(st, job, now)
 	return nil
 }
@@ -138,7 +156,7 @@
 	if _, held := p.heldFor[job.ID]; held {
 		return nil
 	}
-	opened := p.openHeldTargets(job.Pool, now)
+	opened := append(p.openHeldTargets(job.Pool, now), p.openIsolatedTargets(job.Pool, now)...)
 	defer p.closeTargets(opened, now)
 	if command := p.assignAmong(st, job, opened); command != nil {
 		return command
--- a/daemon/scheduler/scheduler.go
+++ b/daemon/scheduler/scheduler.go
@@ -106,6 +106,7 @@
 	refusals           map[model.TargetID]refusal
 	holds              map[model.TargetID]hold
 	heldFor            map[model.JobID]model.TargetID
+	isolations         map[model.TargetID]model.AttemptID // attempts of suspect jobs, beside which nothing starts
 	queueOffset        map[model.TenantID]int             // queue position from which the next plan continues
 	probesDue          bool                               // at the start of this plan
 	tooLarge           map[model.PoolID][]model.Resources // sizes that fit on no target in this plan
@@ -171,6 +172,7 @@
 		refusals:           map[model.TargetID]refusal{},
 		holds:              map[model.TargetID]hold{},
 		heldFor:            map[model.JobID]model.TargetID{},
+		isolations:         map[model.TargetID]model.AttemptID{},
 		queueOffset:        map[model.TenantID]int{},
 		tooLarge:           map[model.PoolID][]model.Resources{},
 	}
--- a/daemon/scheduler/update.go
+++ b/daemon/scheduler/update.go
@@ -36,6 +36,7 @@
 		p.dirtyTargets[id] = true
 	}
 	p.takeReports(summaries, now)
+	p.endProvenIsolations(now)
 	// Targets come before jobs, because an attempt can only be tracked on a known target.
 	p.updateTargets(st, now)
 	for id := range p.dirtyJobs {
@@ -121,6 +122,7 @@
 	p.responder.forget(id)
 	delete(p.refusals, id)
 	delete(p.reports, id)
+	delete(p.isolations, id)
 	if _, held := p.holds[id]; held {
 		p.dropHold(id)
 	}
@@ -211,6 +213,8 @@
 		return "its owner takes no new work for it"
 	case now < p.refusals[target.ID].until:
 		return refusedReason
+	case p.isolations[target.ID].Job != "":
+		return isolationReason(p.isolations[target.ID])
 	case p.holds[target.ID].job != "":
 		return p.holds[target.ID].reason()
 	default:
@@ -249,6 +253,9 @@
 		evictions:  job.Evictions,
 		losses:     job.Losses,
 	}
+	if job.IsSuspect() {
+		p.isolate(target, id)
+	}
 }
 
 func (p *planner) removeTracked(id model.AttemptID) {
@@ -260,6 +267,7 @@
 	p.tenants.Refund(attempt.tenant, attempt.size)
 	delete(p.tracked, id)
 	p.dirtyTargets[attempt.target] = true
+	p.endIsolation(attempt.target, id)
 	if p.trackedByJob[id.Job] == id {
 		delete(p.trackedByJob, id.Job)
 	}
