Repeat probes whose assignment was not committed

Callers would see: a target stays in quarantine until the leader changes or an operator lifts it, and jobs wait beside it although it is sound.

Cause: the tracker of failures takes a proposed probe for one in progress. If the assignment is refused or its outcome unknown, for example because the job was cancelled meanwhile, no attempt ends and no further probe is due. The class: a protection that concerns other work holds back work without regard to how long it waits.

Change: a probe that is not committed is abandoned, and the next one is due at once. If its outcome was unknown and it was committed after all, a second probe may run beside it.

Evidence: before, TestProbeThatIsNotCommittedIsRepeated failed with "the job is queued after a minute in which the target was sound and free".

--- a/daemon/scheduler/probe_test.go
+++ b/daemon/scheduler/probe_test.go
@@ -61,3 +61,26 @@
 		}
 	}
 }
+
+// Guards against a quarantine that never ends because the assignment of a probe was not committed.
+func TestProbeThatIsNotCommittedIsRepeated(t *testing.T) {
+	w := newSite(t, newSingleLog(), 1)
+	w.quarantineOnly()
+	w.submit("probe", "b", 1, false)
+	w.now += 20_000
+	var commands []state.Command
+	w.log.View(func(st *state.State) { commands = w.s.planner.decide(st, nil, nil, w.now) })
+	if len(commands) != 1 || commands[0].AssignAttempt == nil {
+		t.Fatalf("a probe is due, the plan is %+v", commands)
+	}
+	commands[0].ProposedAt = w.now
+	w.s.finishProposal(0, commands[0], false)
+	for range 6 {
+		w.now += 10_000
+		w.plan()
+		w.end(state.OutcomeFinished, func(*state.Job) bool { return true })
+	}
+	if phase := w.job("probe").Phase; phase != state.JobFinished {
+		t.Errorf("the job is %s after a minute in which the target was sound and free", phase)
+	}
+}
--- a/daemon/scheduler/scheduler.go
+++ b/daemon/scheduler/scheduler.go
@@ -269,6 +269,7 @@
 		p.dirtyJobs[id.Job] = true
 		if !committed {
 			p.removeTracked(id)
+			p.health.AbandonProbe(command.AssignAttempt.Target, id.Job, command.ProposedAt)
 		} else if err := p.placer.Bind(id); err != nil {
 			s.logger.Debug().Err(err).Msg("committed assignment has no reservation")
 		}
