Attribute refusals by three targets to the job

Callers would see: one job that every target refuses, for example for its content, keeps new work off all targets of its pool: urgent jobs wait beside free targets for longer than 2.1 s, others for up to 32 s at a time.

Cause: each refusal pauses the target that refused, with a doubled pause. The job is queued again without a limit and closes the next target that opens. Both classes: retries without a budget for a failure that the work itself may cause, and a protection that holds back other work.

Change: once three different targets have refused a job in a row, further refusals pause the job, doubled up to 32 s, and no target. The explanation of a waiting job names it. A target that refuses everything is paused as before, because jobs that only it refused are not blamed.

Evidence: before, TestJobThatTargetsRefuseDoesNotCloseThem failed with "urgent job 0 is queued beside free targets after 2.1 s, 45 refusals before". TestTargetThatRefusesEverythingIsPaused guards the pause of targets: with every refusal attributed to the job, 25 and 38 attempts were refused in a minute in two runs, of at most 14.

--- a/daemon/scheduler/explain.go
+++ b/daemon/scheduler/explain.go
@@ -20,6 +20,9 @@
 	if err := p.tenants.CheckQuota(candidate.Tenant, candidate.Size); err != nil {
 		return controller.WaitExplanation{Reason: err.Error()}
 	}
+	if refused := p.jobRefusals[job.Spec.ID]; refused.pause > 0 {
+		return controller.WaitExplanation{Reason: fmt.Sprintf("targets refused it, %s among others; it is tried again after a pause", refused.targets[0])}
+	}
 	waiting := controller.WaitExplanation{}
 	for _, rejection := range p.placer.Explain(candidate) {
 		waiting.Targets = append(waiting.Targets, controller.TargetReason{Target: rejection.Target, Reason: rejection.Reason})
--- a/daemon/scheduler/hold.go
+++ b/daemon/scheduler/hold.go
@@ -56,7 +56,7 @@
 			continue
 		}
 		candidate := p.jobOf(job)
-		if p.pendingAssignments[candidate.Attempt] || p.tenants.CheckQuota(candidate.Tenant, candidate.Size) != nil {
+		if now < p.jobRefusals[h.job].until || p.pendingAssignments[candidate.Attempt] || p.tenants.CheckQuota(candidate.Tenant, candidate.Size) != nil {
 			continue
 		}
 		isolated := p.isolations[target].Job != "" || (job.IsSuspect() && len(p.placer.Tasks(target)) > 0)
--- a/daemon/scheduler/plan.go
+++ b/daemon/scheduler/plan.go
@@ -26,7 +26,7 @@
 	commands := p.update(st, summaries, now)
 	commands = append(commands, p.respond(st, usage, now)...)
 	commands = append(commands, p.placeHeldJobs(st, now)...)
-	jobs := p.candidates(st)
+	jobs := p.candidates(st, now)
 	commands = append(commands, p.probe(st, jobs, now)...)
 	clear(p.tooLarge)
 	commands = append(commands, p.placeFairly(st, jobs, now)...)
@@ -35,8 +35,9 @@
 
 // candidates returns the jobs that one plan considers. Half of each tenant's candidates are the
 // first jobs of its queue. The other half advances through the queue from plan to plan, so that
-// jobs which do not fit now do not keep others from being considered.
-func (p *planner) candidates(st *state.State) []placement.Job {
+// jobs which do not fit now do not keep others from being considered. Jobs that pause after refusals
+// are left out.
+func (p *planner) candidates(st *state.State, now model.Millis) []placement.Job {
 	var jobs []placement.Job
 	tenants := st.ReadyTenants()
 	limit := max(minJobsPerTenant, min(maxJobsPerTenant, maxJobsPerPlan/max(1, len(tenants))))
@@ -51,6 +52,9 @@
 			if taken >= limit/2 && position <= skip {
 				continue
 			}
+			if now < p.jobRefusals[job.Spec.ID].until {
+				continue
+			}
 			taken++
 			jobs = append(jobs, p.jobOf(job))
 		}
--- a/daemon/scheduler/scheduler.go
+++ b/daemon/scheduler/scheduler.go
@@ -45,11 +45,6 @@
 	maxJobsPerTenant = 64
 	minJobsPerTenant = 8
 	maxQueueOffset   = 4096
-	// refusalPause is how long a target gets no new work after its owner refused a task, so that
-	// the owner's next report of free capacity arrives first. The pause doubles with each
-	// refusal in a row, so that a target whose owner refuses everything causes few commits.
-	refusalPause    = model.Millis(500)
-	maxRefusalPause = model.Millis(32_000)
 )
 
 // OwnerReports gives access to what the owners of the targets reported, and takes the throttles
@@ -104,6 +99,7 @@
 	pendingMarks       map[model.JobID]bool     // jobs with a proposed mark, without a known outcome yet
 	pendingQuarantines map[model.TargetID]bool  // targets with a proposed quarantine change, without a known outcome yet
 	refusals           map[model.TargetID]refusal
+	jobRefusals        map[model.JobID]jobRefusal
 	holds              map[model.TargetID]hold
 	heldFor            map[model.JobID]model.TargetID
 	isolations         map[model.TargetID]model.AttemptID // attempts of suspect jobs, beside which nothing starts
@@ -123,13 +119,6 @@
 	capacity model.Resources
 }
 
-// refusal is the pause of new work for a target after its owner refused a task.
-type refusal struct {
-	until    model.Millis
-	pause    model.Millis
-	reopened bool // the pause has ended and the target was unblocked
-}
-
 // trackedAttempt is an open attempt that holds resources.
 type trackedAttempt struct {
 	target     model.TargetID
@@ -170,6 +159,7 @@
 		pendingMarks:       map[model.JobID]bool{},
 		pendingQuarantines: map[model.TargetID]bool{},
 		refusals:           map[model.TargetID]refusal{},
+		jobRefusals:        map[model.JobID]jobRefusal{},
 		holds:              map[model.TargetID]hold{},
 		heldFor:            map[model.JobID]model.TargetID{},
 		isolations:         map[model.TargetID]model.AttemptID{},
--- a/daemon/scheduler/update.go
+++ b/daemon/scheduler/update.go
@@ -99,6 +99,9 @@
 // updateJob tracks the open attempt of a job, and stops tracking an earlier one that has ended.
 func (p *planner) updateJob(st *state.State, id model.JobID, now model.Millis) []state.Command {
 	job := st.Jobs[id]
+	if job == nil || job.Ended() {
+		delete(p.jobRefusals, id)
+	}
 	var commands []state.Command
 	before, ok := p.trackedByJob[id]
 	open := job != nil && job.OpenAttempt != nil && job.OpenAttempt.ID == before
@@ -289,22 +292,14 @@
 		return p.healthCommands(p.health.Succeeded(id.Job, attempt.target, now))
 	case job != nil && job.Failures > attempt.failures:
 		delete(p.refusals, attempt.target)
+		delete(p.jobRefusals, id.Job)
 		return p.healthCommands(p.health.Failed(id.Job, attempt.target, now))
 	case job != nil && !ended && job.Evictions == attempt.evictions && job.Losses == attempt.losses:
-		p.pauseTarget(attempt.target, now)
+		p.recordRefusal(id.Job, attempt.target, now)
+		p.health.AbandonProbe(attempt.target, id.Job, now)
+		return nil
 	}
+	delete(p.jobRefusals, id.Job)
 	p.health.AbandonProbe(attempt.target, id.Job, now)
 	return nil
 }
-
-// pauseTarget keeps new work off a target after a refusal. Refusals during the pause, of tasks
-// that were placed together, do not extend it.
-func (p *planner) pauseTarget(id model.TargetID, now model.Millis) {
-	last := p.refusals[id]
-	if now < last.until {
-		return
-	}
-	pause := min(max(2*last.pause, refusalPause), maxRefusalPause)
-	p.refusals[id] = refusal{until: now + pause, pause: pause}
-	p.dirtyTargets[id] = true
-}
