Give up starts that fail five times

Callers would see: a job whose start a target answers with an error, or with a broken connection, stays assigned for good and holds its room on that target, while it never runs.

Cause: the owner repeats a start with an unknown outcome every two seconds without a limit, and took any status other than a stated refusal for an unknown outcome. The class: retries without a budget for a failure that the work itself may cause.

Change: after five failed calls in a row the owner stops the attempt. Once the target confirms the stop, the attempt ends as failed if the target answered with an error, so that it counts towards max_attempts, and as refused if there was no response. Nothing ends without a confirmed stop. The fake target of the tests can answer with a status.

--- a/daemon/owner/attempts.go
+++ b/daemon/owner/attempts.go
@@ -20,6 +20,7 @@
 	firstBackoff      = 100 * time.Millisecond
 	longestBackoff    = 2 * time.Second
 	drainPollInterval = 5 * time.Millisecond
+	maxStartCalls     = 5 // failed calls in a row after which a start is given up
 )
 
 // queuedCall is a call about an attempt, or the loss or handover of the target if attempt is nil.
@@ -329,8 +330,8 @@
 
 var errNotAllowed = errors.New("call not allowed: gateway is draining, a lease has expired, or target ownership has ended")
 
-// start reserves capacity and starts the attempt. A start with an unknown outcome is retried:
-// the target treats a repeated attempt ID as the same start.
+// start reserves capacity and starts the attempt. A start with an unknown outcome is retried up to
+// maxStartCalls times: the target treats a repeated attempt ID as the same start.
 func (t *Table) start(ctx context.Context, o *ownedTarget, a *attempt) error {
 	if reason := t.reserveStart(o, a); reason != nil {
 		o.setEnd(a, state.EndAttempt{Outcome: state.OutcomeRefused, Message: reason.Error()})
@@ -340,7 +341,7 @@
 		return errNotAllowed
 	}
 	o.mu.Lock()
-	sentBefore := a.sent
+	sentBefore, lastCall := a.sent, a.failures+1 >= maxStartCalls
 	a.sent = true
 	address, epoch, order := o.record.Address, o.record.Epoch, a.order
 	o.mu.Unlock()
@@ -350,6 +351,9 @@
 		return nil
 	}
 	if !errors.Is(err, target.ErrRefused) && !target.IsConnectError(err) {
+		if lastCall {
+			return t.stop(ctx, o, a, state.EndAttempt{Outcome: failedStartOutcome(err), Message: "the start failed: " + err.Error()})
+		}
 		return err
 	}
 	if sentBefore {
@@ -364,6 +368,16 @@
 	return nil
 }
 
+// failedStartOutcome returns the outcome of an attempt whose start was given up. An error response
+// counts as a failure; a missing response says nothing about the job.
+func failedStartOutcome(err error) state.Outcome {
+	var status *target.StatusError
+	if errors.As(err, &status) {
+		return state.OutcomeFailed
+	}
+	return state.OutcomeRefused
+}
+
 // reserveStart reserves capacity for the attempt, or returns the reason why it cannot start on
 // the target. An attempt that may have been sent under this epoch keeps its capacity. An attempt
 // that only an earlier owner may have sent needs capacity like a new one: it has not started,
--- a/daemon/owner/owner_test.go
+++ b/daemon/owner/owner_test.go
@@ -63,6 +63,7 @@
 	calls map[string]int
 	fail  map[string]int
 	body  string            // of every response
+	error map[string]int    // status of the responses to an action, if not 200
 	sent  map[string]string // request body of the last call of an action that got a response
 }
 
@@ -71,7 +72,7 @@
 	body, _ := io.ReadAll(r.Body)
 	f.mu.Lock()
 	f.calls[action]++
-	fail := f.fail[action] >= f.calls[action]
+	fail, status := f.fail[action] >= f.calls[action], f.error[action]
 	if !fail {
 		f.sent[action] = string(body)
 	}
@@ -79,6 +80,9 @@
 	if fail {
 		panic(http.ErrAbortHandler)
 	}
+	if status != 0 {
+		w.WriteHeader(status)
+	}
 	_, _ = w.Write([]byte(f.body))
 }
 
--- a/daemon/target/client.go
+++ b/daemon/target/client.go
@@ -206,7 +206,7 @@
 		return nil, fmt.Errorf("%s: %w: %s", path, ErrRefused, bytes.TrimSpace(result))
 	}
 	if response.StatusCode != http.StatusOK {
-		return nil, fmt.Errorf("%s: status %d: %s", path, response.StatusCode, bytes.TrimSpace(result))
+		return nil, fmt.Errorf("%w: %s", &StatusError{Path: path, Status: response.StatusCode}, bytes.TrimSpace(result))
 	}
 	return result, nil
 }
