Merge the same classes of fault on the product's own interface

Batch jobs that end the targets that start them, probes and holds that keep urgent jobs waiting, refusals and starts that were repeated without a limit.

--- a/daemon/scheduler/plan.go
+++ b/daemon/scheduler/plan.go
@@ -26,7 +26,7 @@
 	commands := p.update(st, summaries, now)
 	commands = append(commands, p.respond(st, usage, now)...)
 	commands = append(commands, p.placeHeldJobs(st, now)...)
-	jobs := p.candidates(st)
+	jobs := p.candidates(st, now)
 	commands = append(commands, p.probe(st, jobs, now)...)
 	clear(p.tooLarge)
 	commands = append(commands, p.placeFairly(st, jobs, now)...)
@@ -35,8 +35,9 @@
 
 // candidates returns the jobs that one plan considers. Half of each tenant's candidates are the
 // first jobs of its queue. The other half advances through the queue from plan to plan, so that
-// jobs which do not fit now do not keep others from being considered.
-func (p *planner) candidates(st *state.State) []placement.Job {
+// jobs which do not fit now do not keep others from being considered. Jobs that pause after refusals
+// are left out.
+func (p *planner) candidates(st *state.State, now model.Millis) []placement.Job {
 	var jobs []placement.Job
 	tenants := st.ReadyTenants()
 	limit := max(minJobsPerTenant, min(maxJobsPerTenant, maxJobsPerPlan/max(1, len(tenants))))
@@ -51,6 +52,9 @@
 			if taken >= limit/2 && position <= skip {
 				continue
 			}
+			if now < p.jobRefusals[job.Spec.ID].until {
+				continue
+			}
 			taken++
 			jobs = append(jobs, p.jobOf(job))
 		}
@@ -105,6 +109,17 @@
 		_, err := p.placer.Place(job)
 		return p.markNeverRunnable(job.ID, neverCapacity+err.Error())
 	}
+	suspect := st.Jobs[job.ID].IsSuspect()
+	if suspect {
+		if command := p.assignAlone(st, job); command != nil {
+			return command
+		}
+	}
+	waited := now - st.Jobs[job.ID].QueuedAt
+	if suspect && !job.Urgent && waited < maxIsolationWait {
+		p.holdForLongWaiting(st, job, now)
+		return nil
+	}
 	if !p.knownTooLarge(job) {
 		decision, err := p.placer.Place(job)
 		if err == nil {
@@ -113,12 +128,52 @@
 		p.recordTooLarge(job)
 	}
 	if job.Urgent {
-		return p.preempt(st, job, now)
+		return p.placeUrgent(st, job, now)
+	}
+	if waited >= maxIsolationWait {
+		opened := p.openIsolatedTargets(job.Pool, now)
+		defer p.closeTargets(opened, now)
+		if command := p.assignAmong(st, job, opened); command != nil {
+			return command
+		}
 	}
 	p.holdForLongWaiting(st, job, now)
 	return nil
 }
 
+// assignAmong assigns a job that fits on no other target to one of the opened ones.
+func (p *planner) assignAmong(st *state.State, job placement.Job, opened []model.TargetID) []state.Command {
+	if len(opened) == 0 {
+		return nil
+	}
+	decision, err := p.placer.Place(job)
+	if err != nil {
+		return nil
+	}
+	return p.assign(st, decision)
+}
+
+// placeUrgent decides on an urgent job that fits on no open target. Targets that are kept free for
+// jobs that are not urgent count as well. If nothing can be evicted either, the job is the
+// probe of a quarantined target.
+func (p *planner) placeUrgent(st *state.State, job placement.Job, now model.Millis) []state.Command {
+	if _, held := p.heldFor[job.ID]; held {
+		return nil
+	}
+	opened := append(p.openHeldTargets(job.Pool, now), p.openIsolatedTargets(job.Pool, now)...)
+	defer p.closeTargets(opened, now)
+	if command := p.assignAmong(st, job, opened); command != nil {
+		return command
+	}
+	if commands := p.preempt(st, job, now); commands != nil {
+		return commands
+	}
+	if p.probesDue {
+		return p.probeDue(st, []placement.Job{job}, now)
+	}
+	return nil
+}
+
 // maxTooLarge bounds the sizes in planner.tooLarge for each pool.
 const maxTooLarge = 4
 
@@ -180,9 +235,6 @@
 // preempt frees capacity for an urgent job by evicting the tasks that lose the least work. The
 // target is held for the job until they have stopped, at most for urgentHold.
 func (p *planner) preempt(st *state.State, job placement.Job, now model.Millis) []state.Command {
-	if _, held := p.heldFor[job.ID]; held {
-		return nil
-	}
 	p.setLosses(st, now)
 	plan, err := p.placer.Preempt(job)
 	if err != nil {
@@ -214,8 +266,22 @@
 	}
 }
 
-// probe sends one job to each quarantined target whose probe is due.
+// probe sends one job that is not urgent to each quarantined target whose probe is due.
 func (p *planner) probe(st *state.State, jobs []placement.Job, now model.Millis) []state.Command {
+	p.probesDue = len(p.health.ProbeDue(now)) > 0
+	if !p.probesDue {
+		return nil
+	}
+	candidates := make([]placement.Job, 0, len(jobs))
+	for _, job := range jobs {
+		if !job.Urgent {
+			candidates = append(candidates, job)
+		}
+	}
+	return p.probeDue(st, candidates, now)
+}
+
+func (p *planner) probeDue(st *state.State, jobs []placement.Job, now model.Millis) []state.Command {
 	var commands []state.Command
 	for _, id := range p.health.ProbeDue(now) {
 		known := p.targets[id]
@@ -223,7 +289,7 @@
 			continue
 		}
 		for _, job := range jobs {
-			if job.Urgent || job.Pool != known.state.Pool || p.pendingAssignments[job.Attempt] || p.pendingMarks[job.ID] {
+			if job.Pool != known.state.Pool || p.pendingAssignments[job.Attempt] || p.pendingMarks[job.ID] {
 				continue
 			}
 			if command := p.probeWith(st, job, id); command != nil {
--- a/daemon/scheduler/update.go
+++ b/daemon/scheduler/update.go
@@ -36,6 +36,7 @@
 		p.dirtyTargets[id] = true
 	}
 	p.takeReports(summaries, now)
+	p.endProvenIsolations(now)
 	// Targets come before jobs, because an attempt can only be tracked on a known target.
 	p.updateTargets(st, now)
 	for id := range p.dirtyJobs {
@@ -98,6 +99,9 @@
 // updateJob tracks the open attempt of a job, and stops tracking an earlier one that has ended.
 func (p *planner) updateJob(st *state.State, id model.JobID, now model.Millis) []state.Command {
 	job := st.Jobs[id]
+	if job == nil || job.Ended() {
+		delete(p.jobRefusals, id)
+	}
 	var commands []state.Command
 	before, ok := p.trackedByJob[id]
 	open := job != nil && job.OpenAttempt != nil && job.OpenAttempt.ID == before
@@ -121,6 +125,7 @@
 	p.responder.forget(id)
 	delete(p.refusals, id)
 	delete(p.reports, id)
+	delete(p.isolations, id)
 	if _, held := p.holds[id]; held {
 		p.dropHold(id)
 	}
@@ -209,10 +214,12 @@
 		return "its owner has not reported its free capacity"
 	case !summary.AcceptsWork:
 		return "its owner takes no new work for it"
-	case p.holds[target.ID].job != "":
-		return p.holds[target.ID].reason()
 	case now < p.refusals[target.ID].until:
 		return refusedReason
+	case p.isolations[target.ID].Job != "":
+		return isolationReason(p.isolations[target.ID])
+	case p.holds[target.ID].job != "":
+		return p.holds[target.ID].reason()
 	default:
 		return ""
 	}
@@ -249,6 +256,9 @@
 		evictions:  job.Evictions,
 		losses:     job.Losses,
 	}
+	if job.IsSuspect() {
+		p.isolate(target, id)
+	}
 }
 
 func (p *planner) removeTracked(id model.AttemptID) {
@@ -260,6 +270,7 @@
 	p.tenants.Refund(attempt.tenant, attempt.size)
 	delete(p.tracked, id)
 	p.dirtyTargets[attempt.target] = true
+	p.endIsolation(attempt.target, id)
 	if p.trackedByJob[id.Job] == id {
 		delete(p.trackedByJob, id.Job)
 	}
@@ -281,22 +292,14 @@
 		return p.healthCommands(p.health.Succeeded(id.Job, attempt.target, now))
 	case job != nil && job.Failures > attempt.failures:
 		delete(p.refusals, attempt.target)
+		delete(p.jobRefusals, id.Job)
 		return p.healthCommands(p.health.Failed(id.Job, attempt.target, now))
 	case job != nil && !ended && job.Evictions == attempt.evictions && job.Losses == attempt.losses:
-		p.pauseTarget(attempt.target, now)
+		p.recordRefusal(id.Job, attempt.target, now)
+		p.health.AbandonProbe(attempt.target, id.Job, now)
+		return nil
 	}
+	delete(p.jobRefusals, id.Job)
 	p.health.AbandonProbe(attempt.target, id.Job, now)
 	return nil
 }
-
-// pauseTarget keeps new work off a target after a refusal. Refusals during the pause, of tasks
-// that were placed together, do not extend it.
-func (p *planner) pauseTarget(id model.TargetID, now model.Millis) {
-	last := p.refusals[id]
-	if now < last.until {
-		return
-	}
-	pause := min(max(2*last.pause, refusalPause), maxRefusalPause)
-	p.refusals[id] = refusal{until: now + pause, pause: pause}
-	p.dirtyTargets[id] = true
-}
