Let the creator of a group create it after a restart

Cause: only the first of the initial controllers creates the group, and only with may_found, which the platform sets at the first start of the system. A process that ends before the group exists is restarted without it, and then all controllers wait for a group that nobody may create. The class: a permission that only the settings of one process hold is lost with the process. Change: a new directory records in its identity that it may create a group, and with which initial controllers. A restart with the same initial controllers keeps the permission until the directory has a group. A directory that replaces a lost one does not get it, because it is not created at the first start, so the argument against a second group (discovery.go) holds: the creator still needs a response without a group from each other initial controller. Evidence: TestGroupIsCreatedAfterTheDiskOfItsCreatorWasFull fails before the change ("timed out waiting for: a leader": no controller has a group after 60 s) and passes now.

--- a/daemon/replica/discovery.go
+++ b/daemon/replica/discovery.go
@@ -258,11 +258,17 @@
 	d.enterGroup(func() error { return d.r.store.JoinGroup(response.Group) })
 }
 
+// mayCreateGroup reports whether the directory may create a group. A process that ends before the
+// group exists, for example because its disk is full, may be restarted with JoinOnly.
+func (d *discovery) mayCreateGroup() bool {
+	return !d.r.opts.JoinOnly || d.r.store.Identity().Creators == d.r.opts.initialGateways()
+}
+
 // maybeCreateGroup creates the group if this controller is the one that may, and all other initial
 // controllers have just responded that they have no group.
 func (d *discovery) maybeCreateGroup(now time.Time) {
 	initial := d.r.opts.InitialControllers
-	if initial[0].Gateway != d.r.opts.Gateway || d.r.opts.JoinOnly {
+	if initial[0].Gateway != d.r.opts.Gateway || !d.mayCreateGroup() {
 		return
 	}
 	members := consensus.Membership{}.With(consensus.Member{
--- a/daemon/replica/fulldisk_test.go
+++ b/daemon/replica/fulldisk_test.go
@@ -152,3 +152,28 @@
 	c.checkTickets(number)
 	c.waitEqualStates()
 }
+
+// Guards against a system without a group for good: only the first initial controller may create it,
+// its disk is full at that moment, and the platform does not call its restart a first start.
+func TestGroupIsCreatedAfterTheDiskOfItsCreatorWasFull(t *testing.T) {
+	disk := &fullFiles{}
+	fatal := make(chan error, 64)
+	c := newCluster(t, 3, func(o *Options) {
+		o.OpenMembership, o.MaxVoters = true, 3
+		if o.Gateway == "gateway-0" {
+			o.FileSystem, o.OnFatal = disk, func(err error) { fatal <- err }
+			return
+		}
+		// gateway-0 has its directory; it waits for the others before it writes the group.
+		disk.full.Store(true)
+	})
+	if err := <-fatal; !errors.Is(err, syscall.ENOSPC) {
+		t.Fatalf("fatal error: %v", err)
+	}
+	c.kill(0)
+	disk.full.Store(false)
+	c.controllers[0].options.JoinOnly = true
+	c.start(0)
+	c.propose(1)
+	c.checkTickets(1)
+}
--- a/daemon/replica/options.go
+++ b/daemon/replica/options.go
@@ -38,7 +38,8 @@
 	Seed       uint64             // of the election timeouts; random if zero
 
 	// JoinOnly prevents a controller with an empty directory from creating a group: it waits
-	// until it is added to the existing one.
+	// until it is added to the existing one. It does not apply to a directory that was created
+	// without JoinOnly and with the same InitialControllers, and has no group yet.
 	JoinOnly bool
 	// OpenMembership lets the leader add any controller with an empty directory that asks for it,
 	// and with MaxVoters also a voter that was replaced while it was silent.
--- a/daemon/replica/replica.go
+++ b/daemon/replica/replica.go
@@ -119,6 +119,9 @@
 
 func openStore(o Options) (*storage.Store, error) {
 	options := storage.Options{Dir: o.Dir, FileSystem: o.FileSystem}
+	if !o.JoinOnly {
+		options.Creators = o.initialGateways()
+	}
 	store, err := storage.Open(options)
 	var damaged *storage.DamagedError
 	if !errors.As(err, &damaged) || len(o.InitialControllers) < 2 {
--- a/daemon/storage/store.go
+++ b/daemon/storage/store.go
@@ -35,8 +35,9 @@
 // Identity identifies the data directory and the Raft group that it belongs to.
 type Identity struct {
 	ID             consensus.MemberID   `json:"id"`
-	Group          string               `json:"group"`    // empty until the directory belongs to a group
-	InitialMembers consensus.Membership `json:"founding"` // initial membership of the group; empty if not known
+	Group          string               `json:"group"`              // empty until the directory belongs to a group
+	InitialMembers consensus.Membership `json:"founding"`           // initial membership of the group; empty if not known
+	Creators       string               `json:"creators,omitempty"` // Options.Creators when the directory was created; empty once it belongs to a group
 }
 
 // Store is an open data directory. Write and Compact must be called from the same goroutine;
@@ -46,6 +47,7 @@
 	files        FileSystem
 	lock         io.Closer
 	segmentBytes int64
+	creators     string // Options.Creators
 
 	saved consensus.Saved // state that was read by Open or written by InitGroup or JoinGroup
 
@@ -67,6 +69,7 @@
 	Dir          string
 	FileSystem   FileSystem // file system; OS if nil
 	SegmentBytes int64      // size after which a new segment is started; DefaultSegmentBytes if zero
+	Creators     string     // recorded in a new directory: the controllers with which it may create a group, empty if it may not
 }
 
 // Open locks and opens the data directory, and creates it if it does not exist. It returns a
@@ -78,7 +81,7 @@
 	if o.SegmentBytes == 0 {
 		o.SegmentBytes = DefaultSegmentBytes
 	}
-	s := &Store{dir: o.Dir, files: patientFiles{o.FileSystem, time.Sleep}, segmentBytes: o.SegmentBytes}
+	s := &Store{dir: o.Dir, files: patientFiles{o.FileSystem, time.Sleep}, segmentBytes: o.SegmentBytes, creators: o.Creators}
 	if err := s.files.MkdirAll(s.dir); err != nil {
 		return nil, err
 	}
@@ -150,7 +153,7 @@
 	if _, err := rand.Read(id[:]); err != nil {
 		return err
 	}
-	return s.saveIdentity(Identity{ID: consensus.MemberID(hex.EncodeToString(id[:]))})
+	return s.saveIdentity(Identity{ID: consensus.MemberID(hex.EncodeToString(id[:])), Creators: s.creators})
 }
 
 func (s *Store) saveIdentity(id Identity) error {
