Wait for room in the data directory instead of ending the start

Cause: the permission to create the group is stored in the directory, but there is no room to store it, and the platform starts only the first process with may_found. Other errors end the start as before, and so does a write that is refused after the start.

--- a/daemon/fleetd/controller.go
+++ b/daemon/fleetd/controller.go
@@ -45,7 +45,7 @@
 	agent  *agent.Server
 }
 
-func (d *Daemon) buildController(adapter Adapter) ([]net.Listener, error) {
+func (d *Daemon) buildController(ctx context.Context, adapter Adapter) ([]net.Listener, error) {
 	s := d.settings
 	options := replica.Options{
 		Gateway: model.GatewayID(s.ControlAddr), Addr: s.ControlAddr, Dir: s.DataDir,
@@ -61,7 +61,7 @@
 	if err != nil {
 		return nil, err
 	}
-	log, err := replica.Open(options)
+	log, err := openWhenRoom(ctx, d.logger, roomRetryInterval, func() (*replica.Replica, error) { return replica.Open(options) })
 	if err != nil {
 		return nil, err
 	}
--- a/daemon/fleetd/daemon.go
+++ b/daemon/fleetd/daemon.go
@@ -78,7 +78,7 @@
 	}
 	d := &Daemon{settings: s, path: path, logger: logger, log: closer}
 	d.client = fleet.NewClient(s.Controllers, d.transport(maxControllerConns), logger)
-	listeners, err := d.build(adapter)
+	listeners, err := d.build(ctx, adapter)
 	if err != nil {
 		logger.Error().Err(err).Msg("startup failed")
 		return err
@@ -86,10 +86,10 @@
 	return d.serve(ctx, force, reload, listeners)
 }
 
-func (d *Daemon) build(adapter Adapter) ([]net.Listener, error) {
+func (d *Daemon) build(ctx context.Context, adapter Adapter) ([]net.Listener, error) {
 	switch d.settings.Role {
 	case settings.RoleController:
-		return d.buildController(adapter)
+		return d.buildController(ctx, adapter)
 	case settings.RoleRelay:
 		return d.buildRelay(adapter)
 	}
