--- /dev/null
+++ b/core/consensus/returning_test.go
@@ -0,0 +1,109 @@
+package consensus
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"testing"
+
+	"pgregory.net/rapid"
+
+	"samphirepaddle.example/core/model"
+)
+
+// Guards against two leaders in one term, lost commits, stale reads and a group that makes no
+// progress, when voters are replaced by learners while they are silent and later return as learners
+// with their old log, term and membership.
+func TestReplacedVotersReturn(t *testing.T) {
+	returned, changes := 0, 0
+	rapid.Check(t, func(t *rapid.T) {
+		s := newBoundedSim(t.Fatalf, 3, rapid.SampledFrom([]int{1, 1, 2, 3}).Draw(t, "learners"))
+		source := rand.New(rand.NewPCG(rapid.Uint64().Draw(t, "seed"), rapid.Uint64().Draw(t, "stream")))
+		actions := randomActions(source)
+		for range rapid.SampledFrom([]int{300, 2000, 8000}).Draw(t, "steps") {
+			s.randomStep(source, actions)
+		}
+		s.checkLogs()
+		s.recoverAndCheck(t)
+		r, c := s.countReturns()
+		returned, changes = returned+r, changes+c
+	})
+	t.Logf("%d memberships, %d returns of a replaced voter", changes, returned)
+	if returned == 0 {
+		t.Error("the schedules must exercise voters that are replaced and return")
+	}
+}
+
+// Guards against a voter that is silent again and again, for example on a full disk, and each time is
+// replaced and added again, so that changes of the membership never end.
+func TestVoterThatIsSilentAgainAndAgainIsReplacedOnce(t *testing.T) {
+	s := newBoundedSim(t.Fatalf, 3, 1)
+	rounds := func(count int) {
+		for range count {
+			s.round()
+			for _, n := range s.nodes {
+				s.addNonMembers(n)
+			}
+		}
+	}
+	rounds(20 * simElection)
+	var silent *simNode
+	for _, n := range s.nodes {
+		if n.node.Role() != RoleLeader && n.node.Members().IsVoter(n.member.ID) {
+			silent = n
+		}
+	}
+	_, before := s.countReturns()
+	for range 10 {
+		s.isolated[silent.member.ID] = true
+		rounds(2 * replaceElectionTimeouts * simElection)
+		clear(s.isolated)
+		rounds(2 * replaceElectionTimeouts * simElection)
+	}
+	returned, after := s.countReturns()
+	// The voter is removed, the learner promoted and the voter added as a learner.
+	if returned != 1 || after-before != 3 {
+		t.Errorf("%d returns, %d changes of the membership, want 1 and 3", returned, after-before)
+	}
+	if !s.converged() {
+		t.Error("the group did not converge")
+	}
+}
+
+// newBoundedSim returns a sim with at most maxVoters voters and some nodes that are no members yet.
+func newBoundedSim(fatalf func(string, ...any), maxVoters, learners int) *sim {
+	s := newSim(fatalf, maxVoters)
+	s.maxVoters = maxVoters
+	for _, n := range s.nodes {
+		s.crash(n, 0)
+		s.start(n)
+	}
+	for i := range learners {
+		s.start(s.addNode(model.GatewayID(fmt.Sprint("learner", i))))
+	}
+	return s
+}
+
+// countReturns returns how often a replaced voter became a member again, and the number of
+// committed memberships.
+func (s *sim) countReturns() (returned, changes int) {
+	voted := map[MemberID]bool{} // ids that had a vote
+	var before Membership
+	for _, e := range s.committed {
+		if e.Kind != EntryMembership {
+			continue
+		}
+		changes++
+		members, err := DecodeMembership(e.Data)
+		if err != nil {
+			s.fatalf("%v", err)
+		}
+		for _, member := range members {
+			if _, stayed := before.Find(member.ID); !stayed && voted[member.ID] {
+				returned++
+			}
+			voted[member.ID] = voted[member.ID] || !member.Learner
+		}
+		before = members
+	}
+	return returned, changes
+}
--- a/daemon/replica/fulldisk_test.go
+++ b/daemon/replica/fulldisk_test.go
@@ -3,9 +3,11 @@
 import (
 	"errors"
 	"net"
+	"slices"
 	"sync/atomic"
 	"syscall"
 	"testing"
+	"time"
 
 	"samphirepaddle.example/core/model"
 	"samphirepaddle.example/daemon/storage"
@@ -177,3 +179,37 @@
 	c.propose(1)
 	c.checkTickets(1)
 }
+
+// Guards against two directories of one VM in the group: the directory that had a vote returns while
+// the one that took its place is a member.
+func TestReplacedDirectoryStaysOutBesideItsSuccessor(t *testing.T) {
+	c := newCluster(t, 3, func(o *Options) { o.OpenMembership, o.MaxVoters = true, 3 })
+	c.propose(1)
+	spare := c.addController("gateway-3", t.TempDir())
+	c.waitMember(spare, true)
+	vm := (c.leader() + 1) % 3
+	options := &c.controllers[vm].options
+	first := options.Dir
+	firstID := c.controllers[vm].replica.identity().ID
+	c.kill(vm)
+	c.waitMember(spare, false)
+	second := t.TempDir()
+	options.Dir, options.JoinOnly = second, true
+	c.start(vm)
+	c.waitMember(vm, true)
+	c.kill(vm)
+	options.Dir = first
+	c.start(vm)
+	c.propose(2)
+	time.Sleep(3 * noLeaderTimeout / 2)
+	status := c.controllers[c.leader()].replica.Status()
+	if slices.ContainsFunc(status.Members, func(m MemberStatus) bool { return m.ID == firstID }) {
+		t.Errorf("the replaced directory is a member beside its successor: %+v", status.Members)
+	}
+	c.kill(vm)
+	options.Dir = second
+	c.start(vm)
+	c.waitMember(vm, true)
+	c.propose(3)
+	c.checkTickets(3)
+}
