Let the next initial controller create the group

Cause: the killed process had not stored its directory yet, so the restarted one may not create the group (may_found), and the others never create it. Change: a response without a group says whether its directory may create one. The group is created by the first initial controller that may, once those before it have said that they may not. A response without the new field counts as of a controller that may, so that an earlier version in the same group is waited for as before. The comment in discovery.go says why two groups still never both have a quorum. Evidence: TestGroupIsCreatedWithoutItsFirstCreator fails before the change ("timed out waiting for: a leader" after 60 s) and passes now in 0.6 s. Not covered: all initial controllers killed before any has stored its directory.

--- a/daemon/replica/discovery.go
+++ b/daemon/replica/discovery.go
@@ -17,18 +17,19 @@
 //     responds with its directory id and, if it has one, its group.
 //   - If any response names a group, that group exists. A directory that is an initial member
 //     of it stores the first entry of its log; any other asks to be added as a learner.
-//   - Only the initial controller with the smallest gateway id creates a group, and only when
-//     every other initial controller has just responded that it has no group. It first stores
-//     the group with all directory ids, and tells the others only in responses to their
-//     requests.
+//   - Only one of the initial controllers creates a group: the one with the smallest gateway id
+//     among those whose directory may (Options.JoinOnly). It does so only when every other
+//     initial controller has just responded that it has no group, and those with a smaller
+//     gateway id that they may not create one. It first stores the group with all directory ids,
+//     and tells the others only in responses to their requests.
 //
-// Two groups can be created only from two directories of that one controller, the first of
-// which was lost. Before the second group is created, every initial controller has told the
-// second directory that it has no group. From then on it ignores late responses of the first
-// directory, which it recognizes by the directory id, and so does not enter the first group. So
-// no member takes part in both groups, and the first group never has a quorum. Once a quorum has
-// stored a group, at least one member of that quorum names the group in its response to every
-// later request.
+// Whether a directory may create a group does not change while it has none. So two groups can be
+// created only if the directory that created the first one was lost. The voters of each group are
+// one directory of every initial controller, and a directory enters only one group, so at most one
+// of the two groups ever has a quorum. Usually no directory enters the first one: a controller
+// ignores late responses of the lost directory once the new directory of that VM has sent it a
+// request. Once a quorum has stored a group, at least one member of that quorum names the group in
+// its response to every later request.
 
 const (
 	discoveryInterval = 200 * time.Millisecond
@@ -56,6 +57,7 @@
 	Nonce           uint64               `cbor:"5,keyasint"` // of the request
 	InitialMembers  consensus.Membership `cbor:"6,keyasint,omitempty"`
 	Members         consensus.Membership `cbor:"7,keyasint,omitempty"`
+	MayNotCreate    bool                 `cbor:"8,keyasint,omitempty"` // the directory has no group and may not create one
 }
 
 // discovery finds or creates the group of the data directory. Its methods run in the event loop.
@@ -163,6 +165,7 @@
 	response := discoveryResponse{
 		ID: identity.ID, Gateway: d.r.opts.Gateway, Group: identity.Group,
 		InitialGateways: d.r.opts.initialGateways(), Nonce: request.Nonce, InitialMembers: identity.InitialMembers,
+		MayNotCreate: !d.mayCreateGroup(),
 	}
 	if request.Group == "" {
 		d.withoutGroup[request.Gateway] = request.ID
@@ -264,21 +267,27 @@
 	return !d.r.opts.JoinOnly || d.r.store.Identity().Creators == d.r.opts.initialGateways()
 }
 
-// maybeCreateGroup creates the group if this controller is the one that may, and all other initial
-// controllers have just responded that they have no group.
+// maybeCreateGroup creates the group if this controller is the first one that may, and all other
+// initial controllers have just responded that they have no group.
 func (d *discovery) maybeCreateGroup(now time.Time) {
 	initial := d.r.opts.InitialControllers
-	if initial[0].Gateway != d.r.opts.Gateway || !d.mayCreateGroup() {
+	if !d.r.opts.isInitial(d.r.opts.Gateway) || !d.mayCreateGroup() {
 		return
 	}
 	members := consensus.Membership{}.With(consensus.Member{
 		ID: d.r.store.Identity().ID, Gateway: d.r.opts.Gateway, Addr: d.r.opts.Addr,
 	})
-	for _, c := range initial[1:] {
+	for _, c := range initial {
+		if c.Gateway == d.r.opts.Gateway {
+			continue
+		}
 		received, ok := d.responses[c.Gateway]
 		if !ok || now.Sub(received.at) > responseValidity {
 			return
 		}
+		if c.Gateway < d.r.opts.Gateway && !received.response.MayNotCreate {
+			return // that controller creates the group
+		}
 		if received.response.InitialGateways != d.r.opts.initialGateways() {
 			d.r.opts.Logger.Error().Str("gateway", string(c.Gateway)).Str("theirs", received.response.InitialGateways).
 				Str("own", d.r.opts.initialGateways()).Msg("settings of the controllers name different initial controllers")
--- a/daemon/replica/fulldisk_test.go
+++ b/daemon/replica/fulldisk_test.go
@@ -213,3 +213,11 @@
 	c.propose(3)
 	c.checkTickets(3)
 }
+
+// Guards against a system without a group for good because the first initial controller lost its
+// directory, or was killed before it had one, before the group existed.
+func TestGroupIsCreatedWithoutItsFirstCreator(t *testing.T) {
+	c := newCluster(t, 3, func(o *Options) { o.JoinOnly = o.Gateway == "gateway-0" })
+	c.propose(1)
+	c.checkTickets(1)
+}
