Write the last write once more at a start

Callers would see an acknowledged change that is lost after a loss of power. Cause: some systems take the data of a failed sync for stored and keep it in the page cache. The process ends after the failed sync, the next one reads the write back, and its own sync succeeds without storing it. The write then counts as durable. Change: a start writes the last write of the newest segment over itself, which makes the data unsynced again, and syncs it. Earlier writes need it not, because each write begins only after the one before it was synced. The bytes do not change, so an interruption leaves the old content. On a disk that refuses also such writes, a start now waits for room (openWhenRoom) instead of ending at the first write of the group, again and again. Evidence: simDisk has two more kinds of refusal. With a failed sync whose data later syncs skip, TestDataReadAtTheStartSurvivesALossOfPower fails before the change ("acknowledged entry 1 of term 1 is lost") and passes now. With a small remainder of room, in which a write is stored in part or a small one still fits, all three tests pass before and after.

--- a/daemon/storage/files.go
+++ b/daemon/storage/files.go
@@ -19,9 +19,10 @@
 
 // FileSystem is the file system interface of a Store. Tests replace it to inject failures.
 type FileSystem interface {
-	Open(path string) (File, error)   // opens a file for reading
-	Append(path string) (File, error) // opens a file for appending and creates it if it does not exist
-	Create(path string) (File, error) // creates a file for writing, or truncates an existing one
+	Open(path string) (File, error)                       // opens a file for reading
+	Append(path string) (File, error)                     // opens a file for appending and creates it if it does not exist
+	Create(path string) (File, error)                     // creates a file for writing, or truncates an existing one
+	Rewrite(path string, data []byte, offset int64) error // writes data over existing bytes and syncs the file
 	Rename(from, to string) error
 	RemoveAll(path string) error
 	List(dir string) ([]string, error)
@@ -64,6 +65,19 @@
 	return wrap(os.OpenFile(path, os.O_RDWR|os.O_CREATE|os.O_TRUNC, 0o600))
 }
 
+// Rewrite writes data over existing bytes of a file and syncs the file.
+func (OS) Rewrite(path string, data []byte, offset int64) error {
+	f, err := os.OpenFile(path, os.O_WRONLY, 0)
+	if err != nil {
+		return err
+	}
+	defer f.Close()
+	if _, err := f.WriteAt(data, offset); err != nil {
+		return err
+	}
+	return f.Sync()
+}
+
 // Rename renames a file.
 func (OS) Rename(from, to string) error { return os.Rename(from, to) }
 
--- a/daemon/storage/fulldisk_test.go
+++ b/daemon/storage/fulldisk_test.go
@@ -188,13 +188,14 @@
 // different numbers of operations and kinds of refusal.
 func forEachFullDisk(t *testing.T, run func(m *writerModel)) {
 	operations := countOperations(t)
-	for _, refuse := range []refusal{refuseData, refusePartData, refuseSync, refuseAll} {
+	for _, refuse := range []refusal{refuseData, refusePartData, refuseSync, refuseAll, refuseSyncAndForget, refuseRoom} {
 		t.Run(refuse.String(), func(t *testing.T) {
 			for from := 1; from <= operations; from++ {
 				for _, length := range []int{1, 2, 5, 20} {
 					ok := t.Run(fmt.Sprintf("full from %d for %d", from, length), func(t *testing.T) {
 						m := newWriterModel(t, uint64(from))
 						m.disk.refuse, m.disk.fullFrom, m.disk.fullTo = refuse, from, from+length-1
+						m.disk.room = []int{0, 20, 60, 200}[from%4]
 						run(m)
 						m.store.Close()
 						if m.disk.open != 0 {
--- a/daemon/storage/segments.go
+++ b/daemon/storage/segments.go
@@ -27,10 +27,13 @@
 	entries       []consensus.Entry
 	lastWrite     uint64 // number of the write of the last record; zero if there is none
 	writeComplete bool   // the last record completed its write
+	tail          []byte // records of the last write, if it is in the newest segment
+	tailOffset    int64
 }
 
-// loadSegments reads all segments, opens and syncs the newest one for appending and returns the
-// entries.
+// loadSegments reads all segments, opens the newest one for appending and returns the entries. It
+// writes the last write once more: after a failed sync, the page cache may hold data that is not
+// on the disk and that another sync would not store.
 func (s *Store) loadSegments(names []string) ([]consensus.Entry, error) {
 	l := &logLoader{writeComplete: true}
 	numbers, err := segmentNumbers(names)
@@ -46,10 +49,12 @@
 	if len(numbers) == 0 {
 		return nil, s.createSegment(1)
 	}
-	if s.activeFile, err = s.files.Append(s.path(segmentName(numbers[len(numbers)-1]))); err != nil {
+	newest := s.path(segmentName(numbers[len(numbers)-1]))
+	if err := s.files.Rewrite(newest, l.tail, l.tailOffset); err != nil {
 		return nil, err
 	}
-	return l.entries, s.activeFile.Sync()
+	s.activeFile, err = s.files.Append(newest)
+	return l.entries, err
 }
 
 // segmentNumbers returns the numbers of the segments and checks that none is missing.
@@ -79,12 +84,15 @@
 		return err
 	}
 	seg := segment{number: number}
-	offset := 0
+	offset, tail := 0, 0 // tail is the offset of the last write
 	for offset < len(data) {
 		r, size, ok := parseRecord(data[offset:])
 		if !ok {
 			break
 		}
+		if r.write != l.lastWrite {
+			tail = offset
+		}
 		if err := l.add(r); err != nil {
 			return &DamagedError{name, int64(offset), err.Error()}
 		}
@@ -96,6 +104,7 @@
 			return err
 		}
 	}
+	l.tail, l.tailOffset = data[tail:offset], int64(tail)
 	seg.size = int64(offset)
 	s.segments = append(s.segments, seg)
 	return nil
--- a/daemon/storage/shortage.go
+++ b/daemon/storage/shortage.go
@@ -48,6 +48,12 @@
 	return withDescriptor(p, func() (File, error) { return p.FileSystem.Create(path) })
 }
 
+// Rewrite writes data over existing bytes of a file and syncs the file.
+func (p patientFiles) Rewrite(path string, data []byte, offset int64) error {
+	_, err := withDescriptor(p, func() (struct{}, error) { return struct{}{}, p.FileSystem.Rewrite(path, data, offset) })
+	return err
+}
+
 // List returns the names of the files in a directory, sorted.
 func (p patientFiles) List(dir string) ([]string, error) {
 	return withDescriptor(p, func() ([]string, error) { return p.FileSystem.List(dir) })
--- a/daemon/storage/simdisk_test.go
+++ b/daemon/storage/simdisk_test.go
@@ -25,26 +25,30 @@
 	fullTo     int // number of the last operation that is refused
 	refuse     refusal
 	refused    int // operations refused
+	room       int // refuseRoom: bytes that the full disk still takes
 }
 
 // refusal is what a full disk refuses.
 type refusal int
 
 const (
-	refuseData     refusal = iota // data and new files
-	refusePartData                // the same, but the first refused write stores a part of its data
-	refuseSync                    // syncs of files and directories; data is stored in memory
-	refuseAll                     // all operations that change the disk, except removals
+	refuseData          refusal = iota // data and new files
+	refusePartData                     // the same, but the first refused write stores a part of its data
+	refuseSync                         // syncs of files and directories; data is stored in memory
+	refuseAll                          // all operations that change the disk, except removals
+	refuseSyncAndForget                // syncs; the system takes the refused data for stored, so that later syncs skip it
+	refuseRoom                         // data beyond the room that is left; a refused write stores what fits
 )
 
 func (r refusal) String() string {
-	return [...]string{"data", "part of the data", "sync", "all changes"}[r]
+	return [...]string{"data", "part of the data", "sync", "all changes", "sync, then forgotten", "data beyond a remainder"}[r]
 }
 
 // simFile is the content of one file.
 type simFile struct {
-	data    []byte
-	durable []byte
+	data      []byte
+	durable   []byte
+	forgotten [2]int // range of data that syncs skip
 }
 
 type simHandle struct {
@@ -94,13 +98,28 @@
 		return nil, err
 	}
 	if f := d.files[path]; f != nil {
-		f.data = nil
+		d.room += len(f.data)
+		f.data, f.forgotten = nil, [2]int{}
 	} else {
 		d.files[path] = &simFile{}
 	}
 	return d.Open(path)
 }
 
+// Rewrite needs room like an append, as on a disk that is full for every write.
+func (d *simDisk) Rewrite(path string, data []byte, offset int64) error {
+	if _, err := d.needsRoom(refuseData, refusePartData, refuseAll); err != nil {
+		return err
+	}
+	f := d.files[path]
+	end := int(offset) + len(data)
+	f.data = append(append(bytes.Clone(f.data[:offset]), data...), f.data[end:]...)
+	if int(offset) <= f.forgotten[0] && f.forgotten[1] <= end {
+		f.forgotten = [2]int{}
+	}
+	return (&simHandle{d, f, path}).Sync()
+}
+
 func (d *simDisk) Rename(from, to string) error {
 	if _, err := d.needsRoom(refuseAll); err != nil {
 		return err
@@ -115,6 +134,9 @@
 }
 
 func (d *simDisk) RemoveAll(path string) error {
+	if f := d.files[path]; f != nil {
+		d.room += len(f.data)
+	}
 	delete(d.files, path)
 	return nil
 }
@@ -133,7 +155,7 @@
 func (d *simDisk) MkdirAll(string) error { return nil }
 
 func (d *simDisk) SyncDir(dir string) error {
-	if _, err := d.needsRoom(refuseSync, refuseAll); err != nil {
+	if _, err := d.needsRoom(refuseSync, refuseAll, refuseSyncAndForget); err != nil {
 		return err
 	}
 	inDir := func(path string, _ *simFile) bool { return filepath.Dir(path) == dir }
@@ -149,12 +171,19 @@
 func (d *simDisk) Lock(string) (io.Closer, error) { return io.NopCloser(nil), nil }
 
 func (h *simHandle) Write(data []byte) (int, error) {
-	first, err := h.disk.needsRoom(refuseData, refusePartData, refuseAll)
+	first, err := h.disk.needsRoom(refuseData, refusePartData, refuseAll, refuseRoom)
 	written := len(data)
 	if err != nil {
 		written = 0
-		if first && h.disk.refuse == refusePartData {
+		switch {
+		case first && h.disk.refuse == refusePartData:
 			written = h.disk.source.IntN(len(data) + 1)
+		case h.disk.refuse == refuseRoom:
+			written = min(len(data), h.disk.room)
+			h.disk.room -= written
+			if written == len(data) {
+				err = nil
+			}
 		}
 	}
 	h.file.data = append(slices.Clip(h.file.data), data[:written]...)
@@ -167,10 +196,14 @@
 
 // Sync makes the data durable, and the name of a new file.
 func (h *simHandle) Sync() error {
-	if _, err := h.disk.needsRoom(refuseSync, refuseAll); err != nil {
+	if _, err := h.disk.needsRoom(refuseSync, refuseAll, refuseSyncAndForget); err != nil {
+		if h.disk.refuse == refuseSyncAndForget {
+			h.file.forget()
+		}
 		return err
 	}
 	h.file.durable = bytes.Clone(h.file.data)
+	clear(h.file.durable[h.file.forgotten[0]:h.file.forgotten[1]])
 	if h.disk.files[h.path] == h.file && h.disk.durableFiles[h.path] == nil {
 		h.disk.durableFiles[h.path] = h.file
 	}
@@ -181,10 +214,25 @@
 	if _, err := h.disk.needsRoom(refuseAll); err != nil {
 		return err
 	}
+	h.disk.room += len(h.file.data) - int(size)
 	h.file.data = bytes.Clone(h.file.data[:size])
+	h.file.forgotten[1] = min(h.file.forgotten[1], int(size))
+	h.file.forgotten[0] = min(h.file.forgotten[0], h.file.forgotten[1])
 	return nil
 }
 
+// forget marks the data that is not durable as skipped by later syncs.
+func (f *simFile) forget() {
+	from := 0
+	for from < min(len(f.data), len(f.durable)) && f.data[from] == f.durable[from] {
+		from++
+	}
+	if f.forgotten[0] < f.forgotten[1] {
+		from = min(from, f.forgotten[0])
+	}
+	f.forgotten = [2]int{from, len(f.data)}
+}
+
 func (h *simHandle) Size() (int64, error) { return int64(len(h.file.data)), nil }
 
 func (h *simHandle) Close() error {
