Promote a learner before removing the silent voter it replaces

Seen: nothing on the platform; found by random schedules with a bounded number of voters. Cause: at the maximum number of voters, the leader removed a silent voter first and then promoted a learner. The removal takes effect when it is appended. If another voter had lost its disk up to one election timeout before (the leader still counted it as alive), the leader needs the vote of the lost disk, while the silent voter, whose disk is intact, no longer counts when it returns, and cannot win with its shorter log. One lost disk beside one silent voter is within what the group must survive once all are back. Each disk that is full for more than four election timeouts begins such a replacement, more often since a controller waits for room at its start. Change: the learner is promoted first, so that there is one voter more, and the silent voter is removed when that is committed. A majority of the larger group holds in each case: a lost disk beside a silent voter that returns, or a lost learner. The silent voter stays if it returns before it is removed. A member of the same VM, whose disk is gone, is still removed first. TestControllerReplacedWhileItsDiskWasFullReturns waits for the removal, now the last step of a repair, before it kills the next controller; without that, it would kill a second one during the repair.

--- a/core/consensus/membership.go
+++ b/core/consensus/membership.go
@@ -72,13 +72,15 @@
 // hasLiveQuorum reports whether the live members that are voters both now and in the new
 // membership form a quorum of the new one. A change without a quorum could neither be
 // committed nor reverted. A learner that is being promoted is not counted, because the group
-// must keep its quorum if that learner loses its disk at this moment. The exception is a
-// group with one voter, which cannot grow without depending on the new voter.
+// must keep its quorum if that learner loses its disk at this moment. There are two exceptions: a
+// group with one voter, which cannot grow without depending on the new voter, and a learner that
+// is promoted in place of a silent voter, which counts again when it returns.
 func (n *Node) hasLiveQuorum(members Membership) bool {
 	now := n.members()
+	learnersCount := now.Voters() == 1 || n.aboveMaxVoters(members)
 	alive := 0
 	for _, member := range members {
-		counts := now.IsVoter(member.ID) || now.Voters() == 1
+		counts := now.IsVoter(member.ID) || learnersCount
 		if !member.Learner && counts && n.alive(member.ID) {
 			alive++
 		}
@@ -116,8 +118,14 @@
 // quorum if the new voter failed as well. It would also give one VM two votes. The learner
 // must have caught up before the removal, so that the group has fewer voters only until two
 // changes are committed.
+//
+// With MaxVoters, a learner of another VM takes the place of a voter that is silent, whose disk may
+// be intact. The learner is promoted first, and the silent voter is removed when that is committed.
+// If the removal came first and another voter lost its disk at this moment, the group would never
+// have a quorum again: the leader would need the vote of the lost disk, and the silent voter would
+// no longer count when it returns.
 func (n *Node) repairMembership() {
-	if n.checkChangeAllowed() != nil {
+	if n.checkChangeAllowed() != nil || n.removeSurplusVoter() {
 		return
 	}
 	for _, member := range n.members() {
@@ -130,30 +138,51 @@
 	}
 }
 
-// promoteOrReplace promotes the learner, or removes the member that it is to replace. It
-// reports whether it made a change.
+// removeSurplusVoter removes the silent voter whose place a promoted learner has taken. It reports
+// whether it made a change. If the silent voter has returned meanwhile, all voters stay until one
+// is silent.
+func (n *Node) removeSurplusVoter() bool {
+	if !n.aboveMaxVoters(n.members()) {
+		return false
+	}
+	silent, ok := n.silentVoter()
+	return ok && n.Remove(silent.ID) == nil
+}
+
+// promoteOrReplace promotes the learner, or removes the member of the same gateway that it is to
+// replace. It reports whether it made a change.
 func (n *Node) promoteOrReplace(learner Member) bool {
-	old, replaces := n.otherMemberOfGateway(learner)
-	if !replaces && n.opts.MaxVoters > 0 && n.members().Voters() >= n.opts.MaxVoters {
-		// Another voter would raise the quorum while one of the voters may be permanently lost.
-		if old, replaces = n.longestSilentVoter(); !replaces {
-			return false
-		}
+	if old, ok := n.otherMemberOfGateway(learner); ok {
+		ready := old.Learner || n.caughtUp(learner.ID)
+		return ready && n.isSilent(old.ID) && n.Remove(old.ID) == nil
 	}
-	switch {
-	case replaces && n.peers[old.ID].ticksSinceMessage < replaceElectionTimeouts*n.opts.ElectionTicks:
-		return false
-	case replaces && !old.Learner && !n.caughtUp(learner.ID):
-		return false
-	case replaces:
-		return n.Remove(old.ID) == nil
-	case !n.caughtUp(learner.ID):
+	if !n.caughtUp(learner.ID) || !n.needsVoter() {
 		return false
 	}
 	learner.Learner = false
 	return n.change(n.members().With(learner)) == nil
 }
 
+// needsVoter reports whether a learner is to be promoted. When the maximum number of voters is
+// reached, another voter is needed only in place of a silent one.
+func (n *Node) needsVoter() bool {
+	voters := n.members().Voters()
+	if n.opts.MaxVoters == 0 || voters < n.opts.MaxVoters {
+		return true
+	}
+	_, silent := n.silentVoter()
+	return silent && voters == n.opts.MaxVoters
+}
+
+func (n *Node) aboveMaxVoters(members Membership) bool {
+	return n.opts.MaxVoters > 0 && members.Voters() > n.opts.MaxVoters
+}
+
+// isSilent reports whether no message of the member arrived for so long that it may be replaced.
+func (n *Node) isSilent(id MemberID) bool {
+	return n.peers[id].ticksSinceMessage >= replaceElectionTimeouts*n.opts.ElectionTicks
+}
+
 // otherMemberOfGateway returns another member with the same gateway id as the learner.
 func (n *Node) otherMemberOfGateway(learner Member) (Member, bool) {
 	for _, member := range n.members() {
@@ -164,13 +193,13 @@
 	return Member{}, false
 }
 
-// longestSilentVoter returns the voter, other than this node, that is not alive and whose last
-// message is the oldest.
-func (n *Node) longestSilentVoter() (Member, bool) {
+// silentVoter returns the voter, other than this node, that may be replaced and whose last message
+// is the oldest.
+func (n *Node) silentVoter() (Member, bool) {
 	var longest Member
 	found := false
 	for _, member := range n.members() {
-		if member.Learner || member.ID == n.id || n.alive(member.ID) {
+		if member.Learner || member.ID == n.id || !n.isSilent(member.ID) {
 			continue
 		}
 		if !found || n.peers[member.ID].ticksSinceMessage > n.peers[longest.ID].ticksSinceMessage {
--- a/core/consensus/node.go
+++ b/core/consensus/node.go
@@ -39,7 +39,8 @@
 	MaxUncommittedBytes int // maximum size of uncommitted entries; further proposals are refused
 
 	// MaxVoters is the maximum number of voters; 0 is unlimited. When it is reached, a learner
-	// is promoted only in place of a voter from which no messages arrive.
+	// is promoted only in place of a voter from which no messages arrive. Until that voter is
+	// removed, there is one voter more.
 	MaxVoters int
 
 	Saved Saved
--- a/core/consensus/protection_test.go
+++ b/core/consensus/protection_test.go
@@ -208,8 +208,8 @@
 	}
 }
 
-// Guards against a fourth voter that raises the quorum while another voter is permanently lost,
-// and against a group that never replaces a lost voter by a learner of another gateway.
+// Guards against a fourth voter that stays and raises the quorum while another voter is permanently
+// lost, and against a group that never replaces a lost voter by a learner of another gateway.
 func TestBoundedVoters(t *testing.T) {
 	s := newSim(t.Fatalf, 3)
 	leader := s.elect(t)
--- a/core/consensus/returning_test.go
+++ b/core/consensus/returning_test.go
@@ -69,6 +69,35 @@
 	}
 }
 
+// Guards against a group that never has a quorum again because one voter loses its disk just before or
+// while a learner takes the place of another one that is silent and returns with its disk.
+func TestDiskLostWhileASilentVoterIsReplaced(t *testing.T) {
+	for delay := range 2 * replaceElectionTimeouts * simElection {
+		s := newBoundedSim(t.Fatalf, 3, 1)
+		leader := s.elect(t)
+		s.rounds(5)
+		s.addNonMembers(leader)
+		s.rounds(5 * simElection)
+		silent, lost := s.others(leader)[0], s.others(leader)[1]
+		s.isolated[silent.member.ID] = true
+		s.rounds(delay)
+		s.loseDisk(lost)
+		s.rounds(4 * simElection)
+		clear(s.isolated)
+		before := len(s.committed)
+		for range 40 * simElection {
+			s.round()
+			for _, n := range s.nodes {
+				s.addNonMembers(n)
+				s.propose(n)
+			}
+		}
+		if len(s.committed) == before {
+			t.Fatalf("disk lost %d ticks after the silence began: nothing is committed after all are back: %+v", delay, leader.node.Members())
+		}
+	}
+}
+
 // newBoundedSim returns a sim with at most maxVoters voters and some nodes that are no members yet.
 func newBoundedSim(fatalf func(string, ...any), maxVoters, learners int) *sim {
 	s := newSim(fatalf, maxVoters)
@@ -83,6 +112,21 @@
 	return s
 }
 
+// hasLostMember reports whether a lost disk is a member in the view of some node.
+func (s *sim) hasLostMember() bool {
+	for _, n := range s.nodes {
+		if n.node == nil {
+			continue
+		}
+		for _, member := range n.node.Members() {
+			if s.lostDisks[member.ID] {
+				return true
+			}
+		}
+	}
+	return false
+}
+
 // countReturns returns how often a replaced voter became a member again, and the number of
 // committed memberships.
 func (s *sim) countReturns() (returned, changes int) {
--- a/daemon/replica/fulldisk_test.go
+++ b/daemon/replica/fulldisk_test.go
@@ -9,6 +9,7 @@
 	"testing"
 	"time"
 
+	"samphirepaddle.example/core/consensus"
 	"samphirepaddle.example/core/model"
 	"samphirepaddle.example/daemon/storage"
 )
@@ -74,6 +75,16 @@
 	})
 }
 
+// waitRemoved waits until a committed membership does not have the directory.
+func (c *cluster) waitRemoved(id consensus.MemberID) {
+	c.t.Helper()
+	c.waitFor("the removal of "+string(id), func() bool {
+		status := c.controllers[c.leader()].replica.Status()
+		member := slices.ContainsFunc(status.Members, func(m MemberStatus) bool { return m.ID == id })
+		return !member && !status.ChangePending
+	})
+}
+
 // Guards against a controller that stays out of its group for good because a learner replaced it
 // while its disk was full: when two other controllers are lost later, one after the other, the
 // group has no quorum although half of the controllers and all of their disks are sound.
@@ -83,14 +94,18 @@
 	spare := c.addController("gateway-3", t.TempDir())
 	c.waitMember(spare, true)
 	full := (c.leader() + 1) % 3
+	fullID := c.controllers[full].replica.identity().ID
 	c.kill(full)
 	c.waitMember(spare, false)
+	c.waitRemoved(fullID)
 	c.start(full)
 	c.waitMember(full, true)
 	second := c.leader()
+	secondID := c.controllers[second].replica.identity().ID
 	c.kill(second)
 	c.propose(2)
 	c.waitMember(full, false)
+	c.waitRemoved(secondID)
 	c.kill(c.leader())
 	c.propose(3)
 	c.checkTickets(3)
@@ -193,6 +208,7 @@
 	firstID := c.controllers[vm].replica.identity().ID
 	c.kill(vm)
 	c.waitMember(spare, false)
+	c.waitRemoved(firstID)
 	second := t.TempDir()
 	options.Dir, options.JoinOnly = second, true
 	c.start(vm)
