--- a/daemon/replica/fulldisk_test.go
+++ b/daemon/replica/fulldisk_test.go
@@ -3,10 +3,13 @@
 import (
 	"errors"
 	"net"
+	"slices"
 	"sync/atomic"
 	"syscall"
 	"testing"
+	"time"
 
+	"samphirepaddle.example/core/consensus"
 	"samphirepaddle.example/core/model"
 	"samphirepaddle.example/daemon/storage"
 )
@@ -72,6 +75,16 @@
 	})
 }
 
+// waitRemoved waits until a committed membership does not have the directory.
+func (c *cluster) waitRemoved(id consensus.MemberID) {
+	c.t.Helper()
+	c.waitFor("the removal of "+string(id), func() bool {
+		status := c.controllers[c.leader()].replica.Status()
+		member := slices.ContainsFunc(status.Members, func(m MemberStatus) bool { return m.ID == id })
+		return !member && !status.ChangePending
+	})
+}
+
 // Guards against a controller that stays out of its group for good because a learner replaced it
 // while its disk was full: when two other controllers are lost later, one after the other, the
 // group has no quorum although half of the controllers and all of their disks are sound.
@@ -81,14 +94,18 @@
 	spare := c.addController("gateway-3", t.TempDir())
 	c.waitMember(spare, true)
 	full := (c.leader() + 1) % 3
+	fullID := c.controllers[full].replica.identity().ID
 	c.kill(full)
 	c.waitMember(spare, false)
+	c.waitRemoved(fullID)
 	c.start(full)
 	c.waitMember(full, true)
 	second := c.leader()
+	secondID := c.controllers[second].replica.identity().ID
 	c.kill(second)
 	c.propose(2)
 	c.waitMember(full, false)
+	c.waitRemoved(secondID)
 	c.kill(c.leader())
 	c.propose(3)
 	c.checkTickets(3)
@@ -152,3 +169,71 @@
 	c.checkTickets(number)
 	c.waitEqualStates()
 }
+
+// Guards against a system without a group for good: only the first initial controller may create it,
+// its disk is full at that moment, and the platform does not call its restart a first start.
+func TestGroupIsCreatedAfterTheDiskOfItsCreatorWasFull(t *testing.T) {
+	disk := &fullFiles{}
+	fatal := make(chan error, 64)
+	c := newCluster(t, 3, func(o *Options) {
+		o.OpenMembership, o.MaxVoters = true, 3
+		if o.Gateway == "gateway-0" {
+			o.FileSystem, o.OnFatal = disk, func(err error) { fatal <- err }
+			return
+		}
+		// gateway-0 has its directory; it waits for the others before it writes the group.
+		disk.full.Store(true)
+	})
+	if err := <-fatal; !errors.Is(err, syscall.ENOSPC) {
+		t.Fatalf("fatal error: %v", err)
+	}
+	c.kill(0)
+	disk.full.Store(false)
+	c.controllers[0].options.JoinOnly = true
+	c.start(0)
+	c.propose(1)
+	c.checkTickets(1)
+}
+
+// Guards against two directories of one VM in the group: the directory that had a vote returns while
+// the one that took its place is a member.
+func TestReplacedDirectoryStaysOutBesideItsSuccessor(t *testing.T) {
+	c := newCluster(t, 3, func(o *Options) { o.OpenMembership, o.MaxVoters = true, 3 })
+	c.propose(1)
+	spare := c.addController("gateway-3", t.TempDir())
+	c.waitMember(spare, true)
+	vm := (c.leader() + 1) % 3
+	options := &c.controllers[vm].options
+	first := options.Dir
+	firstID := c.controllers[vm].replica.identity().ID
+	c.kill(vm)
+	c.waitMember(spare, false)
+	c.waitRemoved(firstID)
+	second := t.TempDir()
+	options.Dir, options.JoinOnly = second, true
+	c.start(vm)
+	c.waitMember(vm, true)
+	c.kill(vm)
+	options.Dir = first
+	c.start(vm)
+	c.propose(2)
+	time.Sleep(3 * noLeaderTimeout / 2)
+	status := c.controllers[c.leader()].replica.Status()
+	if slices.ContainsFunc(status.Members, func(m MemberStatus) bool { return m.ID == firstID }) {
+		t.Errorf("the replaced directory is a member beside its successor: %+v", status.Members)
+	}
+	c.kill(vm)
+	options.Dir = second
+	c.start(vm)
+	c.waitMember(vm, true)
+	c.propose(3)
+	c.checkTickets(3)
+}
+
+// Guards against a system without a group for good because the first initial controller lost its
+// directory, or was killed before it had one, before the group existed.
+func TestGroupIsCreatedWithoutItsFirstCreator(t *testing.T) {
+	c := newCluster(t, 3, func(o *Options) { o.JoinOnly = o.Gateway == "gateway-0" })
+	c.propose(1)
+	c.checkTickets(1)
+}
