Ask all initial controllers again when a new directory responds

Callers would see an acknowledged change that is lost. Cause: a controller that creates a group uses responses that are up to 2 s old. If the first creator lost its disk, another one could create a second group from a response that an initial controller had sent before it entered the first group. The first group had a quorum with the lost directory, the second one with its successor. Change: the first response of a directory drops all responses and begins a new exchange, with another nonce. So each response that counts was sent after the controller learned of the newest directory, and names the first group if its sender has entered it. A first start takes up to two more rounds of requests, 0.4 s.

--- a/daemon/replica/discovery.go
+++ b/daemon/replica/discovery.go
@@ -24,12 +24,12 @@
 //     and tells the others only in responses to their requests.
 //
 // Whether a directory may create a group does not change while it has none. So two groups can be
-// created only if the directory that created the first one was lost. The voters of each group are
-// one directory of every initial controller, and a directory enters only one group, so at most one
-// of the two groups ever has a quorum. Usually no directory enters the first one: a controller
-// ignores late responses of the lost directory once the new directory of that VM has sent it a
-// request. Once a quorum has stored a group, at least one member of that quorum names the group in
-// its response to every later request.
+// created only if the directory that created the first one was lost. Whoever creates the second one
+// has asked every initial controller after it learned of the directory that replaces the lost one
+// (restartExchange), and each has responded that it has no group. From then on that controller does
+// not enter the first group either: it ignores late responses of the lost directory once the new
+// directory of that VM has sent it a request. Once a quorum has stored a group, at least one member
+// of that quorum names the group in its response to every later request.
 
 const (
 	discoveryInterval = 200 * time.Millisecond
@@ -63,10 +63,11 @@
 // discovery finds or creates the group of the data directory. Its methods run in the event loop.
 type discovery struct {
 	r             *Replica
-	nonce         uint64 // random number of this process; responses with another nonce are ignored
+	nonce         uint64 // of the present exchange; responses with another nonce are ignored
 	lastRequest   time.Time
 	leaderKnownAt time.Time // when a leader was last known
 
+	directories  map[model.GatewayID]consensus.MemberID // the latest that responded without a group
 	responses    map[model.GatewayID]receivedResponse
 	withoutGroup map[model.GatewayID]consensus.MemberID // directories that sent a request without a group
 	senderAddrs  map[consensus.MemberID]string          // addresses that messages came from
@@ -85,6 +86,7 @@
 	_, _ = rand.Read(b[:])
 	d.r = r
 	d.nonce = binary.LittleEndian.Uint64(b[:])
+	d.directories = map[model.GatewayID]consensus.MemberID{}
 	d.responses = map[model.GatewayID]receivedResponse{}
 	d.withoutGroup = map[model.GatewayID]consensus.MemberID{}
 	d.senderAddrs = map[consensus.MemberID]string{}
@@ -238,7 +240,7 @@
 // enters the group that the response names.
 func (d *discovery) handleResponse(response discoveryResponse) {
 	if response.Nonce != d.nonce {
-		return // a response to an earlier process of this VM
+		return // a response to an earlier process of this VM, or of an earlier exchange
 	}
 	if id, ok := d.withoutGroup[response.Gateway]; ok && id != response.ID {
 		return // from a directory that has been lost since
@@ -251,6 +253,9 @@
 		return
 	}
 	if response.Group == "" {
+		if d.directories[response.Gateway] != response.ID {
+			d.restartExchange(response)
+		}
 		d.responses[response.Gateway] = receivedResponse{response, time.Now()}
 		return
 	}
@@ -261,6 +266,14 @@
 	d.enterGroup(func() error { return d.r.store.JoinGroup(response.Group) })
 }
 
+// restartExchange drops all responses when another directory responds. A directory that it replaces
+// may have created a group, which the other controllers may have entered since they responded.
+func (d *discovery) restartExchange(response discoveryResponse) {
+	d.directories[response.Gateway] = response.ID
+	d.nonce++
+	clear(d.responses)
+}
+
 // mayCreateGroup reports whether the directory may create a group. A process that ends before the
 // group exists, for example because its disk is full, may be restarted with JoinOnly.
 func (d *discovery) mayCreateGroup() bool {
