End a quarantine when a task that was started later is at work

Callers would see: fewer of their tasks run after a fault of workers is over. Short tasks and first starts stay away from a recovered worker until its quarantine ends, and restarts of long-running tasks get one start a second there. Cause: the only evidence that ended a quarantine was a task that completed. A long-running task never does, and once a worker is quarantined nothing else starts there, so it stayed quarantined for 10 s from its last failure, sound or not. Tasks that fail do so mostly within 0.1 s of their start, nearly all within 1 s. The new tests fail without the change: "at work: the worker is quarantined: true, want false", "0 tasks were restarted after the first one was at work for 2.5 s, want 19". Change: an attempt that was started after the last failure, runs for 2 s and is past its startup ends the quarantine, as a completed task does, and is logged. Attempts from before the failure prove nothing: such faults may spare what already runs.

--- a/daemon/fleet/quarantine.go
+++ b/daemon/fleet/quarantine.go
@@ -16,12 +16,17 @@
 	repeatQuarantine    = 10 * time.Second // if a task fails after a quarantine too
 
 	quarantineStartInterval = time.Second // between two starts on a quarantined worker
+
+	// recoveryTime is how long a task must have been running for its worker to count as sound. Workers that
+	// fail every task mostly do so within 1 s of the start.
+	recoveryTime = 2 * time.Second
 )
 
 // quarantine tracks the recent task outcomes on one worker process. No task starts there before
 // until.
 type quarantine struct {
-	consecutive   int            // jobs with a failed task since a task last completed
+	consecutive   int            // jobs with a failed task since a task last completed or recovered the worker
+	failedAt      bootclock.Time // when the last of these failures was recorded
 	lastFailedJob workflow.JobID // job of the last failure; a job that can never succeed fails with many tasks and counts once
 	until         bootclock.Time
 	lastCounted   uint64 // number of the last end that was counted
@@ -29,12 +34,24 @@
 
 func (q *quarantine) recordSuccess() { q.consecutive, q.until, q.lastFailedJob = 0, 0, "" }
 
+// recordAtWork records that a task started at the given time is at work. If it has outlived recoveryTime and was
+// started after the last failure, the worker has recovered: long-running tasks never complete, so their
+// runs are the only evidence where no other tasks start. It reports whether a quarantine ends.
+func (q *quarantine) recordAtWork(startedAt, now bootclock.Time) bool {
+	if q.consecutive == 0 || startedAt <= q.failedAt || now.Sub(startedAt) < recoveryTime {
+		return false
+	}
+	ends := q.active(now)
+	q.recordSuccess()
+	return ends
+}
+
 // recordFailure counts a failed task and reports whether the worker is quarantined for it.
 func (q *quarantine) recordFailure(job workflow.JobID, now bootclock.Time) bool {
 	if job == q.lastFailedJob {
 		return false
 	}
-	q.lastFailedJob = job
+	q.lastFailedJob, q.failedAt = job, now
 	q.consecutive++
 	switch {
 	case q.consecutive < quarantineThreshold:
@@ -51,6 +68,6 @@
 
 // stalled records that a task makes no progress and quarantines the worker.
 func (q *quarantine) stalled(now bootclock.Time) {
-	q.consecutive = max(q.consecutive, quarantineThreshold)
+	q.consecutive, q.failedAt = max(q.consecutive, quarantineThreshold), now
 	q.until = max(q.until, now.Add(initialQuarantine))
 }
--- a/daemon/fleet/quarantine_test.go
+++ b/daemon/fleet/quarantine_test.go
@@ -43,3 +43,72 @@
 		t.Errorf("%d tasks were restarted after the interval, want 1", got)
 	}
 }
+
+// Guards against a recovered worker that stays quarantined because long-running tasks, which never end as
+// done, are all that starts there, and against a quarantine that ends without evidence.
+func TestQuarantineEndsOnceATaskThatWasStartedLaterIsAtWork(t *testing.T) {
+	for name, c := range map[string]struct {
+		startedAfter time.Duration // the last failure
+		ranFor       time.Duration
+		progress     int
+		want         bool
+	}{
+		"at work":                 {time.Second, 2 * time.Second, 100, false},
+		"just started":            {time.Second, time.Second, 100, true},
+		"still in its startup":    {time.Second, 5 * time.Second, 99, true},
+		"started before it fails": {-time.Second, 5 * time.Second, 100, true},
+	} {
+		s := &session{leadership: &leadership{passRequests: make(chan struct{}, 1)}, incarnation: workflow.Incarnation{Worker: "w"}, orders: map[workflow.Attempt]*order{}}
+		failed := bootclock.Now()
+		for _, job := range []workflow.JobID{"a", "b", "c", "d"} {
+			s.quarantine.recordFailure(job, failed)
+		}
+		attempt := workflow.Attempt{Task: workflow.TaskKey{Job: "lasting"}, Number: 2}
+		started := failed.Add(c.startedAfter)
+		s.orders[attempt] = &order{phase: startAnswered, answeredAt: started, pace: 100}
+		now := started.Add(c.ranFor)
+		s.applyListing(now, now, Listing{Running: []RunningAttempt{{Attempt: attempt, Progress: c.progress}}})
+		if got := s.quarantine.active(now); got != c.want {
+			t.Errorf("%s: the worker is quarantined: %v, want %v", name, got, c.want)
+		}
+	}
+}
+
+// Guards against long-running tasks that wait for their turn of one start a second on a worker that has
+// recovered: with 20 of them the last would be down for 20 s.
+func TestAllRestartsAreMadeOnAWorkerThatHasRecovered(t *testing.T) {
+	l, st := planningLeadership(t, 1, 0, 0)
+	const tasks = 20
+	applyOrFail(t, st, workflow.Command{Submit: &workflow.Submission{Host: "h", Path: "/u/lasting", Steps: []workflow.StepSpec{{Count: tasks, CPUMillis: 1000, LongRunning: true}}}})
+	w := st.Workflows.Workers[l.sortedWorkers(st.Workflows)[0]]
+	s := l.sessions[w.Incarnation]
+	assigned := func() int {
+		p := &passPlan{}
+		l.buildPlan(st, p)
+		applyOrFail(t, st, workflow.Command{Batch: &p.batch})
+		return len(p.batch.Assign)
+	}
+	if got := assigned(); got != tasks {
+		t.Fatalf("%d tasks were started, want %d", got, tasks)
+	}
+	var failed []workflow.End
+	st.Workflows.VisitOpenAttempts(w.Incarnation, func(a workflow.OpenAttempt) {
+		failed = append(failed, workflow.End{Incarnation: w.Incarnation, Number: uint64(len(failed) + 1), Attempt: a.Attempt, Kind: workflow.EndFailed})
+	})
+	applyOrFail(t, st, workflow.Command{Batch: &workflow.Batch{Ends: failed}})
+	for _, job := range []workflow.JobID{"a", "b", "c", "d"} {
+		s.quarantine.recordFailure(job, bootclock.Now())
+	}
+	answer(st, s, 0)
+	if got := assigned(); got != 1 {
+		t.Fatalf("%d tasks were restarted on the quarantined worker, want 1", got)
+	}
+	s.quarantine.failedAt, s.pauseUntil = s.quarantine.failedAt.Add(-3*time.Second), 0
+	st.Workflows.VisitOpenAttempts(w.Incarnation, func(a workflow.OpenAttempt) {
+		s.orderOf(a.Attempt).answeredAt = bootclock.Now().Add(-2500 * time.Millisecond)
+	})
+	answer(st, s, 0)
+	if got := assigned(); got != tasks-1 {
+		t.Errorf("%d tasks were restarted after the first one was at work for 2.5 s, want %d", got, tasks-1)
+	}
+}
--- a/daemon/fleet/session.go
+++ b/daemon/fleet/session.go
@@ -295,6 +295,9 @@
 		if o.phase == startUnanswered || o.phase == startInherited {
 			o.phase, o.answeredAt = startAnswered, sentAt
 		}
+		if o.phase == startAnswered && r.Progress == 100 && s.quarantine.recordAtWork(o.answeredAt, now) {
+			s.logRecovery(r.Attempt)
+		}
 	}
 	s.running = running
 	s.changed = true
@@ -315,6 +318,13 @@
 	}
 }
 
+// logRecovery logs that the quarantine of the worker ends, and has the tasks planned that wait for it.
+func (s *session) logRecovery(a workflow.Attempt) {
+	s.leadership.logger.Info().Str("worker", string(s.incarnation.Worker)).Str("task", a.Task.String()).
+		Msg("quarantine ends: a task that was started later is at work")
+	s.leadership.requestPass()
+}
+
 func (s *session) orderOf(a workflow.Attempt) *order {
 	o := s.orders[a]
 	if o == nil {
