Count only failures within 30 s of each other as consecutive

Callers would see: a sound worker that takes no new tasks for 4 to 10 s after a single failure of a long-running task. Cause: only a completed task reset the count of consecutive failures. Where long-running tasks alone run, the third job that ever had a failure quarantined the worker, and each further one did again, however far apart they were. The new test, with failures an hour apart, fails without the change: "the failure of job c quarantines the worker, an hour after the one before". Change: a failure more than 30 s after the last counted one starts the count again. A quarantine lasts for 10 s at most, so a worker that fails again after it is still known.

--- a/daemon/fleet/quarantine.go
+++ b/daemon/fleet/quarantine.go
@@ -20,6 +20,10 @@
 	// recoveryTime is how long a task must have been running for its worker to count as sound. Workers that
 	// fail every task mostly do so within 1 s of the start.
 	recoveryTime = 2 * time.Second
+
+	// failureWindow is the longest time between failures that count as consecutive. It is longer than
+	// repeatQuarantine, so that a worker that fails again after a quarantine is still known.
+	failureWindow = 30 * time.Second
 )
 
 // quarantine tracks the recent task outcomes on one worker process. No task starts there before
@@ -48,6 +52,9 @@
 
 // recordFailure counts a failed task and reports whether the worker is quarantined for it.
 func (q *quarantine) recordFailure(job workflow.JobID, now bootclock.Time) bool {
+	if now.Sub(q.failedAt) > failureWindow {
+		q.recordSuccess()
+	}
 	if job == q.lastFailedJob {
 		return false
 	}
--- a/daemon/fleet/quarantine_test.go
+++ b/daemon/fleet/quarantine_test.go
@@ -112,3 +112,15 @@
 		t.Errorf("%d tasks were restarted after the first one was at work for 2.5 s, want %d", got, tasks-1)
 	}
 }
+
+// Guards against a quarantine of a sound worker for failures that are hours apart: long-running tasks
+// may fail at any time and never end as done, so nothing else resets the count.
+func TestFailuresFarApartDoNotQuarantineAWorker(t *testing.T) {
+	q, now := &quarantine{}, bootclock.Now()
+	for _, job := range []workflow.JobID{"a", "b", "c", "d", "e"} {
+		now = now.Add(time.Hour)
+		if q.recordFailure(job, now) {
+			t.Errorf("the failure of job %s quarantines the worker, an hour after the one before", job)
+		}
+	}
+}
