Fill a recovered worker within two seconds of its first restart

Callers would see: long-running tasks that stay down for seconds beside a hole of several cores on a worker that is or was quarantined. Cause: the pause of one second between restarts on a quarantined worker was one of the worker as such, so it outlasted the quarantine; and the evidence of recovery took 2 s of run time and up to 1 s more, until the next list. The new tests fail without the change: "0 tasks were restarted right after the quarantine ended, want 19", "the hold call is sent: true, and waits for 1000 ms, want 500ms". Change: the pause belongs to the quarantine and ends with it. Hold calls wait for 500 ms while a restart may give this evidence. TestRestartOnTheOnlyWorkerDespiteItsQuarantine moves the pause where it is kept now; what it asserts is the same.

--- a/daemon/fleet/pass.go
+++ b/daemon/fleet/pass.go
@@ -108,7 +108,7 @@
 		s := l.sessions[a.Incarnation]
 		s.orders[a.Attempt] = &order{phase: startPlanned, pace: 100}
 		if s.quarantine.active(now) {
-			s.pauseUntil = now.Add(quarantineStartInterval)
+			s.quarantine.recordRestart(now)
 		}
 	}
 }
@@ -305,7 +305,7 @@
 
 func (l *leadership) describeWorker(workflows *workflow.State, s *session, w *workflow.Worker, now bootclock.Time) *dispatch.Worker {
 	accepts, quarantined := s.acceptsStarts(w, now), s.quarantine.active(now)
-	d := &dispatch.Worker{Worker: *w, Usable: accepts && !quarantined, LastResort: accepts && quarantined, Latency: s.latency}
+	d := &dispatch.Worker{Worker: *w, Usable: accepts && !quarantined, LastResort: accepts && quarantined && s.quarantine.allowsRestart(now), Latency: s.latency}
 	l.applyPendingCapacity(&d.Worker)
 	if openVersion := workflows.OpenVersion(s.incarnation); s.changed || s.openVersion != openVersion {
 		s.cachedAllocations, s.openVersion, s.changed = l.allocations(workflows, s), openVersion, false
--- a/daemon/fleet/quarantine.go
+++ b/daemon/fleet/quarantine.go
@@ -19,7 +19,7 @@
 
 	// recoveryTime is how long a task must have been running for its worker to count as sound. Workers that
 	// fail every task mostly do so within 1 s of the start.
-	recoveryTime = 2 * time.Second
+	recoveryTime = time.Second
 
 	// failureWindow is the longest time between failures that count as consecutive. It is longer than
 	// repeatQuarantine, so that a worker that fails again after a quarantine is still known.
@@ -33,10 +33,13 @@
 	failedAt      bootclock.Time // when the last of these failures was recorded
 	lastFailedJob workflow.JobID // job of the last failure; a job that can never succeed fails with many tasks and counts once
 	until         bootclock.Time
-	lastCounted   uint64 // number of the last end that was counted
+	nextStart     bootclock.Time // no restart before this time while the quarantine lasts
+	lastCounted   uint64         // number of the last end that was counted
 }
 
-func (q *quarantine) recordSuccess() { q.consecutive, q.until, q.lastFailedJob = 0, 0, "" }
+func (q *quarantine) recordSuccess() {
+	q.consecutive, q.until, q.nextStart, q.lastFailedJob = 0, 0, 0, ""
+}
 
 // recordAtWork records that a task started at the given time is at work. If it has outlived recoveryTime and was
 // started after the last failure, the worker has recovered: long-running tasks never complete, so their
@@ -71,6 +74,19 @@
 	return true
 }
 
+// recordRestart records that a task is restarted on the quarantined worker.
+func (q *quarantine) recordRestart(now bootclock.Time) {
+	q.nextStart = now.Add(quarantineStartInterval)
+}
+
+// allowsRestart reports whether a task may be restarted on the quarantined worker.
+func (q *quarantine) allowsRestart(now bootclock.Time) bool { return now >= q.nextStart }
+
+// onProbation reports whether a restart on the quarantined worker may soon show that it has recovered.
+func (q *quarantine) onProbation(now bootclock.Time) bool {
+	return q.active(now) && now < q.nextStart.Add(recoveryTime)
+}
+
 func (q *quarantine) active(now bootclock.Time) bool { return now < q.until }
 
 // stalled records that a task makes no progress and quarantines the worker.
--- a/daemon/fleet/session.go
+++ b/daemon/fleet/session.go
@@ -22,6 +22,9 @@
 	// holdWaitIsolated replaces holdWait while no task may start beside a suspect, which the next list
 	// may show to have survived.
 	holdWaitIsolated = 250 * time.Millisecond
+	// holdWaitProbation replaces holdWait after a restart on a quarantined worker, whose next list may
+	// show that the worker has recovered.
+	holdWaitProbation = 500 * time.Millisecond
 	// maxColocatedHoldRate limits the hold calls per second to all such workers together. At 1,225 per
 	// second, to 490 workers, the calls delayed short jobs at the leader.
 	maxColocatedHoldRate = 600
@@ -185,6 +188,9 @@
 	if s.isolated {
 		call.Wait = min(call.Wait, model.Millis(holdWaitIsolated.Milliseconds()))
 	}
+	if s.quarantine.onProbation(now) {
+		call.Wait = min(call.Wait, model.Millis(holdWaitProbation.Milliseconds()))
+	}
 	if len(s.ends) > 0 {
 		call.Wait = 0
 	}
