Log how many workers are quarantined when tasks wait

Cause: `tasks wait` said `no worker has the capacity free` also where the workers with free capacity were quarantined, so the log did not tell a full service from one whose workers are left out. Change: the line has the field `quarantined`. Evidence: the new test fails without the change; the line has no such field.

--- a/daemon/fleet/waits.go
+++ b/daemon/fleet/waits.go
@@ -48,7 +48,7 @@
 			logger = &l.logger // few steps are long-running, and their callers see each one that is down
 		}
 		logger.Info().Str("job", string(w.Job)).Int("occurrence", w.Occurrence).Int("step", w.Step).Stringer("reason", w.Reason).
-			Int("restarts", w.Restarts).Int64("waited_ms", now.Sub(entry.since).Milliseconds()).Int("workers", len(l.sessions)).Int("waiting", len(waits)).Msg("tasks wait")
+			Int("restarts", w.Restarts).Int64("waited_ms", now.Sub(entry.since).Milliseconds()).Int("workers", len(l.sessions)).Int("quarantined", l.quarantinedWorkers(now)).Int("waiting", len(waits)).Msg("tasks wait")
 	}
 	for key, entry := range l.waits {
 		if !entry.seen {
@@ -57,3 +57,13 @@
 		entry.seen = false
 	}
 }
+
+func (l *leadership) quarantinedWorkers(now bootclock.Time) int {
+	count := 0
+	for _, s := range l.sessions {
+		if s.quarantine.active(now) {
+			count++
+		}
+	}
+	return count
+}
--- a/daemon/fleet/waits_test.go
+++ b/daemon/fleet/waits_test.go
@@ -9,6 +9,7 @@
 	"github.com/rs/zerolog"
 
 	"samphirepaddle.example/core/dispatch"
+	"samphirepaddle.example/core/workflow"
 	"samphirepaddle.example/daemon/bootclock"
 )
 
@@ -57,3 +58,18 @@
 		}
 	}
 }
+
+// Guards against a wait whose log line does not tell that workers are left out for a quarantine.
+func TestWaitsTellHowManyWorkersAreQuarantined(t *testing.T) {
+	var out bytes.Buffer
+	begin := bootclock.Now()
+	sound, failing := &session{}, &session{}
+	failing.quarantine.stalled(begin)
+	l := &leadership{logger: zerolog.New(&out), waits: map[waitKey]*waitLog{}, sessions: map[workflow.Incarnation]*session{{Worker: "a"}: sound, {Worker: "b"}: failing}}
+	waits := []dispatch.WaitingStep{{Job: "j", Reason: dispatch.WaitNoCapacity, Restarts: 1}}
+	l.logWaits(waits, begin)
+	l.logWaits(waits, begin.Add(minLoggedWait))
+	if !strings.Contains(out.String(), `"workers":2,"quarantined":1`) {
+		t.Errorf("the log is %q, want 1 of 2 workers quarantined", out.String())
+	}
+}
