Remember a gang that fails at its start while it waits

Callers would see: sound tasks that stay down because a gang that fails at each start takes the room before them. Cause: a restart was recorded when its task was placed, also if the placement of its gang was undone in the same pass. The record that the gang fails at its start was lost, and it had its early turn again. Change: restarts are recorded once the placement of their step stands. Evidence: TestGangThatFailsAtItsStartIsRememberedWhileItWaits fails before ("the gang is not known to fail at its start after a pass that placed nothing") and passes now.

--- a/core/dispatch/plan.go
+++ b/core/dispatch/plan.go
@@ -124,6 +124,7 @@
 	spec := &q.Job.Steps[ready.step]
 	starved := p.starved(q)
 	first := len(p.assignments)
+	defer func() { p.recordRestarts(spec, ready.tasks, first) }()
 	minAttempt := uint32(0)
 	if spec.Gang {
 		minAttempt = nextGangAttempt(q, ready.step)
@@ -167,9 +168,6 @@
 			ranked.update(best)
 		}
 		starved = false
-		if spec.LongRunning && waiting.task.Attempt > 0 {
-			p.restarts.record(key, waiting.task, p.now)
-		}
 		number := max(minAttempt, waiting.task.Attempt+1)
 		p.assignments = append(p.assignments, workflow.Assignment{
 			Attempt: workflow.Attempt{Task: key, Number: number}, Incarnation: best.worker.Incarnation,
--- a/core/dispatch/restart_test.go
+++ b/core/dispatch/restart_test.go
@@ -165,3 +165,24 @@
 	}
 	return newSnapshot(workers, jobs...)
 }
+
+// Guards against a gang that comes before sound tasks again because a pass could place only a part of it.
+func TestGangThatFailsAtItsStartIsRememberedWhileItWaits(t *testing.T) {
+	spec := workflow.StepSpec{Count: 2, CPUMillis: 1000, LongRunning: true, Gang: true}
+	job := testJob("gang", 0, spec)
+	job.Runs = map[int]*workflow.Run{0: {Steps: []workflow.StepRun{{Tasks: []workflow.Task{
+		{Attempt: 2, Failures: 2, WaitingAt: 900}, {Attempt: 2, Failures: 1, WaitingAt: 900},
+	}}}}}
+	state := NewPlannerState()
+	for i := range 2 {
+		state.RestartHistory.record(workflow.TaskKey{Job: "gang", Index: i}, workflow.Task{Failures: 1}, 500)
+	}
+	snapshot := newSnapshot([]*Worker{testWorker("w", 1000, 1000)}, job)
+	snapshot.Now = 1000
+	if assigned, _ := Plan(snapshot, state); len(assigned) != 0 {
+		t.Fatalf("%d tasks were assigned, want 0", len(assigned))
+	}
+	if _, failing := state.RestartHistory.failingSince(snapshot.PendingRuns[0]); !failing {
+		t.Error("the gang is not known to fail at its start after a pass that placed nothing")
+	}
+}
--- a/core/dispatch/restarts.go
+++ b/core/dispatch/restarts.go
@@ -37,6 +37,20 @@
 	h.restarts[key] = restart{now, task.Failures}
 }
 
+// recordRestarts notes which tasks of a step are restarted by the assignments from the index on. An
+// assignment of a gang that was undone does not count.
+func (p *pass) recordRestarts(spec *workflow.StepSpec, tasks []readyTask, from int) {
+	if !spec.LongRunning {
+		return
+	}
+	for _, a := range p.assignments[from:] {
+		i := slices.IndexFunc(tasks, func(t readyTask) bool { return t.index == a.Attempt.Task.Index })
+		if tasks[i].task.Attempt > 0 {
+			p.restarts.record(a.Attempt.Task, tasks[i].task, p.now)
+		}
+	}
+}
+
 // forgetOld drops the restarts that no longer matter.
 func (h *RestartHistory) forgetOld(now model.Millis) {
 	for key, r := range h.restarts {
