Keep workers in view that fail tasks after they were at work

Callers would see: their tasks fail one after the other on a worker that is never quarantined. Cause: a task that was at work for 1 s reset the count of failures, also before the worker was quarantined, so a worker that fails its tasks after 1.5 s never reached three. Change: such a task ends a quarantine and leaves the count one below the limit, so that the next failure quarantines the worker again. A completed task still resets it. Evidence: TestWorkerThatFailsItsTasksLateIsQuarantined fails before ("0 of 20 failures in a row quarantine the worker, want 18") and passes now, as do the tests of quarantines and restarts.

--- a/daemon/fleet/quarantine.go
+++ b/daemon/fleet/quarantine.go
@@ -29,7 +29,7 @@
 // quarantine tracks the recent task outcomes on one worker process. No task starts there before
 // until.
 type quarantine struct {
-	consecutive   int            // jobs with a failed task since a task last completed or recovered the worker
+	consecutive   int            // jobs with a failed task since a task last completed
 	failedAt      bootclock.Time // when the last of these failures was recorded
 	lastFailedJob workflow.JobID // job of the last failure; a job that can never succeed fails with many tasks and counts once
 	until         bootclock.Time
@@ -42,15 +42,15 @@
 }
 
 // recordAtWork records that a task started at the given time is at work. If it has outlived recoveryTime and was
-// started after the last failure, the worker has recovered: long-running tasks never complete, so their
-// runs are the only evidence where no other tasks start. It reports whether a quarantine ends.
+// started after the last failure, the quarantine ends: long-running tasks never complete, so their runs
+// are the only evidence where no other tasks start. One more failure quarantines the worker again,
+// because tasks may also fail later than recoveryTime. It reports whether a quarantine ends.
 func (q *quarantine) recordAtWork(startedAt, now bootclock.Time) bool {
-	if q.consecutive == 0 || startedAt <= q.failedAt || now.Sub(startedAt) < recoveryTime {
+	if !q.active(now) || startedAt <= q.failedAt || now.Sub(startedAt) < recoveryTime {
 		return false
 	}
-	ends := q.active(now)
-	q.recordSuccess()
-	return ends
+	q.consecutive, q.until, q.nextStart = quarantineThreshold-1, 0, 0
+	return true
 }
 
 // recordFailure counts a failed task and reports whether the worker is quarantined for it.
--- a/daemon/fleet/quarantine_test.go
+++ b/daemon/fleet/quarantine_test.go
@@ -1,6 +1,7 @@
 package fleet
 
 import (
+	"fmt"
 	"testing"
 	"time"
 
@@ -155,3 +156,21 @@
 		}
 	}
 }
+
+// Guards against a worker that is never quarantined because its tasks fail only after they were at work for a
+// while.
+func TestWorkerThatFailsItsTasksLateIsQuarantined(t *testing.T) {
+	var q quarantine
+	now, quarantined := bootclock.Time(time.Minute), 0
+	for i := range 20 {
+		started := now.Add(10 * time.Millisecond)
+		q.recordAtWork(started, started.Add(recoveryTime+100*time.Millisecond))
+		now = started.Add(recoveryTime + 500*time.Millisecond)
+		if q.recordFailure(workflow.JobID(fmt.Sprint("j", i)), now) {
+			quarantined++
+		}
+	}
+	if want := 20 - quarantineThreshold + 1; quarantined != want {
+		t.Errorf("%d of 20 failures in a row quarantine the worker, want %d", quarantined, want)
+	}
+}
