Do not count a crash for attempts that a silent worker had ended

Callers could see a sound job as failed without a crash under its task: a worker is silent until the leases on it expire, answers again, and crashes later, for any reason, while the task runs elsewhere. After three such workers the task was given up.

Attempts that are lost by silence are kept with the worker, because the process may turn out to have ended with them. They were kept for as long as the process lived, also after it had answered and so had survived them. The leader now records such an answer, which drops them. An answer counts if it is more recent than the shortest silence that loses an attempt, so it can only be later than the loss.

Failed before: core/workflow TestLapsedAttemptsDoNotCountOnceTheWorkerHasAnswered ("job j is failed, want running", under another id and under the same one) and daemon/fleet TestCrashAfterSilenceDoesNotCountForStoppedTask ("the job is failed, although no worker has crashed under its task"). Both pass now. The random commands of core/workflow include the answer.

--- a/core/workflow/apply.go
+++ b/core/workflow/apply.go
@@ -123,6 +123,9 @@
 	for _, end := range b.Ends {
 		s.recordEnd(now, end)
 	}
+	for _, incarnation := range b.Answered {
+		s.recordAnswer(incarnation)
+	}
 	for _, silent := range b.Lapsed {
 		s.recordLapsed(silent)
 	}
--- a/core/workflow/commands.go
+++ b/core/workflow/commands.go
@@ -24,6 +24,9 @@
 	Assign  []Assignment  `cbor:"4,keyasint,omitempty"`
 	Crashes []Crash       `cbor:"5,keyasint,omitempty"` // worker processes that have ended unannounced; applied before Lost
 	Lapsed  []Crash       `cbor:"6,keyasint,omitempty"` // silent workers, whose attempts Lost closes; applied before Lost
+
+	// Answered are the worker processes that have answered since their attempts lapsed; applied before Lapsed.
+	Answered []Incarnation `cbor:"7,keyasint,omitempty"`
 }
 
 // EndKind tells how an attempt ended on its worker.
--- a/core/workflow/crash.go
+++ b/core/workflow/crash.go
@@ -96,6 +96,13 @@
 	}
 }
 
+// recordAnswer forgets the attempts that were lost while the worker was silent: it has survived them.
+func (s *State) recordAnswer(incarnation Incarnation) {
+	if worker, ok := s.Workers[incarnation.Worker]; ok && worker.Incarnation == incarnation {
+		worker.Lapsed = nil
+	}
+}
+
 // recordCrash counts the crash of a worker process for the tasks on it. Each process counts once,
 // and so does each attempt, because a batch may be applied again.
 func (s *State) recordCrash(now model.Millis, c Crash) {
--- a/core/workflow/crash_test.go
+++ b/core/workflow/crash_test.go
@@ -174,6 +174,29 @@
 	r.wantStatus("j", StatusFailed)
 }
 
+// Guards against a crash that counts for attempts that had ended before: the worker was silent, and has
+// answered since.
+func TestLapsedAttemptsDoNotCountOnceTheWorkerHasAnswered(t *testing.T) {
+	for _, sameID := range []bool{false, true} {
+		r := newCrashRig(t)
+		submit(t, r.state, "j", StepSpec{Count: 1, LongRunning: true})
+		for range 2 * maxCrashes {
+			c := r.start(key("j", 0, 0))
+			r.apply(Batch{Lapsed: []Crash{c}, Lost: lossesOf(c)})
+			r.apply(Batch{Answered: []Incarnation{c.Incarnation}})
+			r.restart()
+			crash := Batch{Crashes: []Crash{{Incarnation: c.Incarnation}}}
+			if sameID {
+				next := *r.state.Workers[c.Incarnation.Worker]
+				next.Incarnation.StartedAt += 1000
+				crash = Batch{Workers: []Worker{next}}
+			}
+			r.apply(crash)
+		}
+		r.wantStatus("j", StatusRunning)
+	}
+}
+
 // Guards against crashes that are overlooked because the worker starts again under its id.
 func TestCrashesOfOneWorkerUnderItsIDCount(t *testing.T) {
 	for _, draining := range []bool{false, true} {
--- a/core/workflow/property_test.go
+++ b/core/workflow/property_test.go
@@ -113,6 +113,10 @@
 	m.apply(t, Command{Batch: &Batch{Crashes: []Crash{c}, Lost: lossesOf(c)}})
 }
 
+func (m *machine) Answer(t *rapid.T) {
+	m.apply(t, Command{Batch: &Batch{Answered: []Incarnation{m.drawIncarnation(t)}}})
+}
+
 // Check verifies the invariants of the state.
 func (m *machine) Check(t *rapid.T) {
 	open := map[TaskKey]int{}
@@ -213,7 +217,7 @@
 		m := &machine{state: New(), endNumbers: map[Incarnation]uint64{}, lastAttempt: map[TaskKey]uint32{}, done: map[TaskKey]bool{}}
 		t.Repeat(map[string]func(*rapid.T){
 			"submit": m.Submit, "cancel": m.Cancel, "report": m.Report,
-			"assign": m.Assign, "assign again": m.Assign, "end": m.End, "lose": m.Lose, "crash": m.Crash, "": m.Check,
+			"assign": m.Assign, "assign again": m.Assign, "end": m.End, "lose": m.Lose, "crash": m.Crash, "answer": m.Answer, "": m.Check,
 		})
 	})
 }
--- a/daemon/fleet/crash.go
+++ b/daemon/fleet/crash.go
@@ -25,6 +25,17 @@
 	}
 }
 
+// addAnswers adds the worker processes to the batch that have answered since their attempts were lost
+// by silence. An answer within unreachableAfter is later than the loss, which follows a longer silence.
+func (l *leadership) addAnswers(workflows *workflow.State, now bootclock.Time, p *passPlan) {
+	for _, id := range l.sortedWorkers(workflows) {
+		w := workflows.Workers[id]
+		if s := l.sessions[w.Incarnation]; len(w.Lapsed) > 0 && s != nil && !s.replaced && s.answeredAt != 0 && now.Sub(s.answeredAt) < unreachableAfter {
+			p.batch.Answered = append(p.batch.Answered, w.Incarnation)
+		}
+	}
+}
+
 // announcedEnd reports whether the worker process has announced that it leaves, in a recorded report
 // or in one that waits for the next commit.
 func (l *leadership) announcedEnd(w *workflow.Worker) bool {
--- a/daemon/fleet/crash_test.go
+++ b/daemon/fleet/crash_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"slices"
 	"sync"
 	"testing"
 	"time"
@@ -36,7 +37,6 @@
 	id := fmt.Sprintf("w%d", p.next)
 	p.mu.Unlock()
 	w := p.rig.workers.add(id, model.Millis(1))
-	w.worker.Addr = addr
 	w.delayStart = func(a workflow.Attempt) bool {
 		if a.Task.Job != "poison" {
 			return false
@@ -44,10 +44,7 @@
 		go p.crash(w)
 		return true
 	}
-	p.rig.workers.mu.Lock()
-	delete(p.rig.workers.byAddr, "addr-"+id)
-	p.rig.workers.byAddr[addr] = w
-	p.rig.workers.mu.Unlock()
+	p.rig.workers.move(w, addr)
 	p.rig.report(w)
 }
 
@@ -103,6 +100,42 @@
 	}
 }
 
+// Guards against a task that is given up for crashes of workers that had stopped it before: they were
+// silent, answered again, and crashed when it ran elsewhere.
+func TestCrashAfterSilenceDoesNotCountForStoppedTask(t *testing.T) {
+	r := newRig(t)
+	workers := []*fakeWorker{r.addWorker("a", 1), r.addWorker("b", 1), r.addWorker("c", 1), r.addWorker("d", 1)}
+	r.submit("j", workflow.StepSpec{Count: 1, CPUMillis: 100, LongRunning: true})
+	running := func() *fakeWorker { return soleRunner(workers...) }
+	for range len(workers) - 1 {
+		r.until("a worker runs the task", func() bool { return running() != nil })
+		silent := running()
+		silent.withLock(func() { silent.silent = true })
+		workers = slices.DeleteFunc(workers, func(w *fakeWorker) bool { return w == silent })
+		r.until("another worker runs the task", func() bool { return running() != nil })
+		holds := silent.holdCount()
+		silent.withLock(func() {
+			silent.silent = false
+			for a := range silent.running {
+				silent.end(a, workflow.EndLeaseExpired)
+			}
+		})
+		r.until("the worker has answered", func() bool { return silent.holdCount() > holds+1 })
+		next := r.workers.add("next-"+string(silent.worker.Incarnation.Worker), 1)
+		r.workers.move(next, silent.worker.Addr)
+		r.report(next)
+		r.until("the crash is recorded", func() bool { return r.crashed(silent) })
+	}
+	if status := r.status("j"); status != workflow.StatusRunning {
+		t.Errorf("the job is %s, although no worker has crashed under its task", status)
+	}
+}
+
+func (r *rig) crashed(w *fakeWorker) (crashed bool) {
+	r.log.View(func(st *state.State) { crashed = st.Workflows.Workers[w.worker.Incarnation.Worker].Crashed })
+	return crashed
+}
+
 // maxSilences exceeds the number of crashes after which a sole suspect is given up.
 const maxSilences = 4
 
--- a/daemon/fleet/fakeworker_test.go
+++ b/daemon/fleet/fakeworker_test.go
@@ -65,6 +65,15 @@
 	return w
 }
 
+// move makes the worker listen at the address in place of the one that does.
+func (f *fakeWorkers) move(w *fakeWorker, addr string) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	delete(f.byAddr, w.worker.Addr)
+	w.worker.Addr = addr
+	f.byAddr[addr] = w
+}
+
 func (f *fakeWorkers) find(to Endpoint) (*fakeWorker, error) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
