Hold a task back while the crashes under it are not proven

Callers whose tasks share workers with a task that crashes its workers lost more of them than the limit allows: a crash counts once another process answers at the worker's address, and until then the attempt was lost by silence, counted for nothing, and was started elsewhere. With workers that return after 20 s or later, a task was started six and seven times before three crashes were proven.

The planner now leaves out a task under which three workers have crashed or fell silent within 0.5 s of its start, if any of these is not explained yet. It waits for 10 s after the last loss, and twice as long after each further one, at most 60 s. The job is not given up before the crashes are proven, and a sound task that was lost with silent workers starts again after that time, or at once when they answer, when they turn out to have left, or when another attempt has shown that workers survive the task. All of it is computed from replicated state, so that a change of leader keeps it; no command changes its form.

--- a/core/dispatch/isolation_test.go
+++ b/core/dispatch/isolation_test.go
@@ -74,6 +74,7 @@
 	startsAt map[workflow.Attempt]model.Millis
 	worker   int // number of the next worker
 	ends     map[workflow.Incarnation]uint64
+	down     map[workflow.Incarnation]bool // silent workers whose crash is not proven
 }
 
 const (
@@ -89,7 +90,7 @@
 func newCrashSim(seed uint64) *crashSim {
 	s := &crashSim{
 		random: rand.New(rand.NewPCG(seed, 1)), state: workflow.New(), planner: NewPlannerState(), deadly: map[workflow.TaskKey]bool{},
-		starts: map[workflow.TaskKey]int{}, startsAt: map[workflow.Attempt]model.Millis{}, ends: map[workflow.Incarnation]uint64{},
+		starts: map[workflow.TaskKey]int{}, startsAt: map[workflow.Attempt]model.Millis{}, ends: map[workflow.Incarnation]uint64{}, down: map[workflow.Incarnation]bool{},
 		routing: &model.Routing{
 			Routes:   []model.Route{{Name: "q", Host: "h", PathPrefix: "/q/", Service: "s", TimeoutMs: 1000, MaxAttempts: 3, SlackFactor: 2}},
 			Services: []model.WorkerService{{Name: "s"}},
@@ -145,7 +146,7 @@
 
 // plan plans a pass and applies its assignments. It returns the workers on which a deadly task started.
 func (s *crashSim) plan() map[workflow.Incarnation]bool {
-	p := &Snapshot{Now: s.now}
+	p := &Snapshot{Now: s.now, HeldBack: s.state.HeldBack(s.now)}
 	for _, incarnation := range s.liveWorkers() {
 		w := s.state.Workers[incarnation.Worker]
 		d := &Worker{Worker: *w, Usable: true}
@@ -172,7 +173,7 @@
 func (s *crashSim) liveWorkers() []workflow.Incarnation {
 	var live []workflow.Incarnation
 	for _, w := range s.state.Workers {
-		if !w.Crashed {
+		if !w.Crashed && !s.down[w.Incarnation] {
 			live = append(live, w.Incarnation)
 		}
 	}
@@ -252,3 +253,24 @@
 	}
 	t.Logf("%d crashes by tasks, %d jobs given up", crashes, givenUp)
 }
+
+// Guards against a task that starts while it is held back, and against others that wait with it: only
+// the rest of its gang does.
+func TestHeldBackTaskDoesNotStart(t *testing.T) {
+	for _, gang := range []bool{false, true} {
+		p := &Snapshot{Workers: []*Worker{freeWorker("a", 0)}, HeldBack: map[workflow.TaskKey]bool{{Job: "j", Index: 1}: true}}
+		p.PendingRuns = []PendingRun{suspectJob("j", workflow.StepSpec{Count: 3, CPUMillis: 100, Gang: gang})}
+		assigned, waits := Plan(p, NewPlannerState())
+		var started []int
+		for _, a := range assigned {
+			started = append(started, a.Attempt.Task.Index)
+		}
+		want := []int{0, 2}
+		if gang {
+			want = nil
+		}
+		if !slices.Equal(started, want) || len(waits) != 1 || waits[0].Reason != WaitBackoff {
+			t.Errorf("gang %v: tasks %v start and %v wait, want %v and the one that is held back", gang, started, waits, want)
+		}
+	}
+}
--- a/core/dispatch/plan.go
+++ b/core/dispatch/plan.go
@@ -12,7 +12,7 @@
 // has an entry for each step with a task that could not be placed, with the reason of the first
 // such task.
 func Plan(p *Snapshot, state *PlannerState) (assign []workflow.Assignment, waits []WaitingStep) {
-	pass := &pass{now: p.Now, interference: state.InterferenceModel, starvationTimeout: starvationTimeout(p), firstStartBudget: state.ShortTaskReserve.firstStartBudget(p)}
+	pass := &pass{now: p.Now, heldBack: p.HeldBack, interference: state.InterferenceModel, starvationTimeout: starvationTimeout(p), firstStartBudget: state.ShortTaskReserve.firstStartBudget(p)}
 	for _, w := range p.Workers {
 		switch {
 		case w.Usable:
@@ -37,6 +37,7 @@
 // pass is the working state of one call of Plan.
 type pass struct {
 	now               model.Millis
+	heldBack          map[workflow.TaskKey]bool
 	interference      *InterferenceModel
 	starvationTimeout model.Millis
 	firstStartBudget  map[string]int64 // for first starts of long-running tasks, by service
@@ -100,7 +101,9 @@
 	})
 	for _, ready := range steps {
 		ready.putRestartsFirst()
-		p.placeStep(q, ready)
+		if p.dropHeldBack(q, &ready); len(ready.tasks) > 0 {
+			p.placeStep(q, ready)
+		}
 	}
 }
 
--- a/core/dispatch/wait.go
+++ b/core/dispatch/wait.go
@@ -16,6 +16,7 @@
 	WaitInterference                       // the task would interfere with serving tasks
 	WaitNoSpareCPU                         // no spare CPU is expected on any worker
 	WaitShortTaskReserve                   // the remaining cores are reserved for short tasks
+	WaitBackoff                            // several workers may have crashed under the task; the next start waits for proof
 )
 
 // String returns the reason as written in log lines.
@@ -24,6 +25,7 @@
 		"no worker takes tasks", "no worker has the required label", "no worker has the capacity free", "max_per_worker is reached on each worker with free capacity",
 		"each worker with free capacity has just started a task that is suspected of crashing workers",
 		"it would interfere with serving tasks", "no spare CPU", "the remaining cores are reserved for short tasks",
+		"several workers fell silent after they started the task",
 	}[r]
 }
 
--- a/core/workflow/apply.go
+++ b/core/workflow/apply.go
@@ -265,6 +265,7 @@
 	task := &job.Runs[key.Occurrence].Steps[key.Step].Tasks[key.Index]
 	if kind == EndDone || kind == EndFailed {
 		job.clearSuspicion(key) // the worker has survived the attempt
+		s.forgetLapsed(key)
 	}
 	switch kind {
 	case EndDone:
--- a/core/workflow/crash.go
+++ b/core/workflow/crash.go
@@ -163,6 +163,7 @@
 		case !ok || !job.validKey(key):
 		case a.RanMs >= soundRunTime:
 			job.clearSuspicion(key)
+			s.forgetLapsed(key)
 		case job.suspectIndex(key) < 0:
 			job.Suspects = append(job.Suspects, Suspect{Occurrence: key.Occurrence, Step: key.Step, Index: key.Index})
 		}
--- a/daemon/fleet/crash_test.go
+++ b/daemon/fleet/crash_test.go
@@ -20,6 +20,8 @@
 	mu      sync.Mutex
 	next    int
 	crashes int
+	stay    bool     // workers that crash are not replaced
+	vacant  []string // addresses of workers that crashed and were not replaced
 }
 
 func newCrashingPool(r *rig, workers int) *crashingPool {
@@ -51,8 +53,15 @@
 func (p *crashingPool) crash(w *fakeWorker) {
 	p.mu.Lock()
 	p.crashes++
+	stay := p.stay
+	if stay {
+		p.vacant = append(p.vacant, w.worker.Addr)
+	}
 	p.mu.Unlock()
 	w.withLock(func() { w.silent = true })
+	if stay {
+		return
+	}
 	time.Sleep(crashedFor)
 	p.replace(w.worker.Addr)
 }
@@ -100,6 +109,49 @@
 	}
 }
 
+// heldBackFor is much longer than a worker with room takes to start a task that waits.
+const heldBackFor = 1500 * time.Millisecond
+
+// Guards against a task that takes down worker after worker before any of their crashes is proven.
+func TestTaskIsHeldBackWhileItsWorkersAreSilent(t *testing.T) {
+	for _, leaderChanges := range []bool{false, true} {
+		t.Run(fmt.Sprintf("leader changes %v", leaderChanges), func(t *testing.T) {
+			r := newRig(t)
+			p := newCrashingPool(r, 6)
+			p.stay = true
+			r.submit("poison", workflow.StepSpec{Count: 1, CPUMillis: 100})
+			if leaderChanges {
+				r.until("two workers have crashed", func() bool { return p.crashCount() == 2 })
+				r.stop()
+				r.startEngine()
+			}
+			r.until("three workers have crashed and the task waits", func() bool { return p.crashCount() > 3 || r.waitsAfter("poison", 3) })
+			time.Sleep(heldBackFor)
+			if crashes := p.crashCount(); crashes != 3 {
+				t.Fatalf("%d workers crashed under the task before any crash was proven, want 3", crashes)
+			}
+			for _, addr := range p.vacant {
+				p.replace(addr)
+			}
+			r.until("the job has failed", func() bool { return r.status("poison") == workflow.StatusFailed || p.crashCount() > 3 })
+			if crashes := p.crashCount(); crashes != 3 {
+				t.Errorf("%d workers crashed under the task, want 3", crashes)
+			}
+		})
+	}
+}
+
+// waitsAfter reports whether the only task of the job waits after the attempt.
+func (r *rig) waitsAfter(job workflow.JobID, attempt uint32) (waits bool) {
+	r.log.View(func(st *state.State) {
+		if run := st.Workflows.Jobs[job].Runs[0]; run != nil {
+			task := run.Steps[0].Tasks[0]
+			waits = task.Phase == workflow.TaskWaiting && task.Attempt == attempt
+		}
+	})
+	return waits
+}
+
 // Guards against a task that is given up for crashes of workers that had stopped it before: they were
 // silent, answered again, and crashed when it ran elsewhere.
 func TestCrashAfterSilenceDoesNotCountForStoppedTask(t *testing.T) {
--- a/daemon/fleet/pass.go
+++ b/daemon/fleet/pass.go
@@ -278,7 +278,7 @@
 func (l *leadership) plannerInput(st *state.State, now bootclock.Time) *dispatch.Snapshot {
 	workflows := st.Workflows
 	wall := model.Millis(time.Now().UnixMilli())
-	p := &dispatch.Snapshot{Now: wall}
+	p := &dispatch.Snapshot{Now: wall, HeldBack: workflows.HeldBack(wall)}
 	p.Workers = make([]*dispatch.Worker, 0, len(workflows.Workers))
 	for _, id := range l.sortedWorkers(workflows) {
 		w := workflows.Workers[id]
