Test starts against capacities that shrink and grow

TestShrunkWorkerKeepsItsTasksAndTakesNoOthers checks that nothing is stopped or started when the capacity shrinks below what runs, and that a job that waits starts once it has grown again.

--- a/daemon/fleet/capacity_test.go
+++ b/daemon/fleet/capacity_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"testing"
+	"time"
 
 	"samphirepaddle.example/core/state"
 	"samphirepaddle.example/core/workflow"
@@ -104,3 +105,26 @@
 	r.log.View(func(st *state.State) { l.buildPlan(st, p) })
 	return p.batch.Assign
 }
+
+func TestShrunkWorkerKeepsItsTasksAndTakesNoOthers(t *testing.T) {
+	r := newRig(t)
+	w := r.addWorker("a", 1)
+	r.submit("runs", workflow.StepSpec{Count: 3, CPUMillis: 1000, LongRunning: true})
+	r.until("the tasks run", func() bool { return len(w.runningAttempts()) == 3 })
+	r.reportCapacity(w, 2, 500)
+	r.submit("waits", workflow.StepSpec{Count: 1, CPUMillis: 400})
+	r.until("the leader has seen the tasks and the job in some passes", func() bool { return w.holdCount() > 100 })
+	if attempts := w.runningAttempts(); len(attempts) != 3 || w.startedAttempts() != 3 {
+		t.Errorf("%d attempts run and %d were started after the capacity shrank, want the same 3", len(attempts), w.startedAttempts())
+	}
+	r.reportCapacity(w, 3, 0)
+	r.reportCapacity(w, 4, 4000)
+	grown := time.Now()
+	r.until("the job runs", func() bool { return len(w.runningAttempts()) == 4 })
+	if waited := time.Since(grown); waited > growthDelay {
+		t.Errorf("the job was started %v after the capacity grew", waited)
+	}
+}
+
+// growthDelay is much longer than a pass and its commit take.
+const growthDelay = 2 * time.Second
