Count a late crash beside a task that starts for the first time

A task that crashes its workers 0.6 s after its start was started up to twelve times: callers of the tasks beside it lost that many workers. A crash did not count for attempts that ran for longer than 0.5 s if exactly one other attempt was younger, which on a busy worker is often an innocent one. Such an attempt now explains the crash only if its task was suspect at an earlier crash. Suspects start alone, so for those the explanation is right.

Failed before: TestLateCrashIsNotExplainedByTaskThatJustStarted ("job late is running, want failed", after five crashes). TestRepeatedSuspectExplainsCrash passes before and after.

--- a/core/workflow/crash.go
+++ b/core/workflow/crash.go
@@ -127,8 +127,10 @@
 // no crash.
 func (w *Worker) announcedEnd() bool { return w.Draining || w.Deregistered }
 
-// countCrash counts one crash for the attempts, and gives up the tasks that are over the limits. A
-// sole suspect explains the crash, so it does not count for those that ran for longer.
+// countCrash counts one crash for the attempts, and gives up the tasks that are over the limits. A sole
+// suspect that was suspect before explains the crash, so it does not count for those that ran for
+// longer. A task that starts for the first time explains none: on a busy worker there nearly always is
+// one, and a task that crashes its workers late would never be counted.
 func (s *State) countCrash(now model.Millis, attempts []CrashedAttempt) {
 	var recent []*Suspect
 	for _, a := range attempts {
@@ -143,8 +145,9 @@
 	if sole != nil {
 		sole.Sole++
 	}
+	explained := sole != nil && sole.Suspicions > 1
 	for _, a := range attempts {
-		if suspect := s.suspectOf(a); suspect != nil && (sole == nil || a.RanMs < CrashWindow) {
+		if suspect := s.suspectOf(a); suspect != nil && (!explained || a.RanMs < CrashWindow) {
 			suspect.Crashed = append(suspect.Crashed, a.Attempt.Number)
 		}
 	}
--- a/core/workflow/crash_test.go
+++ b/core/workflow/crash_test.go
@@ -1,6 +1,7 @@
 package workflow
 
 import (
+	"fmt"
 	"testing"
 
 	"samphirepaddle.example/core/model"
@@ -106,6 +107,41 @@
 	r.wantStatus("a", StatusFailed)
 }
 
+// Guards against a task that crashes its workers some time after its start and is never counted, because
+// another task has just started there each time.
+func TestLateCrashIsNotExplainedByTaskThatJustStarted(t *testing.T) {
+	r := newCrashRig(t)
+	submit(t, r.state, "late", StepSpec{Count: 1})
+	submit(t, r.state, "sound", StepSpec{Count: maxCrashes})
+	for i := range maxCrashes {
+		r.wantStatus("late", map[bool]JobStatus{true: StatusQueued, false: StatusRunning}[i == 0])
+		c := r.start(key("late", 0, 0), key("sound", 0, i))
+		c.Attempts[0].RanMs = CrashWindow
+		r.apply(Batch{Crashes: []Crash{c}, Lost: lossesOf(c)})
+	}
+	r.wantStatus("late", StatusFailed)
+	r.wantStatus("sound", StatusRunning)
+}
+
+// Guards against sound tasks that are given up because tasks that have crashed workers before crash
+// theirs, again and again.
+func TestRepeatedSuspectExplainsCrash(t *testing.T) {
+	r := newCrashRig(t)
+	submit(t, r.state, "sound", StepSpec{Count: 1, LongRunning: true})
+	for i := range 2 * maxCrashes {
+		poison := fmt.Sprintf("poison%d", i)
+		submit(t, r.state, poison, StepSpec{Count: 1})
+		r.crash(key(poison, 0, 0))
+		for range minCrashes - 1 {
+			c := r.start(key("sound", 0, 0), key(poison, 0, 0))
+			c.Attempts[0].RanMs = CrashWindow
+			r.apply(Batch{Crashes: []Crash{c}, Lost: lossesOf(c)})
+		}
+		r.wantStatus(JobID(poison), StatusFailed)
+	}
+	r.wantStatus("sound", StatusRunning)
+}
+
 // Guards against sound tasks that are given up because they ran beside a crashing task each time.
 func TestLongRunBeforeCrashClearsSuspicion(t *testing.T) {
 	r := newCrashRig(t)
