Test that a gang that crashes its workers is given up

The members of a gang start together, so that a crash may have several suspects, and the other members end as broken without a crash. A gang of which one member, or each, crashes a worker of its own is given up after three starts, one that runs on a single worker after five. Passes on the code as it is.

--- a/core/workflow/crash_test.go
+++ b/core/workflow/crash_test.go
@@ -142,6 +142,58 @@
 	r.wantStatus("sound", StatusRunning)
 }
 
+// Guards against a gang that is started again and again although one of its members, or all of them,
+// crash their workers: the others end without a crash.
+func TestGangThatCrashesItsWorkersIsGivenUp(t *testing.T) {
+	for name, c := range map[string]struct{ workers, crashing, starts int }{
+		"a member on a worker of its own": {4, 1, minCrashes}, "all members on workers of their own": {4, 4, minCrashes},
+		"all members on one worker": {1, 1, maxCrashes},
+	} {
+		t.Run(name, func(t *testing.T) {
+			r := newCrashRig(t)
+			submit(t, r.state, "gang", StepSpec{Count: 4, Gang: true})
+			for range c.starts {
+				r.wantStatus("gang", map[bool]JobStatus{true: StatusQueued, false: StatusRunning}[r.workers == 0])
+				r.crashGang("gang", 4, c.workers, c.crashing)
+			}
+			r.wantStatus("gang", StatusFailed)
+		})
+	}
+}
+
+// crashGang starts the members on as many new workers, of which the first ones crash. The members on the
+// others are broken.
+func (r *crashRig) crashGang(job string, members, workers, crashing int) {
+	r.t.Helper()
+	onWorker := make([]Crash, workers)
+	number := uint32(r.workers + 1)
+	var b Batch
+	for i := range onWorker {
+		r.workers++
+		w := worker(fmt.Sprintf("w%d", r.workers), model.Millis(r.workers))
+		b.Workers = append(b.Workers, w)
+		onWorker[i].Incarnation = w.Incarnation
+	}
+	for i := range members {
+		c := &onWorker[i%workers]
+		a := Attempt{key(job, 0, i), number}
+		b.Assign = append(b.Assign, Assignment{Attempt: a, Incarnation: c.Incarnation})
+		c.Attempts = append(c.Attempts, CrashedAttempt{Attempt: a})
+	}
+	r.apply(b)
+	var ended Batch
+	for _, c := range onWorker[crashing:] {
+		for i, a := range c.Attempts {
+			ended.Ends = append(ended.Ends, End{Incarnation: c.Incarnation, Number: uint64(i + 1), Attempt: a.Attempt, Kind: EndGangBroken})
+		}
+	}
+	for _, c := range onWorker[:crashing] {
+		ended.Crashes = append(ended.Crashes, c)
+		ended.Lost = append(ended.Lost, lossesOf(c)...)
+	}
+	r.apply(ended)
+}
+
 // Guards against sound tasks that are given up because they ran beside a crashing task each time.
 func TestLongRunBeforeCrashClearsSuspicion(t *testing.T) {
 	r := newCrashRig(t)
