Treat a start that got no connection as not sent

A worker that has just crashed refuses connections until its next process listens. A start sent to it then counted as one that may have run: the task waited for about 3 s until the crash was proven, and the crash counted for it. Three such starts failed a sound job that had never run.

A call whose connection cannot be opened had no effect, so its attempt is closed at once and started elsewhere. The error is one of its own, not ErrNotSent, because it says something about the worker: hold calls still take it for a worker that does not answer. The worker gets no start for 1 s. Agents report the error with a new code, which leaders of earlier builds take for an unknown error, as before.

--- a/daemon/agent/wire.go
+++ b/daemon/agent/wire.go
@@ -137,7 +137,7 @@
 // knownErrors are the errors whose identity the leader needs. The order is part of the protocol.
 var knownErrors = []error{
 	fleet.ErrWrongWorker, fleet.ErrWorkerUnavailable, fleet.ErrFenced, fleet.ErrStaleAttempt,
-	fleet.ErrLeaseExpired, fleet.ErrNoCapacity, fleet.ErrMalformed, fleet.ErrNotSent,
+	fleet.ErrLeaseExpired, fleet.ErrNoCapacity, fleet.ErrMalformed, fleet.ErrNotSent, fleet.ErrUnreachable,
 }
 
 func (r *response) setError(err error) {
--- a/daemon/fleet/crash_test.go
+++ b/daemon/fleet/crash_test.go
@@ -109,6 +109,48 @@
 	}
 }
 
+// Guards against a task that is given up for crashes of workers that had ended before it was to start
+// there, and against one that waits until a worker that refuses connections is proven to have ended.
+func TestStartWithoutConnectionDoesNotCountAsCrash(t *testing.T) {
+	r := newRig(t)
+	ended := map[string]*fakeWorker{}
+	for i := range refusingWorkers {
+		w := r.addWorker(fmt.Sprintf("w%d", i), 1)
+		w.refusesStarts = true
+		ended[w.worker.Addr] = w
+	}
+	r.submit("j", workflow.StepSpec{Count: 1, CPUMillis: 100, LongRunning: true})
+	for len(ended) > 0 {
+		r.until("a start was refused", func() bool { return refusedBy(ended) != nil || r.status("j") == workflow.StatusFailed })
+		w := refusedBy(ended)
+		if w == nil {
+			t.Fatal("the job has failed, although its task never ran")
+		}
+		delete(ended, w.worker.Addr)
+		next := r.workers.add("next-"+string(w.worker.Incarnation.Worker), 1)
+		next.refusesStarts = true
+		r.workers.move(next, w.worker.Addr)
+		r.until("the crash is recorded", func() bool { return r.crashed(w) })
+	}
+	sound := r.addWorker("sound", 1)
+	r.until("the task runs", func() bool { return len(sound.runningAttempts()) == 1 })
+}
+
+// refusingWorkers exceeds the number of crashes after which any task is given up.
+const refusingWorkers = 6
+
+// refusedBy returns a worker that has refused a start, or nil.
+func refusedBy(workers map[string]*fakeWorker) (found *fakeWorker) {
+	for _, w := range workers {
+		w.withLock(func() {
+			if w.refused > 0 {
+				found = w
+			}
+		})
+	}
+	return found
+}
+
 // heldBackFor is much longer than a worker with room takes to start a task that waits.
 const heldBackFor = 1500 * time.Millisecond
 
--- a/daemon/fleet/fakeworker_test.go
+++ b/daemon/fleet/fakeworker_test.go
@@ -26,15 +26,17 @@
 	ends    []EndedAttempt
 	last    uint64 // number of the last end
 
-	tailMs     int64                       // tail latency of every running attempt
-	longPolls  bool                        // hold calls last for their full wait if there is no end to list
-	holds      int                         // number of hold calls
-	overlap    int                         // starts of a task while another attempt of it was running
-	silent     bool                        // responds to no calls
-	panics     bool                        // the next start panics after it was executed
-	delayStart func(workflow.Attempt) bool // selects starts that get no response and are executed by runDelayed
-	delayed    []StartCall                 // to be executed by runDelayed
-	starts     map[workflow.Attempt]int    // number of executed starts
+	tailMs        int64                       // tail latency of every running attempt
+	longPolls     bool                        // hold calls last for their full wait if there is no end to list
+	holds         int                         // number of hold calls
+	overlap       int                         // starts of a task while another attempt of it was running
+	silent        bool                        // responds to no calls
+	refusesStarts bool                        // refuses the connections of start calls
+	refused       int                         // number of refused starts
+	panics        bool                        // the next start panics after it was executed
+	delayStart    func(workflow.Attempt) bool // selects starts that get no response and are executed by runDelayed
+	delayed       []StartCall                 // to be executed by runDelayed
+	starts        map[workflow.Attempt]int    // number of executed starts
 }
 
 var errSilent = errors.New("no response")
@@ -134,6 +136,10 @@
 		return 0, err
 	}
 	defer w.mu.Unlock()
+	if w.refusesStarts {
+		w.refused++
+		return 0, ErrUnreachable
+	}
 	if w.delayStart != nil && w.delayStart(call.Attempt) {
 		w.delayed = append(w.delayed, call)
 		return 0, errSilent
--- a/daemon/fleet/orders.go
+++ b/daemon/fleet/orders.go
@@ -54,7 +54,7 @@
 		switch {
 		case errors.Is(err, ErrNoCapacity):
 			s.pauseUntil = now.Add(noCapacityPause)
-		case errors.Is(err, ErrWorkerUnavailable):
+		case errors.Is(err, ErrWorkerUnavailable), errors.Is(err, ErrUnreachable):
 			s.pauseUntil = now.Add(unavailablePause)
 		case errors.Is(err, ErrNotSent):
 			s.pauseUntil = now.Add(notSentPause)
@@ -77,7 +77,7 @@
 	switch {
 	case err == nil:
 		return "answered"
-	case errors.Is(err, ErrNotSent):
+	case errors.Is(err, ErrNotSent), errors.Is(err, ErrUnreachable):
 		return "not_sent"
 	case rejected(err):
 		return "refused"
--- a/daemon/fleet/session.go
+++ b/daemon/fleet/session.go
@@ -34,7 +34,7 @@
 	minClockRate        = 0.98                    // lowest rate of a worker's clock relative to the leader's
 	leaseExpiryMargin   = 300 * time.Millisecond  // safety margin after the end of a lease
 	noCapacityPause     = 300 * time.Millisecond  // without starts after the worker refused one that did not fit
-	unavailablePause    = 1000 * time.Millisecond // without starts after the worker refused one as unavailable
+	unavailablePause    = 1000 * time.Millisecond // without starts after the worker refused one as unavailable or could not be reached
 	notSentPause        = 100 * time.Millisecond  // without starts after one could not be sent
 	deregistrationGrace = 1000 * time.Millisecond // from a worker's deregistration until its tasks count as lost
 )
--- a/daemon/fleet/worker.go
+++ b/daemon/fleet/worker.go
@@ -81,12 +81,13 @@
 	ErrLeaseExpired      = errors.New("the lease in the call has expired")
 	ErrNoCapacity        = errors.New("the task does not fit on the worker")
 	ErrMalformed         = errors.New("the worker could not decode the call")
-	ErrNotSent           = errors.New("the call was not sent to the worker") // says nothing about the worker
+	ErrNotSent           = errors.New("the call was not sent to the worker")       // says nothing about the worker
+	ErrUnreachable       = errors.New("no connection to the worker can be opened") // its process may have ended
 )
 
 // rejected reports whether the error guarantees that a start was not and will not be executed.
 func rejected(err error) bool {
-	for _, known := range []error{ErrWrongWorker, ErrWorkerUnavailable, ErrFenced, ErrStaleAttempt, ErrLeaseExpired, ErrNoCapacity, ErrMalformed, ErrNotSent} {
+	for _, known := range []error{ErrWrongWorker, ErrWorkerUnavailable, ErrFenced, ErrStaleAttempt, ErrLeaseExpired, ErrNoCapacity, ErrMalformed, ErrNotSent, ErrUnreachable} {
 		if errors.Is(err, known) {
 			return true
 		}
