--- a/core/dispatch/plan.go
+++ b/core/dispatch/plan.go
@@ -12,7 +12,10 @@
 // has an entry for each step with a task that could not be placed, with the reason of the first
 // such task.
 func Plan(p *Snapshot, state *PlannerState) (assign []workflow.Assignment, waits []WaitingStep) {
-	pass := &pass{now: p.Now, interference: state.InterferenceModel, restarts: state.RestartHistory, starvationTimeout: starvationTimeout(p), firstStartBudget: state.ShortTaskReserve.firstStartBudget(p)}
+	pass := &pass{
+		now: p.Now, heldBack: p.HeldBack, interference: state.InterferenceModel, restarts: state.RestartHistory,
+		starvationTimeout: starvationTimeout(p), firstStartBudget: state.ShortTaskReserve.firstStartBudget(p),
+	}
 	for _, w := range p.Workers {
 		switch {
 		case w.Usable:
@@ -38,6 +41,7 @@
 // pass is the working state of one call of Plan.
 type pass struct {
 	now               model.Millis
+	heldBack          map[workflow.TaskKey]bool
 	interference      *InterferenceModel
 	restarts          *RestartHistory
 	starvationTimeout model.Millis
@@ -107,7 +111,7 @@
 		p.restarts.markFailing(q, &ready)
 		ready.forTurn(turn.failing)
 		ready.putRestartsFirst()
-		if len(ready.tasks) > 0 {
+		if p.dropHeldBack(q, &ready); len(ready.tasks) > 0 {
 			p.placeStep(q, ready)
 		}
 	}
--- a/core/workflow/apply.go
+++ b/core/workflow/apply.go
@@ -123,6 +123,9 @@
 	for _, end := range b.Ends {
 		s.recordEnd(now, end)
 	}
+	for _, incarnation := range b.Answered {
+		s.recordAnswer(incarnation)
+	}
 	for _, silent := range b.Lapsed {
 		s.recordLapsed(silent)
 	}
@@ -262,6 +265,7 @@
 	task := &job.Runs[key.Occurrence].Steps[key.Step].Tasks[key.Index]
 	if kind == EndDone || kind == EndFailed {
 		job.clearSuspicion(key) // the worker has survived the attempt
+		s.forgetLapsed(key)
 	}
 	switch kind {
 	case EndDone:
--- a/core/workflow/crash_test.go
+++ b/core/workflow/crash_test.go
@@ -1,6 +1,7 @@
 package workflow
 
 import (
+	"fmt"
 	"testing"
 
 	"samphirepaddle.example/core/model"
@@ -106,6 +107,93 @@
 	r.wantStatus("a", StatusFailed)
 }
 
+// Guards against a task that crashes its workers some time after its start and is never counted, because
+// another task has just started there each time.
+func TestLateCrashIsNotExplainedByTaskThatJustStarted(t *testing.T) {
+	r := newCrashRig(t)
+	submit(t, r.state, "late", StepSpec{Count: 1})
+	submit(t, r.state, "sound", StepSpec{Count: maxCrashes})
+	for i := range maxCrashes {
+		r.wantStatus("late", map[bool]JobStatus{true: StatusQueued, false: StatusRunning}[i == 0])
+		c := r.start(key("late", 0, 0), key("sound", 0, i))
+		c.Attempts[0].RanMs = CrashWindow
+		r.apply(Batch{Crashes: []Crash{c}, Lost: lossesOf(c)})
+	}
+	r.wantStatus("late", StatusFailed)
+	r.wantStatus("sound", StatusRunning)
+}
+
+// Guards against sound tasks that are given up because tasks that have crashed workers before crash
+// theirs, again and again.
+func TestRepeatedSuspectExplainsCrash(t *testing.T) {
+	r := newCrashRig(t)
+	submit(t, r.state, "sound", StepSpec{Count: 1, LongRunning: true})
+	for i := range 2 * maxCrashes {
+		poison := fmt.Sprintf("poison%d", i)
+		submit(t, r.state, poison, StepSpec{Count: 1})
+		r.crash(key(poison, 0, 0))
+		for range minCrashes - 1 {
+			c := r.start(key("sound", 0, 0), key(poison, 0, 0))
+			c.Attempts[0].RanMs = CrashWindow
+			r.apply(Batch{Crashes: []Crash{c}, Lost: lossesOf(c)})
+		}
+		r.wantStatus(JobID(poison), StatusFailed)
+	}
+	r.wantStatus("sound", StatusRunning)
+}
+
+// Guards against a gang that is started again and again although one of its members, or all of them,
+// crash their workers: the others end without a crash.
+func TestGangThatCrashesItsWorkersIsGivenUp(t *testing.T) {
+	for name, c := range map[string]struct{ workers, crashing, starts int }{
+		"a member on a worker of its own": {4, 1, minCrashes}, "all members on workers of their own": {4, 4, minCrashes},
+		"all members on one worker": {1, 1, maxCrashes},
+	} {
+		t.Run(name, func(t *testing.T) {
+			r := newCrashRig(t)
+			submit(t, r.state, "gang", StepSpec{Count: 4, Gang: true})
+			for range c.starts {
+				r.wantStatus("gang", map[bool]JobStatus{true: StatusQueued, false: StatusRunning}[r.workers == 0])
+				r.crashGang("gang", 4, c.workers, c.crashing)
+			}
+			r.wantStatus("gang", StatusFailed)
+		})
+	}
+}
+
+// crashGang starts the members on as many new workers, of which the first ones crash. The members on the
+// others are broken.
+func (r *crashRig) crashGang(job string, members, workers, crashing int) {
+	r.t.Helper()
+	onWorker := make([]Crash, workers)
+	number := uint32(r.workers + 1)
+	var b Batch
+	for i := range onWorker {
+		r.workers++
+		w := worker(fmt.Sprintf("w%d", r.workers), model.Millis(r.workers))
+		b.Workers = append(b.Workers, w)
+		onWorker[i].Incarnation = w.Incarnation
+	}
+	for i := range members {
+		c := &onWorker[i%workers]
+		a := Attempt{key(job, 0, i), number}
+		b.Assign = append(b.Assign, Assignment{Attempt: a, Incarnation: c.Incarnation})
+		c.Attempts = append(c.Attempts, CrashedAttempt{Attempt: a})
+	}
+	r.apply(b)
+	var ended Batch
+	for _, c := range onWorker[crashing:] {
+		for i, a := range c.Attempts {
+			ended.Ends = append(ended.Ends, End{Incarnation: c.Incarnation, Number: uint64(i + 1), Attempt: a.Attempt, Kind: EndGangBroken})
+		}
+	}
+	for _, c := range onWorker[:crashing] {
+		ended.Crashes = append(ended.Crashes, c)
+		ended.Lost = append(ended.Lost, lossesOf(c)...)
+	}
+	r.apply(ended)
+}
+
 // Guards against sound tasks that are given up because they ran beside a crashing task each time.
 func TestLongRunBeforeCrashClearsSuspicion(t *testing.T) {
 	r := newCrashRig(t)
@@ -174,6 +262,29 @@
 	r.wantStatus("j", StatusFailed)
 }
 
+// Guards against a crash that counts for attempts that had ended before: the worker was silent, and has
+// answered since.
+func TestLapsedAttemptsDoNotCountOnceTheWorkerHasAnswered(t *testing.T) {
+	for _, sameID := range []bool{false, true} {
+		r := newCrashRig(t)
+		submit(t, r.state, "j", StepSpec{Count: 1, LongRunning: true})
+		for range 2 * maxCrashes {
+			c := r.start(key("j", 0, 0))
+			r.apply(Batch{Lapsed: []Crash{c}, Lost: lossesOf(c)})
+			r.apply(Batch{Answered: []Incarnation{c.Incarnation}})
+			r.restart()
+			crash := Batch{Crashes: []Crash{{Incarnation: c.Incarnation}}}
+			if sameID {
+				next := *r.state.Workers[c.Incarnation.Worker]
+				next.Incarnation.StartedAt += 1000
+				crash = Batch{Workers: []Worker{next}}
+			}
+			r.apply(crash)
+		}
+		r.wantStatus("j", StatusRunning)
+	}
+}
+
 // Guards against crashes that are overlooked because the worker starts again under its id.
 func TestCrashesOfOneWorkerUnderItsIDCount(t *testing.T) {
 	for _, draining := range []bool{false, true} {
--- a/daemon/fleet/crash_test.go
+++ b/daemon/fleet/crash_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"slices"
 	"sync"
 	"testing"
 	"time"
@@ -19,6 +20,8 @@
 	mu      sync.Mutex
 	next    int
 	crashes int
+	stay    bool     // workers that crash are not replaced
+	vacant  []string // addresses of workers that crashed and were not replaced
 }
 
 func newCrashingPool(r *rig, workers int) *crashingPool {
@@ -36,7 +39,6 @@
 	id := fmt.Sprintf("w%d", p.next)
 	p.mu.Unlock()
 	w := p.rig.workers.add(id, model.Millis(1))
-	w.worker.Addr = addr
 	w.delayStart = func(a workflow.Attempt) bool {
 		if a.Task.Job != "poison" {
 			return false
@@ -44,18 +46,22 @@
 		go p.crash(w)
 		return true
 	}
-	p.rig.workers.mu.Lock()
-	delete(p.rig.workers.byAddr, "addr-"+id)
-	p.rig.workers.byAddr[addr] = w
-	p.rig.workers.mu.Unlock()
+	p.rig.workers.move(w, addr)
 	p.rig.report(w)
 }
 
 func (p *crashingPool) crash(w *fakeWorker) {
 	p.mu.Lock()
 	p.crashes++
+	stay := p.stay
+	if stay {
+		p.vacant = append(p.vacant, w.worker.Addr)
+	}
 	p.mu.Unlock()
 	w.withLock(func() { w.silent = true })
+	if stay {
+		return
+	}
 	time.Sleep(crashedFor)
 	p.replace(w.worker.Addr)
 }
@@ -103,6 +109,127 @@
 	}
 }
 
+// Guards against a task that is given up for crashes of workers that had ended before it was to start
+// there, and against one that waits until a worker that refuses connections is proven to have ended.
+func TestStartWithoutConnectionDoesNotCountAsCrash(t *testing.T) {
+	r := newRig(t)
+	ended := map[string]*fakeWorker{}
+	for i := range refusingWorkers {
+		w := r.addWorker(fmt.Sprintf("w%d", i), 1)
+		w.refusesStarts = true
+		ended[w.worker.Addr] = w
+	}
+	r.submit("j", workflow.StepSpec{Count: 1, CPUMillis: 100, LongRunning: true})
+	for len(ended) > 0 {
+		r.until("a start was refused", func() bool { return refusedBy(ended) != nil || r.status("j") == workflow.StatusFailed })
+		w := refusedBy(ended)
+		if w == nil {
+			t.Fatal("the job has failed, although its task never ran")
+		}
+		delete(ended, w.worker.Addr)
+		next := r.workers.add("next-"+string(w.worker.Incarnation.Worker), 1)
+		next.refusesStarts = true
+		r.workers.move(next, w.worker.Addr)
+		r.until("the crash is recorded", func() bool { return r.crashed(w) })
+	}
+	sound := r.addWorker("sound", 1)
+	r.until("the task runs", func() bool { return len(sound.runningAttempts()) == 1 })
+}
+
+// refusingWorkers exceeds the number of crashes after which any task is given up.
+const refusingWorkers = 6
+
+// refusedBy returns a worker that has refused a start, or nil.
+func refusedBy(workers map[string]*fakeWorker) (found *fakeWorker) {
+	for _, w := range workers {
+		w.withLock(func() {
+			if w.refused > 0 {
+				found = w
+			}
+		})
+	}
+	return found
+}
+
+// heldBackFor is much longer than a worker with room takes to start a task that waits.
+const heldBackFor = 1500 * time.Millisecond
+
+// Guards against a task that takes down worker after worker before any of their crashes is proven.
+func TestTaskIsHeldBackWhileItsWorkersAreSilent(t *testing.T) {
+	for _, leaderChanges := range []bool{false, true} {
+		t.Run(fmt.Sprintf("leader changes %v", leaderChanges), func(t *testing.T) {
+			r := newRig(t)
+			p := newCrashingPool(r, 6)
+			p.stay = true
+			r.submit("poison", workflow.StepSpec{Count: 1, CPUMillis: 100})
+			if leaderChanges {
+				r.until("two workers have crashed", func() bool { return p.crashCount() == 2 })
+				r.stop()
+				r.startEngine()
+			}
+			r.until("three workers have crashed and the task waits", func() bool { return p.crashCount() > 3 || r.waitsAfter("poison", 3) })
+			time.Sleep(heldBackFor)
+			if crashes := p.crashCount(); crashes != 3 {
+				t.Fatalf("%d workers crashed under the task before any crash was proven, want 3", crashes)
+			}
+			for _, addr := range p.vacant {
+				p.replace(addr)
+			}
+			r.until("the job has failed", func() bool { return r.status("poison") == workflow.StatusFailed || p.crashCount() > 3 })
+			if crashes := p.crashCount(); crashes != 3 {
+				t.Errorf("%d workers crashed under the task, want 3", crashes)
+			}
+		})
+	}
+}
+
+// waitsAfter reports whether the only task of the job waits after the attempt.
+func (r *rig) waitsAfter(job workflow.JobID, attempt uint32) (waits bool) {
+	r.log.View(func(st *state.State) {
+		if run := st.Workflows.Jobs[job].Runs[0]; run != nil {
+			task := run.Steps[0].Tasks[0]
+			waits = task.Phase == workflow.TaskWaiting && task.Attempt == attempt
+		}
+	})
+	return waits
+}
+
+// Guards against a task that is given up for crashes of workers that had stopped it before: they were
+// silent, answered again, and crashed when it ran elsewhere.
+func TestCrashAfterSilenceDoesNotCountForStoppedTask(t *testing.T) {
+	r := newRig(t)
+	workers := []*fakeWorker{r.addWorker("a", 1), r.addWorker("b", 1), r.addWorker("c", 1), r.addWorker("d", 1)}
+	r.submit("j", workflow.StepSpec{Count: 1, CPUMillis: 100, LongRunning: true})
+	running := func() *fakeWorker { return soleRunner(workers...) }
+	for range len(workers) - 1 {
+		r.until("a worker runs the task", func() bool { return running() != nil })
+		silent := running()
+		silent.withLock(func() { silent.silent = true })
+		workers = slices.DeleteFunc(workers, func(w *fakeWorker) bool { return w == silent })
+		r.until("another worker runs the task", func() bool { return running() != nil })
+		holds := silent.holdCount()
+		silent.withLock(func() {
+			silent.silent = false
+			for a := range silent.running {
+				silent.end(a, workflow.EndLeaseExpired)
+			}
+		})
+		r.until("the worker has answered", func() bool { return silent.holdCount() > holds+1 })
+		next := r.workers.add("next-"+string(silent.worker.Incarnation.Worker), 1)
+		r.workers.move(next, silent.worker.Addr)
+		r.report(next)
+		r.until("the crash is recorded", func() bool { return r.crashed(silent) })
+	}
+	if status := r.status("j"); status != workflow.StatusRunning {
+		t.Errorf("the job is %s, although no worker has crashed under its task", status)
+	}
+}
+
+func (r *rig) crashed(w *fakeWorker) (crashed bool) {
+	r.log.View(func(st *state.State) { crashed = st.Workflows.Workers[w.worker.Incarnation.Worker].Crashed })
+	return crashed
+}
+
 // maxSilences exceeds the number of crashes after which a sole suspect is given up.
 const maxSilences = 4
 
--- a/daemon/fleet/pass.go
+++ b/daemon/fleet/pass.go
@@ -31,7 +31,7 @@
 
 func (p *passPlan) empty() bool {
 	b := &p.batch
-	return len(b.Workers) == 0 && len(b.Ends) == 0 && len(b.Crashes) == 0 && len(b.Lapsed) == 0 && len(b.Lost) == 0 && len(b.Assign) == 0
+	return len(b.Workers) == 0 && len(b.Ends) == 0 && len(b.Crashes) == 0 && len(b.Lapsed) == 0 && len(b.Answered) == 0 && len(b.Lost) == 0 && len(b.Assign) == 0
 }
 
 // passKind is the extent of a pass.
@@ -90,6 +90,7 @@
 		l.lastFullCheck = now
 	}
 	l.addCrashes(workflows, ended, p)
+	l.addAnswers(workflows, now, p)
 	for _, incarnation := range l.incarnationsToReconcile(workflows, checkAll) {
 		l.reconcileWorker(workflows, incarnation, now, ended, p)
 	}
@@ -280,7 +281,7 @@
 func (l *leadership) plannerInput(st *state.State, now bootclock.Time) *dispatch.Snapshot {
 	workflows := st.Workflows
 	wall := model.Millis(time.Now().UnixMilli())
-	p := &dispatch.Snapshot{Now: wall}
+	p := &dispatch.Snapshot{Now: wall, HeldBack: workflows.HeldBack(wall)}
 	p.Workers = make([]*dispatch.Worker, 0, len(workflows.Workers))
 	for _, id := range l.sortedWorkers(workflows) {
 		w := workflows.Workers[id]
