Plan with a time that is not before the recorded ones

Callers would see: after a leader whose clock was ahead, a task that is held back waits for longer by the difference, and a restart that failed at its start is not known as such if the difference is 5 s or more. Found in a review. Cause: waits were computed from the leader's clock and from times of the replicated state, which are the latest of all leaders' clocks. Change: the planner's time is the later of the two. The due times of occurrences still go by the leader's clock, so that none starts early. Evidence: TestPlannerTimeIsNotBeforeRecordedTimes fails before ("the planner's time is 5000 ms before the latest recorded time") and passes now.

--- a/daemon/fleet/pass.go
+++ b/daemon/fleet/pass.go
@@ -281,7 +281,9 @@
 func (l *leadership) plannerInput(st *state.State, now bootclock.Time) *dispatch.Snapshot {
 	workflows := st.Workflows
 	wall := model.Millis(time.Now().UnixMilli())
-	p := &dispatch.Snapshot{Now: wall, HeldBack: workflows.HeldBack(wall)}
+	// The recorded times are from the clocks of this and of earlier leaders, which may be ahead.
+	latest := max(wall, st.Now)
+	p := &dispatch.Snapshot{Now: latest, HeldBack: workflows.HeldBack(latest)}
 	p.Workers = make([]*dispatch.Worker, 0, len(workflows.Workers))
 	for _, id := range l.sortedWorkers(workflows) {
 		w := workflows.Workers[id]
--- a/daemon/fleet/pass_test.go
+++ b/daemon/fleet/pass_test.go
@@ -5,6 +5,8 @@
 	"time"
 
 	"samphirepaddle.example/core/dispatch"
+	"samphirepaddle.example/core/model"
+	"samphirepaddle.example/core/state"
 	"samphirepaddle.example/core/workflow"
 	"samphirepaddle.example/daemon/bootclock"
 )
@@ -82,3 +84,13 @@
 		t.Errorf("task 5 is not restarted; waits %+v", waits)
 	}
 }
+
+// Guards against waits that last for longer after a leader whose clock was ahead.
+func TestPlannerTimeIsNotBeforeRecordedTimes(t *testing.T) {
+	st := state.New()
+	st.Now = model.Millis(time.Now().UnixMilli()) + 5000
+	l := &leadership{sessions: map[workflow.Incarnation]*session{}}
+	if p := l.plannerInput(st, bootclock.Now()); p.Now < st.Now {
+		t.Errorf("the planner's time is %d ms before the latest recorded time", st.Now-p.Now)
+	}
+}
