Forget crashes under a task after ten minutes without another one

Callers would see: a sound job shown as failed because three workers crashed under its task, weeks apart, each time with the leader. Cause: suspicion never expired. A task is cleared by an end or by an attempt that ran for 10 s when its worker crashed, but a leader that begins after the crash does not know for how long the attempt ran. Found in a review. Change: a task is no longer suspect 10 minutes after the last crash under it. The time of the last crash is part of the replicated state; records without it are forgotten at the next crash.

--- a/core/workflow/crash.go
+++ b/core/workflow/crash.go
@@ -22,6 +22,9 @@
 	minSoleSuspicions = 2
 	// soundRunTime is the run time after which an attempt shows that its task does not crash workers.
 	soundRunTime = model.Millis(10_000)
+	// suspicionExpiry is the time without a crash after which a task is no longer suspect. It is much
+	// longer than maxBackoff, so that a task that is held back stays known.
+	suspicionExpiry = model.Millis(10 * 60_000)
 )
 
 // Crash reports that a worker process ended without having announced that it leaves, and the
@@ -45,6 +48,8 @@
 	Crashed    []uint32 `cbor:"4,keyasint,omitempty"` // numbers of the attempts whose worker crashed
 	Suspicions int      `cbor:"5,keyasint,omitempty"` // crashes within CrashWindow of the start
 	Sole       int      `cbor:"6,keyasint,omitempty"` // suspicions without another suspect of the same standing
+
+	LastCrashAt model.Millis `cbor:"7,keyasint,omitempty"` // when the latest crash was recorded
 }
 
 // givenUp reports whether the task is the cause of the crashes by the limits.
@@ -119,7 +124,7 @@
 	case ok && worker.PredecessorLeft:
 		return
 	}
-	s.addSuspects(attempts)
+	s.addSuspects(now, attempts)
 	s.countCrash(now, attempts)
 }
 
@@ -149,6 +154,7 @@
 	for _, a := range attempts {
 		if suspect := s.suspectOf(a); suspect != nil && (!explained || a.RanMs < CrashWindow) {
 			suspect.Crashed = append(suspect.Crashed, a.Attempt.Number)
+			suspect.LastCrashAt = now
 		}
 	}
 	for _, a := range attempts {
@@ -157,18 +163,23 @@
 }
 
 // addSuspects adds the tasks of the attempts to the suspects of their jobs. Tasks that ran for long
-// are cleared.
-func (s *State) addSuspects(attempts []CrashedAttempt) {
+// are cleared, and crashes that are long past are forgotten.
+func (s *State) addSuspects(now model.Millis, attempts []CrashedAttempt) {
 	for _, a := range attempts {
 		key := a.Attempt.Task
 		job, ok := s.liveJobs[key.Job]
+		if !ok || !job.validKey(key) {
+			continue
+		}
+		if i := job.suspectIndex(key); i >= 0 && now-job.Suspects[i].LastCrashAt > suspicionExpiry {
+			job.clearSuspicion(key)
+		}
 		switch {
-		case !ok || !job.validKey(key):
 		case a.RanMs >= soundRunTime:
 			job.clearSuspicion(key)
 			s.forgetLapsed(key)
 		case job.suspectIndex(key) < 0:
-			job.Suspects = append(job.Suspects, Suspect{Occurrence: key.Occurrence, Step: key.Step, Index: key.Index})
+			job.Suspects = append(job.Suspects, Suspect{Occurrence: key.Occurrence, Step: key.Step, Index: key.Index, LastCrashAt: now})
 		}
 	}
 }
