Count a crash once for each task and each batch

Callers would see: a sound job that is given up after fewer crashes than the limit. Cause: two attempts of one task on a worker, one of them lost by silence, both counted when the worker crashed, and neither as the only suspect. A batch that was applied again after a commit that timed out counted the crash of a replaced process for the tasks that ran beside the suspect, because the suspect was left out the second time. Found in a review. Change: the latest attempt of each task counts, and a crash of which an attempt is recorded already counts for none. Evidence: TestOneCrashCountsOnceForTwoAttemptsOfATask ("Crashed:[1 2] Suspicions:2 Sole:0") and TestRepeatedCrashOfAReplacedProcessDoesNotCount ("the task that ran for 5 s is suspect") fail before and pass now. The tests of core/workflow and core/dispatch pass.

--- a/core/workflow/apply.go
+++ b/core/workflow/apply.go
@@ -158,7 +158,6 @@
 	} else if ok {
 		w.PredecessorLeft = known.announcedEnd()
 		if !w.PredecessorLeft && !known.Crashed {
-			s.addSuspects(now, known.Lapsed)
 			s.countCrash(now, known.Lapsed)
 		}
 	}
--- a/core/workflow/crash.go
+++ b/core/workflow/crash.go
@@ -119,12 +119,11 @@
 			return
 		}
 		worker.Crashed = true
-		attempts = slices.Concat(worker.Lapsed, attempts)
+		attempts = latestOfEachTask(slices.Concat(worker.Lapsed, attempts))
 		worker.Lapsed = nil
 	case ok && worker.PredecessorLeft:
 		return
 	}
-	s.addSuspects(now, attempts)
 	s.countCrash(now, attempts)
 }
 
@@ -137,6 +136,10 @@
 // longer. A task that starts for the first time explains none: on a busy worker there nearly always is
 // one, and a task that crashes its workers late would never be counted.
 func (s *State) countCrash(now model.Millis, attempts []CrashedAttempt) {
+	if s.isCounted(attempts) {
+		return
+	}
+	s.addSuspects(now, attempts)
 	var recent []*Suspect
 	for _, a := range attempts {
 		if suspect := s.suspectOf(a); suspect != nil && a.RanMs < CrashWindow {
@@ -162,6 +165,30 @@
 	}
 }
 
+// isCounted reports whether the crash of the worker process was counted before.
+func (s *State) isCounted(attempts []CrashedAttempt) bool {
+	return slices.ContainsFunc(attempts, func(a CrashedAttempt) bool {
+		job, ok := s.liveJobs[a.Attempt.Task.Job]
+		if !ok {
+			return false
+		}
+		i := job.suspectIndex(a.Attempt.Task)
+		return i >= 0 && slices.Contains(job.Suspects[i].Crashed, a.Attempt.Number)
+	})
+}
+
+// latestOfEachTask drops the attempts that are followed by another one of the same task. A task may
+// have been started again on a worker that was silent, and the crash counts once for it.
+func latestOfEachTask(attempts []CrashedAttempt) []CrashedAttempt {
+	var latest []CrashedAttempt
+	for i, a := range attempts {
+		if !slices.ContainsFunc(attempts[i+1:], func(next CrashedAttempt) bool { return next.Attempt.Task == a.Attempt.Task }) {
+			latest = append(latest, a)
+		}
+	}
+	return latest
+}
+
 // addSuspects adds the tasks of the attempts to the suspects of their jobs. Tasks that ran for long
 // are cleared, and crashes that are long past are forgotten.
 func (s *State) addSuspects(now model.Millis, attempts []CrashedAttempt) {
@@ -184,15 +211,14 @@
 	}
 }
 
-// suspectOf returns the record of the attempt's task, or nil if there is none or it contains the
-// attempt. The pointer is valid until a suspect is added or removed.
+// suspectOf returns the record of the attempt's task, or nil if there is none. The pointer is valid until a suspect is added or removed.
 func (s *State) suspectOf(a CrashedAttempt) *Suspect {
 	job, ok := s.liveJobs[a.Attempt.Task.Job]
 	if !ok {
 		return nil
 	}
 	i := job.suspectIndex(a.Attempt.Task)
-	if i < 0 || slices.Contains(job.Suspects[i].Crashed, a.Attempt.Number) {
+	if i < 0 {
 		return nil
 	}
 	return &job.Suspects[i]
