Keep a quarter of the workers free of suspects

Callers would see: a long-running task that is down, or a short job, waits for seconds while all workers with room have just started a task that is suspected of crashing workers. Cause: each suspect starts on a worker on which nothing else starts for 0.5 s or until the next list after it, and the number of such workers was not limited. Change: at most three quarters of the workers of a service are kept for suspects at a time. Further suspects wait; the other tasks of their step do not. Evidence: TestSuspectsDoNotTakeEveryWorker fails before ("started map[crashed:8], want 6 suspects, the restart and the short job") and passes now. The simulation TestOnlyTasksThatCrashWorkersAreGivenUp passes unchanged.

--- a/core/dispatch/isolation_test.go
+++ b/core/dispatch/isolation_test.go
@@ -274,3 +274,30 @@
 		}
 	}
 }
+
+// Guards against restarts and short jobs that wait because suspects have taken every worker.
+func TestSuspectsDoNotTakeEveryWorker(t *testing.T) {
+	const suspects = 32
+	crashed := testJob("crashed", 0, workflow.StepSpec{Count: suspects, CPUMillis: 100, LongRunning: true})
+	tasks := make([]workflow.Task, suspects)
+	for i := range tasks {
+		tasks[i].Attempt = 1
+		crashed.Suspects = append(crashed.Suspects, workflow.Suspect{Index: i, Crashed: []uint32{1}, Suspicions: 1})
+	}
+	crashed.Runs = map[int]*workflow.Run{0: {Steps: []workflow.StepRun{{Tasks: tasks}}}}
+	restart := testJob("restart", 0, workflow.StepSpec{Count: 1, CPUMillis: 100, LongRunning: true})
+	restart.Runs = map[int]*workflow.Run{0: {Steps: []workflow.StepRun{{Tasks: []workflow.Task{{Attempt: 1}}}}}}
+	short := testJob("short", 0, workflow.StepSpec{Count: 1, CPUMillis: 100, EstimateMs: 800})
+	var workers []*Worker
+	for i := range 8 {
+		workers = append(workers, testWorker(fmt.Sprint("w", i), 1000, 1000))
+	}
+	assigned, _ := Plan(newSnapshot(workers, crashed, restart, short), NewPlannerState())
+	started := map[workflow.JobID]int{}
+	for _, a := range assigned {
+		started[a.Attempt.Task.Job]++
+	}
+	if started["crashed"] != 6 || started["restart"] != 1 || started["short"] != 1 {
+		t.Errorf("started %v, want 6 suspects, the restart and the short job", started)
+	}
+}
--- a/core/dispatch/plan.go
+++ b/core/dispatch/plan.go
@@ -145,6 +145,10 @@
 			ranked = p.newRanking(n)
 		}
 		suspect := !spec.Gang && q.Job.IsSuspect(key)
+		if suspect && !p.mayIsolate(q.Job.Service) {
+			p.recordWait(q, ready.step, ready.tasks[i:i+1], WaitIsolation)
+			continue
+		}
 		best, reason := p.bestFor(ranked, n, waiting.task, starved)
 		if best == nil && !starved {
 			p.unplaced = append(p.unplaced, unplaced{q.Job.Service, spec, reason})
