End calls to a former leader once another one responds

Callers wait for up to 0.9 s for a frozen leader although the next one is known to their gateway. Cause: the leader is frozen from 2.502 s on. The first request waits there until the call times out at 4.0 s, and is repeated at the leader that the gateway has found at 3.499 s; by then version 12 is accepted. The second one is sent to the new leader at once. Change: the first response of a leader cancels the calls to other addresses. They are repeated at that leader, as after a timeout, with the same verdict that they may have run.

--- a/daemon/fleet/client.go
+++ b/daemon/fleet/client.go
@@ -56,11 +56,12 @@
 	next        int            // index in addresses of the controller to try if no leader is known
 	lastContact bootclock.Time // time of the last response from a leader
 	connected   bool           // the last call to the address in leader succeeded
+	calls       inFlightCalls
 }
 
 // NewClient returns a client that starts from the seed addresses.
 func NewClient(seeds []string, transport http.RoundTripper, logger zerolog.Logger) *Client {
-	return &Client{http: &http.Client{Transport: transport}, seeds: slices.Clone(seeds), logger: logger}
+	return &Client{http: &http.Client{Transport: transport}, seeds: slices.Clone(seeds), logger: logger, calls: inFlightCalls{}}
 }
 
 // NewControllerClient returns the client of a controller. It sends the addresses of the controllers
@@ -194,8 +195,8 @@
 	if addr == "" {
 		return nil, false, ErrNotLeading
 	}
-	ctx, cancel := context.WithTimeout(ctx, callTimeout)
-	defer cancel()
+	ctx, done := c.beginCall(ctx, addr)
+	defer done()
 	request, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+addr+PathPrefix+op, bytes.NewReader(data))
 	if err != nil {
 		return nil, false, err
@@ -306,6 +307,9 @@
 func (c *Client) recordSuccess(addr string) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
+	if !c.connected || c.leader != addr {
+		c.calls.cancelOthers(addr)
+	}
 	c.leader = addr
 	c.lastContact = bootclock.Now()
 	if !c.connected {
