Start a task alone after three possible crashes

What callers saw: a sound task waits beside free workers, for 10 s, 20 s, 40 s or 60 s, because three workers fell silent within 0.5 s of its start or were crashed by others. Cause: until their crashes were proven, three such workers held the task back, whatever was free. Change: after the third one the task starts at once, alone on the worker with the fewest attempts, as suspects of proven crashes do. A sound one shows there that workers survive it. After a fourth it waits for 20 s and longer, as before. The limits on crashes are as they were.

--- a/core/dispatch/backoff.go
+++ b/core/dispatch/backoff.go
@@ -10,9 +10,9 @@
 // waits for all of its tasks.
 func (p *pass) dropHeldBack(q PendingRun, ready *readyStep) {
 	isHeld := func(t readyTask) bool {
-		return p.heldBack[workflow.TaskKey{Job: q.Job.ID, Occurrence: q.Occurrence, Step: ready.step, Index: t.index}]
+		return p.cautions.HeldBack[workflow.TaskKey{Job: q.Job.ID, Occurrence: q.Occurrence, Step: ready.step, Index: t.index}]
 	}
-	if len(p.heldBack) == 0 || !slices.ContainsFunc(ready.tasks, isHeld) {
+	if len(p.cautions.HeldBack) == 0 || !slices.ContainsFunc(ready.tasks, isHeld) {
 		return
 	}
 	p.recordWait(q, ready.step, ready.tasks, WaitBackoff)
--- a/core/dispatch/plan.go
+++ b/core/dispatch/plan.go
@@ -13,7 +13,7 @@
 // such task.
 func Plan(p *Snapshot, state *PlannerState) (assign []workflow.Assignment, waits []WaitingStep) {
 	pass := &pass{
-		now: p.Now, heldBack: p.HeldBack, interference: state.InterferenceModel, restarts: state.RestartHistory,
+		now: p.Now, cautions: p.Cautions, interference: state.InterferenceModel, restarts: state.RestartHistory,
 		starvationTimeout: starvationTimeout(p), firstStartBudget: state.ShortTaskReserve.firstStartBudget(p),
 	}
 	for _, w := range p.Workers {
@@ -41,7 +41,7 @@
 // pass is the working state of one call of Plan.
 type pass struct {
 	now               model.Millis
-	heldBack          map[workflow.TaskKey]bool
+	cautions          workflow.Cautions
 	interference      *InterferenceModel
 	restarts          *RestartHistory
 	starvationTimeout model.Millis
@@ -144,7 +144,7 @@
 		if ranked == nil && !starved && waiting.task.Failures == 0 {
 			ranked = p.newRanking(n)
 		}
-		suspect := !spec.Gang && q.Job.IsSuspect(key)
+		suspect := !spec.Gang && (q.Job.IsSuspect(key) || p.cautions.StartAlone[key])
 		if suspect && !p.mayIsolate(q.Job.Service) {
 			p.recordWait(q, ready.step, ready.tasks[i:i+1], WaitIsolation)
 			continue
--- a/core/dispatch/types.go
+++ b/core/dispatch/types.go
@@ -45,8 +45,8 @@
 type Snapshot struct {
 	Now         model.Millis
 	Workers     []*Worker
-	PendingRuns []PendingRun              // in order of acceptance
-	HeldBack    map[workflow.TaskKey]bool // tasks that must not start in this pass
+	PendingRuns []PendingRun // in order of acceptance
+	Cautions    workflow.Cautions
 
 	// BeforeBestEffort limits the pass to the runs that come before the first one with a best-effort
 	// step. Such a pass rates no interference, so it takes a fraction of the time of a full one.
--- a/core/workflow/backoff.go
+++ b/core/workflow/backoff.go
@@ -6,28 +6,39 @@
 	"samphirepaddle.example/core/model"
 )
 
-// Delays of the next start of a task under which workers may have crashed. They double with each
-// crash, so that a task whose workers never return does not take down one after another, while a
-// sound task that was lost with silent workers waits for a bounded time only.
+// Delays of the next start of a task under which more than minCrashes workers may have crashed. They
+// double with each crash, so that a task whose workers never return does not take down one after
+// another, while a sound task that was lost with silent workers waits for a bounded time only.
 const (
-	minBackoff = model.Millis(10_000)
+	minBackoff = model.Millis(20_000)
 	maxBackoff = model.Millis(60_000)
 )
 
-// backoff returns the delay after the last of a number of proven or possible crashes.
+// backoff returns the delay after the last of a number of proven or possible crashes. The first start
+// after minCrashes is not delayed: it is alone on its worker, so it harms little, and a sound task shows
+// there that workers survive it. With a delay of 10 s sound tasks waited beside free workers.
 func backoff(crashes int) model.Millis {
+	if crashes <= minCrashes {
+		return 0
+	}
 	delay := minBackoff
-	for range crashes - minCrashes {
+	for range crashes - minCrashes - 1 {
 		delay = min(2*delay, maxBackoff)
 	}
 	return delay
 }
 
-// HeldBack returns the tasks that must not start yet, because minCrashes workers or more have crashed
-// under them or fell silent shortly after they started them. Whether a silent worker has crashed is
-// known once it answers or another process does.
-func (s *State) HeldBack(now model.Millis) map[TaskKey]bool {
-	var held map[TaskKey]bool
+// Cautions restrict the next starts of tasks under which minCrashes workers or more have crashed or fell
+// silent shortly after they started them. Whether a silent worker has crashed is known once it answers
+// or another process does.
+type Cautions struct {
+	StartAlone map[TaskKey]bool // no other task may start beside them until they have survived
+	HeldBack   map[TaskKey]bool // those of StartAlone that must not start yet
+}
+
+// Cautions returns the restrictions at the time now.
+func (s *State) Cautions(now model.Millis) Cautions {
+	var c Cautions
 	for key, silent := range s.silentWorkers() {
 		job := s.liveJobs[key.Job]
 		crashes := silent
@@ -38,14 +49,15 @@
 		if run == nil || crashes < minCrashes {
 			continue
 		}
+		if c.StartAlone == nil {
+			c.StartAlone, c.HeldBack = map[TaskKey]bool{}, map[TaskKey]bool{}
+		}
+		c.StartAlone[key] = true
 		if now < run.Steps[key.Step].Tasks[key.Index].WaitingAt+backoff(crashes) {
-			if held == nil {
-				held = map[TaskKey]bool{}
-			}
-			held[key] = true
+			c.HeldBack[key] = true
 		}
 	}
-	return held
+	return c
 }
 
 // silentWorkers returns the number of workers by task of a live job that fell silent shortly after
--- a/daemon/fleet/engine.go
+++ b/daemon/fleet/engine.go
@@ -109,7 +109,8 @@
 	lastPlanEnd   bootclock.Time // when the last full pass finished planning
 	planDuration  time.Duration
 	passStats     passStats
-	workerOrder   []workflow.WorkerID // result of sortedWorkers in the last pass
+	workerOrder   []workflow.WorkerID       // result of sortedWorkers in the last pass
+	startAlone    map[workflow.TaskKey]bool // tasks whose attempts isolate their workers in this pass
 
 	mu           sync.Mutex // guards the fields below and those of the sessions
 	sessions     map[workflow.Incarnation]*session
--- a/daemon/fleet/pass.go
+++ b/daemon/fleet/pass.go
@@ -284,7 +284,8 @@
 	wall := model.Millis(time.Now().UnixMilli())
 	// The recorded times are from the clocks of this and of earlier leaders, which may be ahead.
 	latest := max(wall, st.Now)
-	p := &dispatch.Snapshot{Now: latest, HeldBack: workflows.HeldBack(latest)}
+	p := &dispatch.Snapshot{Now: latest, Cautions: workflows.Cautions(latest)}
+	l.startAlone = p.Cautions.StartAlone
 	p.Workers = make([]*dispatch.Worker, 0, len(workflows.Workers))
 	for _, id := range l.sortedWorkers(workflows) {
 		w := workflows.Workers[id]
@@ -346,7 +347,7 @@
 				r.CPUUsed = run.Usage
 			}
 		}
-		isolated = isolated || (a.Suspect && !s.survives(a.Attempt))
+		isolated = isolated || ((a.Suspect || l.startAlone[a.Attempt.Task]) && !s.survives(a.Attempt))
 		serving = serving || a.Step.Serving()
 		bestEffort = bestEffort || a.Step.UsesSpareCPU
 		allocations = append(allocations, r)
