Clear a task that ran for long before its worker fell silent

What callers saw: nothing yet. Cause: possible crashes are kept until the worker answers, ends or the task ends by itself. A worker that never returns stays in the state for good, and long-running tasks have no end, so their losses add up. A long run cleared the task only if the worker was proven to have crashed. Evidence: TestLongRunsBeforeSilenceForgetEarlierLosses failed with "must start alone: true, is held back: true, want false and false" and "the task is suspect of a crash from before its long runs". Change: an attempt that ran for 10 s before its worker fell silent clears its task, as one that ran for 10 s before a crash does.

--- a/core/workflow/backoff_test.go
+++ b/core/workflow/backoff_test.go
@@ -80,6 +80,25 @@
 	}
 }
 
+// Guards against losses of a long-running task that add up over days: a run that was long before its
+// worker fell silent shows that workers survive the task.
+func TestLongRunsBeforeSilenceForgetEarlierLosses(t *testing.T) {
+	r := newCrashRig(t)
+	submit(t, r.state, "j", StepSpec{Count: 1, LongRunning: true})
+	k := key("j", 0, 0)
+	r.crash(k)
+	for range maxCrashes {
+		r.lapse(k)
+		c := r.start(k)
+		c.Attempts[0].RanMs = soundRunTime
+		r.apply(Batch{Lapsed: []Crash{c}, Lost: lossesOf(c)})
+	}
+	r.wantCautions(k, false, false)
+	if r.state.Jobs["j"].IsSuspect(k) {
+		t.Error("the task is suspect of a crash from before its long runs")
+	}
+}
+
 // Guards against a limit that proven and possible crashes reach only separately.
 func TestProvenAndPossibleCrashesHoldTaskBackTogether(t *testing.T) {
 	r := newCrashRig(t)
--- a/core/workflow/crash.go
+++ b/core/workflow/crash.go
@@ -88,13 +88,18 @@
 }
 
 // recordLapsed keeps the attempts that were lost because their worker was silent: if the process
-// turns out to have ended, they count as crashed with it.
+// turns out to have ended, they count as crashed with it. Those that ran for long show that workers
+// survive their tasks, so that losses of a long-running task do not add up over days.
 func (s *State) recordLapsed(c Crash) {
 	worker, ok := s.Workers[c.Incarnation.Worker]
 	if !ok || worker.Incarnation != c.Incarnation || worker.Crashed || worker.announcedEnd() {
 		return
 	}
 	for _, a := range c.Attempts {
+		if job, ok := s.liveJobs[a.Attempt.Task.Job]; ok && a.RanMs >= soundRunTime {
+			job.clearSuspicion(a.Attempt.Task)
+			s.forgetLapsed(a.Attempt.Task)
+		}
 		if !slices.ContainsFunc(worker.Lapsed, func(known CrashedAttempt) bool { return known.Attempt == a.Attempt }) {
 			worker.Lapsed = append(worker.Lapsed, a)
 		}
