Do not count attempts on silent workers as at work

Cause: a best-effort job whose waiting tasks interfere wherever they fit starts one in any case once none of its tasks has run for 1.2 s. An open attempt counted as a run, and one on a silent worker stays open until its lease has expired, for 9 s and longer. Evidence: TestStarvedJobStarts failed for "an attempt on a silent worker" and "an attempt on a process that was replaced": 0 tasks start after 1200 ms, want 1. Change: only attempts on workers that answer count.

--- a/core/dispatch/plan.go
+++ b/core/dispatch/plan.go
@@ -13,7 +13,7 @@
 // such task.
 func Plan(p *Snapshot, state *PlannerState) (assign []workflow.Assignment, waits []WaitingStep) {
 	pass := &pass{
-		now: p.Now, cautions: p.Cautions, interference: state.InterferenceModel, restarts: state.RestartHistory,
+		now: p.Now, workers: p.Workers, cautions: p.Cautions, interference: state.InterferenceModel, restarts: state.RestartHistory,
 		starvationTimeouts: starvationTimeouts(p), firstStartBudget: state.ShortTaskReserve.firstStartBudget(p),
 	}
 	for _, w := range p.Workers {
@@ -46,11 +46,13 @@
 	restarts           *RestartHistory
 	starvationTimeouts map[string]model.Millis // by service
 	firstStartBudget   map[string]int64        // for first starts of long-running tasks, by service
+	workers            []*Worker
 	usable             []*Worker
-	lastResorts        []*Worker            // those that have no task of this pass
-	candidates         []*candidate         // the usable workers; set by buildCandidates
-	servingImages      map[string]int       // index by image of a serving task; set by buildHeadrooms
-	coefficients       map[string][]float64 // by best-effort image; indexed by servingImages
+	answering          map[workflow.Incarnation]bool // set by answers
+	lastResorts        []*Worker                     // those that have no task of this pass
+	candidates         []*candidate                  // the usable workers; set by buildCandidates
+	servingImages      map[string]int                // index by image of a serving task; set by buildHeadrooms
+	coefficients       map[string][]float64          // by best-effort image; indexed by servingImages
 	unplaced           []unplaced
 	assignments        []workflow.Assignment
 	waits              []WaitingStep
--- a/core/dispatch/starvation.go
+++ b/core/dispatch/starvation.go
@@ -27,13 +27,14 @@
 	return timeouts
 }
 
-// starved reports whether the run has had no running task for longer than the starvation timeout.
+// starved reports whether the run has had no task at work for longer than the starvation timeout. An
+// attempt on a worker that does not answer stays open for 9 s and longer, and is not at work.
 func (p *pass) starved(q PendingRun) bool {
 	since := q.Job.AcceptedAt
 	if q.Run != nil {
 		for _, step := range q.Run.Steps {
 			for i := range step.Tasks {
-				if step.Tasks[i].Phase == workflow.TaskOpen {
+				if step.Tasks[i].Phase == workflow.TaskOpen && p.answers(step.Tasks[i].Incarnation) {
 					return false
 				}
 				since = max(since, step.Tasks[i].WaitingAt)
@@ -42,3 +43,14 @@
 	}
 	return p.now-since > p.starvationTimeouts[q.Job.Service]
 }
+
+// answers reports whether the worker process is a current one that answers.
+func (p *pass) answers(incarnation workflow.Incarnation) bool {
+	if p.answering == nil {
+		p.answering = make(map[workflow.Incarnation]bool, len(p.workers))
+		for _, w := range p.workers {
+			p.answering[w.Incarnation] = !w.Silent
+		}
+	}
+	return p.answering[incarnation]
+}
--- a/core/dispatch/starvation_test.go
+++ b/core/dispatch/starvation_test.go
@@ -29,7 +29,8 @@
 }
 
 // Guards against a best-effort job that waits for 10 s on mostly free workers: the work of another service or of workers
-// that take no tasks counted. It must not start sooner where the service is busy or one of its tasks is at work.
+// that take no tasks counted, and an attempt on a silent worker counted
+// as at work. It must not start sooner where the service is busy or one of its tasks is at work.
 func TestStarvedJobStarts(t *testing.T) {
 	step := workflow.StepSpec{Count: 3, CPUMillis: 4000, MemoryMiB: 10, UsesSpareCPU: true, Image: "f"}
 	oneOpen := func(job *workflow.Job, on *Worker) {
@@ -56,6 +57,15 @@
 			}
 			return workers
 		}, 1},
+		"an attempt on a silent worker": {step, func(workers []*Worker, job *workflow.Job) []*Worker {
+			workers[0].Usable, workers[0].Silent = false, true
+			oneOpen(job, workers[0])
+			return workers
+		}, 1},
+		"an attempt on a process that was replaced": {step, func(workers []*Worker, job *workflow.Job) []*Worker {
+			oneOpen(job, testWorker("replaced", 1, 1))
+			return workers
+		}, 1},
 		"the service is full": {step, func(workers []*Worker, _ *workflow.Job) []*Worker {
 			for _, w := range workers {
 				fill(w)
--- a/daemon/fleet/idlejobs.go
+++ b/daemon/fleet/idlejobs.go
@@ -43,7 +43,7 @@
 	l.idleRuns = idleRuns{checkedAt: now, runs: map[runKey]*idleRun{}}
 	var states map[string]*serviceState
 	for _, q := range snapshot.PendingRuns {
-		open, atWork := l.openAttempts(q)
+		open, atWork := l.openAttempts(q, now)
 		if atWork {
 			continue
 		}
@@ -84,7 +84,7 @@
 
 // openAttempts returns the number of open attempts of a run, and whether one of them is at work: a worker
 // that answers has accepted or listed it.
-func (l *leadership) openAttempts(q dispatch.PendingRun) (open int, atWork bool) {
+func (l *leadership) openAttempts(q dispatch.PendingRun, now bootclock.Time) (open int, atWork bool) {
 	if q.Run == nil {
 		return 0, false
 	}
@@ -95,7 +95,7 @@
 			}
 			open++
 			attempt := workflow.Attempt{Task: workflow.TaskKey{Job: q.Job.ID, Occurrence: q.Occurrence, Step: step, Index: index}, Number: task.Attempt}
-			if s := l.sessions[task.Incarnation]; s != nil && !s.failing && !s.replaced && s.hasAccepted(attempt) {
+			if s := l.sessions[task.Incarnation]; s != nil && s.answers(now) && s.hasAccepted(attempt) {
 				return open, true
 			}
 		}
--- a/daemon/fleet/pass.go
+++ b/daemon/fleet/pass.go
@@ -313,7 +313,7 @@
 
 func (l *leadership) describeWorker(workflows *workflow.State, s *session, w *workflow.Worker, now bootclock.Time) *dispatch.Worker {
 	why := s.usability(w, now)
-	d := &dispatch.Worker{Worker: *w, Usable: why == usable, LastResort: why == unusableQuarantined && s.quarantine.allowsRestart(now), Latency: s.latency}
+	d := &dispatch.Worker{Worker: *w, Usable: why == usable, LastResort: why == unusableQuarantined && s.quarantine.allowsRestart(now), Silent: !s.answers(now), Latency: s.latency}
 	l.applyPendingCapacity(&d.Worker)
 	if openVersion := workflows.OpenVersion(s.incarnation); s.changed || s.openVersion != openVersion {
 		s.cachedAllocations, s.openVersion, s.changed = l.allocations(workflows, s), openVersion, false
--- a/daemon/fleet/usability.go
+++ b/daemon/fleet/usability.go
@@ -37,7 +37,7 @@
 		return unusableLeaves
 	case !s.tokenAccepted:
 		return unusableNoToken
-	case s.failing, now.Sub(s.answeredAt) >= unreachableAfter:
+	case !s.answers(now):
 		return unusableSilent
 	case s.runsOrphan:
 		return unusableOrphan
@@ -49,6 +49,11 @@
 	return usable
 }
 
+// answers reports whether the worker process has answered its last call with this leader's token.
+func (s *session) answers(now bootclock.Time) bool {
+	return !s.replaced && s.tokenAccepted && !s.failing && now.Sub(s.answeredAt) < unreachableAfter
+}
+
 // serviceState describes the workers of one service for log lines.
 type serviceState struct {
 	usage    dispatch.Usage
--- a/daemon/fleet/waits_test.go
+++ b/daemon/fleet/waits_test.go
@@ -108,3 +108,13 @@
 		t.Errorf("the log is %q, want %s", out.String(), want)
 	}
 }
+
+// Guards against attempts on workers that do not answer that count as at work, and against others that do not.
+func TestPlannerKnowsWhichWorkersAreSilent(t *testing.T) {
+	_, snapshot, _ := waitingFleet(t, &bytes.Buffer{}, bootclock.Now())
+	for i, w := range snapshot.Workers {
+		if want := i < 2 || (i >= 4 && i < 8); w.Silent != want { // replaced; token not accepted, failing
+			t.Errorf("worker %d is silent %v, want %v", i, w.Silent, want)
+		}
+	}
+}
