Place all members of a starved best-effort gang

Cause: a best-effort job that has waited for too long starts one task where it interferes. For a gang this was the first member only; the others were refused for interference, so that the whole start was undone, in each pass. Evidence: TestStarvedJobStarts failed for "a gang" and "a gang on one": 0 tasks start after 1200 ms, want 3. Change: all members of a starved gang may interfere. Pacing then protects the serving tasks beside them as it does for single tasks.

--- a/core/dispatch/plan.go
+++ b/core/dispatch/plan.go
@@ -177,7 +177,7 @@
 		if ranked != nil {
 			ranked.update(best)
 		}
-		starved = false
+		starved = starved && spec.Gang // one task is enough to go on, but a gang needs all of them
 		number := max(minAttempt, waiting.task.Attempt+1)
 		p.assignments = append(p.assignments, workflow.Assignment{
 			Attempt: workflow.Attempt{Task: key, Number: number}, Incarnation: best.worker.Incarnation,
--- a/core/dispatch/starvation_test.go
+++ b/core/dispatch/starvation_test.go
@@ -29,10 +29,12 @@
 }
 
 // Guards against a best-effort job that waits for 10 s on mostly free workers: the work of another service or of workers
-// that take no tasks counted, and an attempt on a silent worker counted
-// as at work. It must not start sooner where the service is busy or one of its tasks is at work.
+// that take no tasks counted, an attempt on a silent worker counted as at work, and only the first member of a gang was
+// placed. It must not start sooner where the service is busy or one of its tasks is at work.
 func TestStarvedJobStarts(t *testing.T) {
 	step := workflow.StepSpec{Count: 3, CPUMillis: 4000, MemoryMiB: 10, UsesSpareCPU: true, Image: "f"}
+	gang := step
+	gang.Gang = true
 	oneOpen := func(job *workflow.Job, on *Worker) {
 		open := workflow.Task{Phase: workflow.TaskOpen, Attempt: 1, Incarnation: on.Incarnation}
 		job.Runs = map[int]*workflow.Run{0: {Steps: []workflow.StepRun{{Tasks: []workflow.Task{open, {}, {}}}}}}
@@ -66,6 +68,8 @@
 			oneOpen(job, testWorker("replaced", 1, 1))
 			return workers
 		}, 1},
+		"a gang":        {gang, func(workers []*Worker, _ *workflow.Job) []*Worker { return workers }, 3},
+		"a gang on one": {gang, func(workers []*Worker, _ *workflow.Job) []*Worker { return workers[:1] }, 3},
 		"the service is full": {step, func(workers []*Worker, _ *workflow.Job) []*Worker {
 			for _, w := range workers {
 				fill(w)
