Return all that a gang took that cannot start

Cause: the members of a gang that were placed before one that does not fit were undone, but not the budget for first starts of long-running tasks that they were charged to, nor the headroom of the serving tasks beside them. The same happens in each pass, so other jobs of the kind never start. Evidence: TestGangThatCannotStartTakesNothing failed with "first starts: 1 of 2 tasks start", "the remaining cores are reserved for short tasks", and "headroom: 0 of 1 tasks start", "it would interfere with serving tasks". Change: both are returned.

--- a/core/dispatch/plan.go
+++ b/core/dispatch/plan.go
@@ -167,12 +167,12 @@
 		if best == nil {
 			p.recordWait(q, ready.step, ready.tasks[i:], reason)
 			if spec.Gang {
-				p.undoAssignments(first, spec)
+				p.undoAssignments(first, q.Job, &n, ready.tasks)
 			}
 			return // the tasks that follow need the same, and none of them is a restart if this one is not
 		}
 		best.reserve(spec, key)
-		best.consumeHeadroom(&n)
+		best.consumeHeadroom(&n, 1)
 		best.isolated = suspect
 		if ranked != nil {
 			ranked.update(best)
@@ -184,7 +184,7 @@
 		})
 	}
 	if spec.Gang && len(ready.tasks) < spec.Count {
-		p.undoAssignments(first, spec) // a member still runs; the gang starts again once all members wait
+		p.undoAssignments(first, q.Job, &n, ready.tasks) // a member still runs; the gang starts again once all members wait
 	}
 }
 
@@ -212,45 +212,6 @@
 	}
 }
 
-// takeFirstStartBudget charges the first start of a long-running task to the budget of its
-// service and reports whether the budget allows it. Other tasks are not charged; restarts are not
-// limited, because a task that ran before must run again soon, however little capacity is free.
-func (p *pass) takeFirstStartBudget(job *workflow.Job, spec *workflow.StepSpec, task workflow.Task) bool {
-	if !spec.LongRunning || spec.UsesSpareCPU || task.Attempt > 0 {
-		return true
-	}
-	if p.firstStartBudget[job.Service] < spec.CPUMillis {
-		return false
-	}
-	p.firstStartBudget[job.Service] -= spec.CPUMillis
-	return true
-}
-
-// nextGangAttempt returns the attempt number that all members of the next gang start share.
-func nextGangAttempt(q PendingRun, step int) uint32 {
-	highest := uint32(0)
-	if q.Run != nil {
-		for _, task := range q.Run.Steps[step].Tasks {
-			highest = max(highest, task.Attempt)
-		}
-	}
-	return highest + 1
-}
-
-// undoAssignments drops the assignments from the index on, because the members of a gang
-// must all start together.
-func (p *pass) undoAssignments(from int, spec *workflow.StepSpec) {
-	for _, a := range p.assignments[from:] {
-		for _, c := range p.candidates {
-			if c.worker.Incarnation == a.Incarnation {
-				c.release(spec, a.Attempt.Task)
-			}
-		}
-	}
-	p.unplaced = nil // free capacity has grown again
-	p.assignments = p.assignments[:from]
-}
-
 // needs is what the tasks of one step require of a worker.
 type needs struct {
 	service      string
@@ -350,16 +311,16 @@
 // samples causes coefficients of this size.
 const negligibleCoefficient = 0.15
 
-// consumeHeadroom subtracts the expected interference of a new best-effort task from the headroom
-// of the serving tasks.
-func (c *candidate) consumeHeadroom(n *needs) {
+// consumeHeadroom subtracts (sign 1) or adds back (sign -1) the expected interference of a new best-effort
+// task from the headroom of the serving tasks.
+func (c *candidate) consumeHeadroom(n *needs, sign float64) {
 	if !n.spec.UsesSpareCPU {
 		return
 	}
 	share := c.shareOf(n.spec)
 	for i := range c.headrooms {
 		h := &c.headrooms[i]
-		h.free -= n.coefficients[h.image] * share
+		h.free -= sign * n.coefficients[h.image] * share
 	}
 }
 
--- a/core/dispatch/ranking_test.go
+++ b/core/dispatch/ranking_test.go
@@ -91,7 +91,7 @@
 				t.Fatalf("seed %d, assignment %d (%v): placed on %v, want %v (%v)", seed, i, a.Attempt, a.Incarnation, best, reason)
 			}
 			best.reserve(n.spec, a.Attempt.Task)
-			best.consumeHeadroom(&n)
+			best.consumeHeadroom(&n, 1)
 			placed++
 		}
 		for _, wait := range waits {
@@ -126,7 +126,7 @@
 					break
 				}
 				worker.reserve(n.spec, workflow.TaskKey{Job: q.Job.ID})
-				worker.consumeHeadroom(&n)
+				worker.consumeHeadroom(&n, 1)
 				ranking.update(worker)
 			}
 		}
--- a/core/dispatch/reserve.go
+++ b/core/dispatch/reserve.go
@@ -88,3 +88,22 @@
 	}
 	return firstStartBudget
 }
+
+// usesFirstStartBudget reports whether the start of a task is charged to the budget. Restarts are not
+// limited, because a task that ran before must run again soon, however little capacity is free.
+func usesFirstStartBudget(spec *workflow.StepSpec, task workflow.Task) bool {
+	return spec.LongRunning && !spec.UsesSpareCPU && task.Attempt == 0
+}
+
+// takeFirstStartBudget charges the first start of a long-running task to the budget of its
+// service and reports whether the budget allows it.
+func (p *pass) takeFirstStartBudget(job *workflow.Job, spec *workflow.StepSpec, task workflow.Task) bool {
+	if !usesFirstStartBudget(spec, task) {
+		return true
+	}
+	if p.firstStartBudget[job.Service] < spec.CPUMillis {
+		return false
+	}
+	p.firstStartBudget[job.Service] -= spec.CPUMillis
+	return true
+}
