Do not suspect tasks whose run time the leader does not know

Cause: a new leader does not know for how long the attempts on such a worker had run, counted them as just started, and made suspects of all. Each suspect starts alone on its worker, on three quarters of the workers at a time, and 0.75 s pass until it is known to have survived. Evidence: TestAttemptsOfEarlierLeadersAreNotSuspectedOfCrashes failed with "24 of 24 tasks are suspects, want 0". Change: a crash whose run time is not known counts against the limit of five crashes, but makes no suspect. Possible crashes of silent workers count as before, because a task that crashes its workers was started six and seven times without it.

--- a/core/dispatch/lateproof_test.go
+++ b/core/dispatch/lateproof_test.go
@@ -47,13 +47,14 @@
 	}
 }
 
-func (s *lateSim) lost(silent silentWorker) (workflow.Crash, []workflow.LostAttempt) {
+// lost returns the attempts of a silent worker. unknown is the run time of those that the leader has not seen.
+func (s *lateSim) lost(silent silentWorker, unknown model.Millis) (workflow.Crash, []workflow.LostAttempt) {
 	c := workflow.Crash{Incarnation: silent.incarnation}
 	var lost []workflow.LostAttempt
 	for _, a := range s.attemptsOn(silent.incarnation) {
 		ran := max(0, silent.since-s.startsAt[a.Attempt])
 		if silent.since < s.ledSince {
-			ran = 0
+			ran = unknown
 		}
 		c.Attempts = append(c.Attempts, workflow.CrashedAttempt{Attempt: a.Attempt, RanMs: ran})
 		lost = append(lost, workflow.LostAttempt{Incarnation: silent.incarnation, Attempt: a.Attempt})
@@ -69,7 +70,7 @@
 		silence := s.now - w.since
 		if !w.lapsed && silence >= simLapse {
 			w.lapsed = true
-			c, lost := s.lost(w)
+			c, lost := s.lost(w, 0)
 			s.apply(workflow.Command{Batch: &workflow.Batch{Lapsed: []workflow.Crash{c}, Lost: lost}})
 		}
 		switch {
@@ -79,7 +80,7 @@
 				s.apply(workflow.Command{Batch: &workflow.Batch{Answered: []workflow.Incarnation{w.incarnation}}})
 			}
 		case w.answersAt == 0 && s.returnsAfter != 0 && silence >= s.returnsAfter:
-			c, lost := s.lost(w)
+			c, lost := s.lost(w, workflow.CrashWindow)
 			s.apply(workflow.Command{Batch: &workflow.Batch{Crashes: []workflow.Crash{c}, Lost: lost}})
 		default:
 			kept = append(kept, w)
--- a/daemon/fleet/crash.go
+++ b/daemon/fleet/crash.go
@@ -51,13 +51,13 @@
 		return
 	}
 	p.batch.Crashes = append(p.batch.Crashes, workflow.Crash{
-		Incarnation: incarnation, Attempts: l.possibleCauses(incarnation, next, workflows, ended),
+		Incarnation: incarnation, Attempts: l.possibleCauses(incarnation, next, workflows, ended, unknownRunTime),
 	})
 }
 
 // possibleCauses returns the open attempts of live jobs that may have run on the worker process when it ended or
-// fell silent, in the order of their tasks.
-func (l *leadership) possibleCauses(incarnation workflow.Incarnation, next *session, workflows *workflow.State, ended map[workflow.Attempt]bool) []workflow.CrashedAttempt {
+// fell silent, in the order of their tasks. unknown is the run time of those whose run time is not known.
+func (l *leadership) possibleCauses(incarnation workflow.Incarnation, next *session, workflows *workflow.State, ended map[workflow.Attempt]bool, unknown model.Millis) []workflow.CrashedAttempt {
 	s := l.sessions[incarnation]
 	var attempts []workflow.CrashedAttempt
 	workflows.VisitOpenAttempts(incarnation, func(a workflow.OpenAttempt) {
@@ -65,9 +65,13 @@
 			return
 		}
 		if s == nil {
-			attempts = append(attempts, workflow.CrashedAttempt{Attempt: a.Attempt})
+			attempts = append(attempts, workflow.CrashedAttempt{Attempt: a.Attempt, RanMs: unknown})
 		} else if o := s.orders[a.Attempt]; o == nil || (o.phase != startPlanned && o.phase != startImpossible) {
-			attempts = append(attempts, workflow.CrashedAttempt{Attempt: a.Attempt, RanMs: s.ranFor(a.Attempt)})
+			ran, known := s.ranFor(a.Attempt)
+			if !known {
+				ran = unknown
+			}
+			attempts = append(attempts, workflow.CrashedAttempt{Attempt: a.Attempt, RanMs: ran})
 		}
 	})
 	slices.SortFunc(attempts, func(a, b workflow.CrashedAttempt) int { return a.Attempt.Task.Compare(b.Attempt.Task) })
@@ -79,13 +83,22 @@
 	return listed
 }
 
-// ranFor returns for how long an attempt ran at least while the worker was known to be alive.
-func (s *session) ranFor(a workflow.Attempt) model.Millis {
+// unknownRunTime is the run time in a proven crash of an attempt that an earlier leader started and whose worker never
+// listed it to this leader. Most attempts are older than CrashWindow, so the crash counts against the limit of the task
+// but does not make a suspect of it: suspects start alone, and 400 of them on 48 workers took 9 s (simulated).
+const unknownRunTime = workflow.CrashWindow
+
+// ranFor returns for how long an attempt ran at least while the worker was known to be alive. known is false if an
+// earlier leader started it and its worker never listed it to this one.
+func (s *session) ranFor(a workflow.Attempt) (ran model.Millis, known bool) {
 	o := s.orders[a]
-	if o == nil || o.phase != startAnswered {
-		return 0
+	switch {
+	case o == nil, o.phase == startInherited:
+		return 0, false
+	case o.phase != startAnswered:
+		return 0, true
 	}
-	return max(0, model.Millis(s.aliveAt.Sub(o.answeredAt).Milliseconds()))
+	return max(0, model.Millis(s.aliveAt.Sub(o.answeredAt).Milliseconds())), true
 }
 
 // survives reports whether the worker has listed the attempt after it ran for long enough that it is
--- a/daemon/fleet/crash_test.go
+++ b/daemon/fleet/crash_test.go
@@ -10,6 +10,7 @@
 	"samphirepaddle.example/core/model"
 	"samphirepaddle.example/core/state"
 	"samphirepaddle.example/core/workflow"
+	"samphirepaddle.example/daemon/bootclock"
 )
 
 // crashingPool is a set of fake workers of which each crashes when it starts a task of job poison,
@@ -201,6 +202,44 @@
 	}
 }
 
+// Guards against new leaders that make suspects of all tasks on workers that crashed before their term. Each
+// suspect starts alone, so that hundreds of them wait for seconds beside free workers.
+func TestAttemptsOfEarlierLeadersAreNotSuspectedOfCrashes(t *testing.T) {
+	for name, c := range map[string]struct {
+		change func(l *leadership, s *session)
+		want   bool // all tasks are suspects
+	}{
+		"the worker never answered this leader": {func(l *leadership, s *session) { delete(l.sessions, s.incarnation) }, false},
+		"the attempts were never listed":        {func(_ *leadership, s *session) { s.orders = map[workflow.Attempt]*order{} }, false},
+		"this leader has just started them": {func(_ *leadership, s *session) {
+			for _, o := range s.orders {
+				o.phase, o.answeredAt, s.aliveAt = startAnswered, bootclock.Now(), bootclock.Now()
+			}
+		}, true},
+		"this leader has sent the starts": {func(_ *leadership, s *session) {
+			for _, o := range s.orders {
+				o.phase = startSent
+			}
+		}, true},
+	} {
+		l, st := planningLeadership(t, 1, 1, 0)
+		incarnation := st.Workflows.OpenIncarnations()[0]
+		c.change(l, l.sessions[incarnation])
+		p := &passPlan{}
+		l.addCrash(incarnation, nil, st.Workflows, nil, p)
+		applyOrFail(t, st, workflow.Command{Batch: &p.batch})
+		suspects := 0
+		st.Workflows.VisitOpenAttempts(incarnation, func(a workflow.OpenAttempt) {
+			if a.Suspect {
+				suspects++
+			}
+		})
+		if want := map[bool]int{true: 24}[c.want]; suspects != want {
+			t.Errorf("%s: %d of 24 tasks are suspects, want %d", name, suspects, want)
+		}
+	}
+}
+
 // waitsAfter reports whether the only task of the job waits after the attempt.
 func (r *rig) waitsAfter(job workflow.JobID, attempt uint32) (waits bool) {
 	r.log.View(func(st *state.State) {
--- a/daemon/fleet/reconcile.go
+++ b/daemon/fleet/reconcile.go
@@ -42,7 +42,9 @@
 		lossReason = "the worker process has ended"
 	case s.leaseExpired(now):
 		lossReason = "the worker's lease has expired"
-		p.batch.Lapsed = append(p.batch.Lapsed, workflow.Crash{Incarnation: incarnation, Attempts: l.possibleCauses(incarnation, nil, workflows, ended)})
+		// Unknown run times count as short: without it a task that crashes its workers was started six and seven times
+		// while leaders changed and no crash was proven.
+		p.batch.Lapsed = append(p.batch.Lapsed, workflow.Crash{Incarnation: incarnation, Attempts: l.possibleCauses(incarnation, nil, workflows, ended, 0)})
 	case known && current.Deregistered && l.deregisteredFor(current, now) > deregistrationGrace:
 		lossReason = "the worker has deregistered"
 	}
