--- a/core/workflow/apply.go
+++ b/core/workflow/apply.go
@@ -67,7 +67,7 @@
 			return Unknown, err.Error()
 		}
 		s.Jobs[id] = &Job{ID: id, Phase: PhaseUnsubmitted, EndedAt: now}
-		s.endedJobs = append(s.endedJobs, endedJob{now, id})
+		s.addEnded(endedJob{now, id})
 		return Unknown, "nobody submitted the job; a later submission counts as cancelled"
 	}
 	if job.Ended() {
@@ -97,7 +97,7 @@
 	job.EndedAt = now
 	job.Reason = reason
 	delete(s.liveJobs, job.ID)
-	s.endedJobs = append(s.endedJobs, endedJob{now, job.ID})
+	s.addEnded(endedJob{now, job.ID})
 	for task := range job.openTasks {
 		s.bumpVersion(task.Incarnation)
 	}
--- a/core/workflow/state.go
+++ b/core/workflow/state.go
@@ -27,7 +27,7 @@
 	// Indexes of Jobs. They are not part of snapshots; Restore rebuilds them.
 	liveJobs  map[JobID]*Job
 	openSets  map[Incarnation]*openSet
-	endedJobs []endedJob // in the order of their ends
+	endedJobs []endedJob // in the order of compare
 
 	lastVersion uint64 // last version given to an open set
 }
@@ -43,6 +43,17 @@
 	id JobID
 }
 
+// compare orders jobs by their end. Jobs that ended at the same time are ordered by id: their order must not
+// depend on whether the state was restored, because dropExpiredJobs stops at the first job that it keeps.
+func (e endedJob) compare(other endedJob) int {
+	return cmp.Or(cmp.Compare(e.at, other.at), cmp.Compare(e.id, other.id))
+}
+
+func (s *State) addEnded(e endedJob) {
+	i, _ := slices.BinarySearchFunc(s.endedJobs, e, endedJob.compare)
+	s.endedJobs = slices.Insert(s.endedJobs, i, e)
+}
+
 // New returns an empty state.
 func New() *State {
 	return &State{
@@ -112,9 +123,7 @@
 	for _, job := range s.Jobs {
 		s.indexJob(job)
 	}
-	slices.SortFunc(s.endedJobs, func(a, b endedJob) int {
-		return cmp.Or(cmp.Compare(a.at, b.at), cmp.Compare(a.id, b.id))
-	})
+	slices.SortFunc(s.endedJobs, endedJob.compare)
 	return s
 }
 
