Count the lease of a silent worker across changes of leader

Callers saw a job of which nothing runs, with free workers beside it: the task was on a worker that is lost, and a new leader waited for a whole lease from the start of its own term before it closed the attempt, however long the worker had been away. Each further change of leader began that wait anew.

A leader now records that a worker with open attempts has not answered for 2.5 s, with an upper bound of what remains of the leases that were sent to it, and again whenever the bound has fallen by 1 s. A later leader closes the attempts after the recorded time, counted from its own first pass, or after its former bound, whichever is earlier. This is safe because no lease is sent from the proposal of the record until an answer of the worker is committed, whatever the outcome of the proposal, because the end of a lease is a time on the worker's clock, however late a call takes effect, and because a new leader has applied all committed entries before its first call.

--- a/core/workflow/apply.go
+++ b/core/workflow/apply.go
@@ -126,6 +126,9 @@
 	for _, incarnation := range b.Answered {
 		s.recordAnswer(incarnation)
 	}
+	for _, silent := range b.Silent {
+		s.recordSilent(silent)
+	}
 	for _, silent := range b.Lapsed {
 		s.recordLapsed(silent)
 	}
@@ -155,6 +158,7 @@
 		w.LastRecordedEnd = known.LastRecordedEnd
 		w.DeregisteredAt = known.DeregisteredAt
 		w.Crashed, w.Lapsed, w.PredecessorLeft = known.Crashed, known.Lapsed, known.PredecessorLeft
+		w.Silent, w.LeaseLeftMs = known.Silent, known.LeaseLeftMs
 	} else if ok {
 		w.PredecessorLeft = known.announcedEnd()
 		if !w.PredecessorLeft && !known.Crashed {
--- a/core/workflow/commands.go
+++ b/core/workflow/commands.go
@@ -1,5 +1,7 @@
 package workflow
 
+import "samphirepaddle.example/core/model"
+
 // Command is one change of the state. Exactly one of the pointers is set.
 type Command struct {
 	Submit *Submission `json:"submit,omitempty"`
@@ -25,8 +27,20 @@
 	Crashes []Crash       `cbor:"5,keyasint,omitempty"` // worker processes that have ended unannounced; applied before Lost
 	Lapsed  []Crash       `cbor:"6,keyasint,omitempty"` // silent workers, whose attempts Lost closes; applied before Lost
 
-	// Answered are the worker processes that have answered since their attempts lapsed; applied before Lapsed.
+	// Answered are the worker processes that have answered since their attempts lapsed or they were
+	// recorded as silent; applied before Lapsed.
 	Answered []Incarnation `cbor:"7,keyasint,omitempty"`
+
+	// Silent are the worker processes that do not answer; applied after Answered.
+	Silent []SilentWorker `cbor:"8,keyasint,omitempty"`
+}
+
+// SilentWorker reports that a worker process does not answer and is sent no lease until a later batch
+// reports that it has answered.
+type SilentWorker struct {
+	_           struct{} `cbor:",toarray"`
+	Incarnation Incarnation
+	LeaseLeftMs model.Millis // upper bound of the remaining time of every lease that was sent to it
 }
 
 // EndKind tells how an attempt ended on its worker.
--- a/core/workflow/crash.go
+++ b/core/workflow/crash.go
@@ -101,10 +101,19 @@
 	}
 }
 
+// recordSilent records that no lease is sent to a worker process. A leader that follows can rely on the
+// bound, because the process gets no lease before recordAnswer.
+func (s *State) recordSilent(silent SilentWorker) {
+	if worker, ok := s.Workers[silent.Incarnation.Worker]; ok && worker.Incarnation == silent.Incarnation {
+		worker.Silent, worker.LeaseLeftMs = true, silent.LeaseLeftMs
+	}
+}
+
 // recordAnswer forgets the attempts that were lost while the worker was silent: it has survived them.
 func (s *State) recordAnswer(incarnation Incarnation) {
 	if worker, ok := s.Workers[incarnation.Worker]; ok && worker.Incarnation == incarnation {
 		worker.Lapsed = nil
+		worker.Silent, worker.LeaseLeftMs = false, 0
 	}
 }
 
--- a/core/workflow/index_test.go
+++ b/core/workflow/index_test.go
@@ -71,6 +71,9 @@
 	if rapid.IntRange(0, 3).Draw(t, "answer") == 0 {
 		b.Answered = []Incarnation{m.drawIncarnation(t)}
 	}
+	if rapid.IntRange(0, 3).Draw(t, "silence") == 0 {
+		b.Silent = []SilentWorker{{Incarnation: m.drawIncarnation(t), LeaseLeftMs: 1}}
+	}
 	if rapid.IntRange(0, 3).Draw(t, "loss") == 0 {
 		m.lose(t, &b)
 	}
--- a/core/workflow/types.go
+++ b/core/workflow/types.go
@@ -233,6 +233,9 @@
 	Crashed         bool             `cbor:"15,keyasint,omitempty"` // the process has ended without having announced it
 	Lapsed          []CrashedAttempt `cbor:"16,keyasint,omitempty"` // attempts that were lost while the worker was silent
 	PredecessorLeft bool             `cbor:"17,keyasint,omitempty"` // the process before, under the same id, had announced its end
+
+	Silent      bool         `cbor:"18,keyasint,omitempty"` // no leader sends the process a lease, because it does not answer
+	LeaseLeftMs model.Millis `cbor:"19,keyasint,omitempty"` // of a silent process: upper bound of what remained of its leases when this was proposed
 }
 
 // HasLabel reports whether the worker has the label.
--- a/daemon/fleet/fleet_test.go
+++ b/daemon/fleet/fleet_test.go
@@ -28,6 +28,7 @@
 	log     *replica.Replica
 	engine  *Engine
 	workers *fakeWorkers
+	lease   time.Duration // WorkerLease of the engines
 	stop    context.CancelFunc
 }
 
@@ -38,7 +39,7 @@
 	mux.Handle(rpc.ConsensusPathPrefix, log.Handler())
 	server := &http.Server{Handler: mux}
 	go func() { _ = server.Serve(listener) }()
-	r := &rig{t: t, log: log, workers: newFakeWorkers(t)}
+	r := &rig{t: t, log: log, workers: newFakeWorkers(t), lease: testLease}
 	r.startEngine()
 	t.Cleanup(func() {
 		r.stop()
@@ -61,7 +62,7 @@
 func (r *rig) startEngine() {
 	ctx, stop := context.WithCancel(context.Background())
 	r.engine = NewEngine(Options{
-		Log: r.log, Workers: r.workers, Logger: zerolog.Nop(), LeaderLease: 200 * time.Millisecond, WorkerLease: testLease,
+		Log: r.log, Workers: r.workers, Logger: zerolog.Nop(), LeaderLease: 200 * time.Millisecond, WorkerLease: r.lease,
 	})
 	done := make(chan struct{})
 	go func() {
--- a/daemon/fleet/orders.go
+++ b/daemon/fleet/orders.go
@@ -15,7 +15,7 @@
 func (l *leadership) sendStart(s *session, a workflow.Attempt, payload, checkpoint string) {
 	o := s.orderOf(a)
 	now := bootclock.Now()
-	if s.replaced || !s.tokenAccepted || !l.lease.valid(now) {
+	if s.replaced || !s.tokenAccepted || s.silence.recorded || !l.lease.valid(now) {
 		o.phase = startImpossible // nothing was sent
 		return
 	}
--- a/daemon/fleet/pass.go
+++ b/daemon/fleet/pass.go
@@ -31,7 +31,7 @@
 
 func (p *passPlan) empty() bool {
 	b := &p.batch
-	return len(b.Workers) == 0 && len(b.Ends) == 0 && len(b.Crashes) == 0 && len(b.Lapsed) == 0 && len(b.Answered) == 0 && len(b.Lost) == 0 && len(b.Assign) == 0
+	return len(b.Workers) == 0 && len(b.Ends) == 0 && len(b.Crashes) == 0 && len(b.Lapsed) == 0 && len(b.Answered) == 0 && len(b.Silent) == 0 && len(b.Lost) == 0 && len(b.Assign) == 0
 }
 
 // passKind is the extent of a pass.
@@ -234,6 +234,7 @@
 	l.engine.opts.Metrics.count("attempts", "assigned", len(p.batch.Assign))
 	l.markEndsRecorded(p.batch.Ends)
 	l.markCrashesRecorded(p.batch.Crashes)
+	l.endSilences(p.batch.Answered)
 	for _, loss := range p.batch.Lost {
 		if s := l.sessions[loss.Incarnation]; s != nil {
 			delete(s.orders, loss.Attempt)
--- a/daemon/fleet/reconcile.go
+++ b/daemon/fleet/reconcile.go
@@ -45,6 +45,8 @@
 		p.batch.Lapsed = append(p.batch.Lapsed, workflow.Crash{Incarnation: incarnation, Attempts: l.possibleCauses(incarnation, nil, workflows, ended)})
 	case known && current.Deregistered && l.deregisteredFor(current, now) > deregistrationGrace:
 		lossReason = "the worker has deregistered"
+	case known:
+		l.recordSilence(s, current, now, p)
 	}
 	workflows.VisitOpenAttempts(incarnation, func(a workflow.OpenAttempt) {
 		switch {
--- a/daemon/fleet/session.go
+++ b/daemon/fleet/session.go
@@ -89,6 +89,7 @@
 	clock      model.Millis // reading of the worker's clock at clockAt
 	clockAt    bootclock.Time
 	leaseUntil model.Millis // latest lease end in any call that was sent, on the worker's clock
+	silence    silence
 
 	fullListSentAt    bootclock.Time // when the hold call that returned the last complete list was sent
 	listReceivedAt    bootclock.Time // when the last list was received
@@ -116,7 +117,7 @@
 	ctx, cancel := context.WithCancel(l.ctx)
 	s := &session{
 		leadership: l, incarnation: w.Incarnation, addr: w.Addr, zone: w.Zone, cancel: cancel, wake: make(chan struct{}, 1),
-		openedAt: bootclock.Now(), recordedThrough: w.LastRecordedEnd, sequence: w.ReportSequence,
+		openedAt: bootclock.Now(), recordedThrough: w.LastRecordedEnd, sequence: w.ReportSequence, silence: inheritSilence(w),
 		running: map[workflow.Attempt]RunningAttempt{}, orders: map[workflow.Attempt]*order{},
 	}
 	l.sessions[w.Incarnation] = s
@@ -174,10 +175,10 @@
 		return Endpoint{}, HoldCall{}, false
 	}
 	call := HoldCall{Token: l.token}
-	if s.failing || !s.tokenAccepted {
+	if s.failing || !s.tokenAccepted || s.silence.recorded {
 		// No lease is sent until the worker has answered, because an unanswered call may take effect
-		// late. No ends are acknowledged either: a new process of the worker, whose end numbers start
-		// again at 1, may receive the call.
+		// late, and until the answer is recorded. No ends are acknowledged either: a new process of the
+		// worker, whose end numbers start again at 1, may receive the call.
 		return s.endpoint(), call, true
 	}
 	call.AckedThrough = s.recordedThrough
@@ -274,7 +275,10 @@
 	if len(s.ends) > 0 {
 		return endsRecordWait // the next call acknowledges them once they are recorded
 	}
-	if call.Wait == 0 {
+	switch {
+	case s.silence.recorded:
+		return endsRecordWait // no lease may be sent before the answer is recorded
+	case call.Wait == 0:
 		return 0
 	}
 	return holdGap
@@ -352,6 +356,11 @@
 		}
 	}
 	s.ends = kept
+	s.wakeUp()
+}
+
+// wakeUp ends the wait before the next hold call.
+func (s *session) wakeUp() {
 	select {
 	case s.wake <- struct{}{}:
 	default:
@@ -364,21 +373,15 @@
 	if s.answeredAt != 0 && now.Sub(s.answeredAt) < unreachableAfter {
 		return false
 	}
-	if s.leaseUntil == 0 || !s.tokenAccepted {
-		// Leases from earlier leaders end at most earlierLeaseBound after this term began.
-		if now.Sub(s.leadership.since) < s.leadership.earlierLeaseBound() {
-			return false
-		}
-	}
 	if s.leaseUntil == 0 {
-		return s.tokenAccepted || now.Sub(s.openedAt) > s.leadership.engine.opts.WorkerLease
+		return now >= s.earlierLeaseEnd()
 	}
 	return s.minClock(now) > s.leaseUntil+model.Millis(leaseExpiryMargin.Milliseconds())
 }
 
 // acceptsStarts reports whether the worker is expected to accept starts.
 func (s *session) acceptsStarts(w *workflow.Worker, now bootclock.Time) bool {
-	if s.replaced || !s.tokenAccepted || s.failing || s.runsOrphan || w.Draining || w.Deregistered || now < s.pauseUntil {
+	if s.replaced || !s.tokenAccepted || s.failing || s.silence.recorded || s.runsOrphan || w.Draining || w.Deregistered || now < s.pauseUntil {
 		return false
 	}
 	return now.Sub(s.answeredAt) < unreachableAfter
