Settle an unanswered start without waiting for long hold calls

Callers saw a job of which nothing runs for seconds, with free workers beside it: its start was not answered (the order is carried out late, or the response is lost), and the task cannot start elsewhere before the worker has listed its attempts, answered a stop and listed them again. Each list came with a hold call that waits for 1 s, and the one that was in flight does not count, so the task waited for up to 4 s after the 0.7 s of the call itself.

Evidence: TestUnansweredStartIsSettledWithoutWaitingForLongHolds, a worker that uses the full wait of each hold call and does not answer the first start. Before: "the task was started again 4.057 s after its start failed". While an unanswered start is open, hold calls now wait for 0.2 s, and each list requests a pass. After: 1.41 s in three runs, of which up to 1 s is the call in flight. The calls that settle a start stay the same, only sooner.

--- a/daemon/fleet/pass.go
+++ b/daemon/fleet/pass.go
@@ -332,11 +332,12 @@
 // allocations lists the attempts that hold resources on a worker, sorted by task.
 func (l *leadership) allocations(workflows *workflow.State, s *session) []dispatch.Allocation {
 	allocations := make([]dispatch.Allocation, 0, len(s.cachedAllocations)+1)
-	serving, bestEffort, isolated := false, false, false
+	serving, bestEffort, isolated, unsettled := false, false, false, false
 	workflows.VisitOpenAttempts(s.incarnation, func(a workflow.OpenAttempt) {
 		r := dispatch.Allocation{OpenAttempt: a, Pace: 100}
 		if o := s.orders[a.Attempt]; o != nil {
 			r.Pace, r.Stopping = o.pace, o.stopSentAt != 0 || o.evictReason != ""
+			unsettled = unsettled || o.phase == startUnanswered
 		}
 		if run, ok := s.running[a.Attempt]; ok {
 			r.Listed, r.Percent = true, run.Progress
@@ -351,7 +352,7 @@
 		bestEffort = bestEffort || a.Step.UsesSpareCPU
 		allocations = append(allocations, r)
 	})
-	s.colocated, s.isolated = serving && bestEffort, isolated
+	s.colocated, s.isolated, s.unsettled = serving && bestEffort, isolated, unsettled
 	slices.SortFunc(allocations, func(a, b dispatch.Allocation) int {
 		return a.Attempt.Task.Compare(b.Attempt.Task)
 	})
--- a/daemon/fleet/session.go
+++ b/daemon/fleet/session.go
@@ -22,6 +22,9 @@
 	// holdWaitIsolated replaces holdWait while no task may start beside a suspect, which the next list
 	// may show to have survived.
 	holdWaitIsolated = 250 * time.Millisecond
+	// holdWaitUnsettled replaces holdWait while an unanswered start is open. Its task cannot start elsewhere
+	// before two more lists; with holdWait for each it waited for up to 4 s.
+	holdWaitUnsettled = 200 * time.Millisecond
 	// holdWaitProbation replaces holdWait after a restart on a quarantined worker, whose next list may
 	// show that the worker has recovered.
 	holdWaitProbation = 500 * time.Millisecond
@@ -98,6 +101,7 @@
 	runsOrphan        bool                  // the worker lists an attempt that is not open, so its needs are not accounted for
 	cachedAllocations []dispatch.Allocation // result of leadership.allocations in the last pass
 	isolated          bool                  // a suspect attempt runs there and has not survived CrashWindow
+	unsettled         bool                  // a start was not answered, and whether it runs is not known
 	openVersion       uint64                // version of the state's open attempts that cachedAllocations reflects
 	orders            map[workflow.Attempt]*order
 
@@ -189,6 +193,9 @@
 	if s.isolated {
 		call.Wait = min(call.Wait, model.Millis(holdWaitIsolated.Milliseconds()))
 	}
+	if s.unsettled {
+		call.Wait = min(call.Wait, model.Millis(holdWaitUnsettled.Milliseconds()))
+	}
 	if s.quarantine.onProbation(now) {
 		call.Wait = min(call.Wait, model.Millis(holdWaitProbation.Milliseconds()))
 	}
@@ -239,7 +246,7 @@
 	healthy := s.tokenAccepted && !s.failing
 	defer func() {
 		// New usage or progress values alone are handled by the next regular pass.
-		if s.endsQueued != endsBefore || !healthy || err != nil {
+		if s.endsQueued != endsBefore || !healthy || err != nil || s.unsettled {
 			l.requestPass()
 		}
 	}()
