Close the attempts of a deregistered worker soon after a change of leader

Callers saw a job of which nothing runs, with free workers beside it: its worker had deregistered, and the leader changed before it closed the attempts, 1 s later. The new leader opens no session with such a worker and waited for a whole lease, 9.8 s, as for one of which nothing is known.

Evidence: TestLossOfADeregisteredWorkerSurvivesAChangeOfLeader (lease of 4 s). The new leader now gives the worker the same second of grace, from when it first sees the record; the deregistration is committed, so it is as good as for the leader that took it.

--- a/daemon/fleet/reconcile.go
+++ b/daemon/fleet/reconcile.go
@@ -33,7 +33,7 @@
 		return
 	}
 	if s == nil {
-		l.closeWithoutSession(workflows, incarnation, now, ended, p)
+		l.closeWithoutSession(workflows, incarnation, current, now, ended, p)
 		return
 	}
 	lossReason := ""
@@ -59,9 +59,11 @@
 	})
 }
 
-// closeWithoutSession closes the attempts of a worker process that ended before this term began.
-func (l *leadership) closeWithoutSession(workflows *workflow.State, incarnation workflow.Incarnation, now bootclock.Time, ended map[workflow.Attempt]bool, p *passPlan) {
-	if now.Sub(l.since) < l.earlierLeaseBound() {
+// closeWithoutSession closes the attempts of a worker process that ended before this term began. One that
+// has deregistered gets the same grace as from a leader that has a session with it.
+func (l *leadership) closeWithoutSession(workflows *workflow.State, incarnation workflow.Incarnation, w *workflow.Worker, now bootclock.Time, ended map[workflow.Attempt]bool, p *passPlan) {
+	deregistered := w != nil && w.Deregistered && l.deregisteredFor(w, now) > deregistrationGrace
+	if !deregistered && now.Sub(l.since) < l.earlierLeaseBound() {
 		return
 	}
 	workflows.VisitOpenAttempts(incarnation, func(a workflow.OpenAttempt) {
--- a/daemon/fleet/silence_test.go
+++ b/daemon/fleet/silence_test.go
@@ -1,6 +1,7 @@
 package fleet
 
 import (
+	"context"
 	"testing"
 	"time"
 
@@ -88,3 +89,24 @@
 	r.submit("next", oneTask)
 	r.until("it gets tasks again", func() bool { return len(a.runningAttempts()) == 2 })
 }
+
+// Guards against a task that waits for a whole lease because its worker deregistered just before the
+// leader changed: the new leader has no session with the worker.
+func TestLossOfADeregisteredWorkerSurvivesAChangeOfLeader(t *testing.T) {
+	r := newRig(t)
+	r.lease = silentLease
+	r.changeLeader()
+	a := r.startTask()
+	b := r.addWorker("b", 1)
+	a.withLock(func() { a.silent = true })
+	r.until("the worker is deregistered", func() bool {
+		_, err := r.engine.Deregister(context.Background(), "a")
+		return err == nil
+	})
+	r.changeLeader()
+	begin := time.Now()
+	r.until("the task runs on the other worker", func() bool { return len(b.runningAttempts()) == 1 })
+	if waited := time.Since(begin); waited > deregistrationGrace+2*time.Second {
+		t.Errorf("the task waited for %v", waited)
+	}
+}
