Start due occurrences on time after a clock was set back

Callers saw occurrences of a scheduled job that are due and do not start, with free workers beside them: due times were compared with the leader's wall clock alone. A clock that is set back during the term, or is behind the clock of the leader before, delays each of them by the difference. The planner's time, with which backoffs end, also stood still after a leader whose clock was ahead, until the wall clock had reached the latest recorded time.

The time of the passes now is the latest of the wall clock, the recorded time and that of the last pass plus the steady time since.

--- a/daemon/fleet/engine.go
+++ b/daemon/fleet/engine.go
@@ -108,6 +108,7 @@
 	lastFullCheck bootclock.Time // time of the last pass that examined every worker
 	lastPlanEnd   bootclock.Time // when the last full pass finished planning
 	planDuration  time.Duration
+	clock         passClock
 	passStats     passStats
 	workerOrder   []workflow.WorkerID // result of sortedWorkers in the last pass
 
--- a/daemon/fleet/pass.go
+++ b/daemon/fleet/pass.go
@@ -282,8 +282,7 @@
 func (l *leadership) plannerInput(st *state.State, now bootclock.Time) *dispatch.Snapshot {
 	workflows := st.Workflows
 	wall := model.Millis(time.Now().UnixMilli())
-	// The recorded times are from the clocks of this and of earlier leaders, which may be ahead.
-	latest := max(wall, st.Now)
+	latest := l.clock.read(wall, st.Now, now)
 	p := &dispatch.Snapshot{Now: latest, HeldBack: workflows.HeldBack(latest)}
 	p.Workers = make([]*dispatch.Worker, 0, len(workflows.Workers))
 	for _, id := range l.sortedWorkers(workflows) {
@@ -293,7 +292,7 @@
 		}
 	}
 	workflows.VisitLiveJobs(func(job *workflow.Job) {
-		for occurrence, run := range job.DueRuns(wall) {
+		for occurrence, run := range job.DueRuns(min(latest, wall+maxClockError)) {
 			p.PendingRuns = append(p.PendingRuns, dispatch.PendingRun{Job: job, Occurrence: occurrence, Run: run})
 		}
 	})
