--- a/core/workflow/apply.go
+++ b/core/workflow/apply.go
@@ -67,7 +67,7 @@
 			return Unknown, err.Error()
 		}
 		s.Jobs[id] = &Job{ID: id, Phase: PhaseUnsubmitted, EndedAt: now}
-		s.endedJobs = append(s.endedJobs, endedJob{now, id})
+		s.addEnded(endedJob{now, id})
 		return Unknown, "nobody submitted the job; a later submission counts as cancelled"
 	}
 	if job.Ended() {
@@ -97,7 +97,7 @@
 	job.EndedAt = now
 	job.Reason = reason
 	delete(s.liveJobs, job.ID)
-	s.endedJobs = append(s.endedJobs, endedJob{now, job.ID})
+	s.addEnded(endedJob{now, job.ID})
 	for task := range job.openTasks {
 		s.bumpVersion(task.Incarnation)
 	}
@@ -126,6 +126,9 @@
 	for _, incarnation := range b.Answered {
 		s.recordAnswer(incarnation)
 	}
+	for _, silent := range b.Silent {
+		s.recordSilent(silent)
+	}
 	for _, silent := range b.Lapsed {
 		s.recordLapsed(silent)
 	}
@@ -155,6 +158,7 @@
 		w.LastRecordedEnd = known.LastRecordedEnd
 		w.DeregisteredAt = known.DeregisteredAt
 		w.Crashed, w.Lapsed, w.PredecessorLeft = known.Crashed, known.Lapsed, known.PredecessorLeft
+		w.Silent, w.LeaseLeftMs = known.Silent, known.LeaseLeftMs
 	} else if ok {
 		w.PredecessorLeft = known.announcedEnd()
 		if !w.PredecessorLeft && !known.Crashed {
--- a/daemon/fleet/pass.go
+++ b/daemon/fleet/pass.go
@@ -31,7 +31,7 @@
 
 func (p *passPlan) empty() bool {
 	b := &p.batch
-	return len(b.Workers) == 0 && len(b.Ends) == 0 && len(b.Crashes) == 0 && len(b.Lapsed) == 0 && len(b.Answered) == 0 && len(b.Lost) == 0 && len(b.Assign) == 0
+	return len(b.Workers) == 0 && len(b.Ends) == 0 && len(b.Crashes) == 0 && len(b.Lapsed) == 0 && len(b.Answered) == 0 && len(b.Silent) == 0 && len(b.Lost) == 0 && len(b.Assign) == 0
 }
 
 // passKind is the extent of a pass.
@@ -235,6 +235,7 @@
 	l.engine.opts.Metrics.count("attempts", "assigned", len(p.batch.Assign))
 	l.markEndsRecorded(p.batch.Ends)
 	l.markCrashesRecorded(p.batch.Crashes)
+	l.endSilences(p.batch.Answered)
 	for _, loss := range p.batch.Lost {
 		if s := l.sessions[loss.Incarnation]; s != nil {
 			delete(s.orders, loss.Attempt)
@@ -282,8 +283,7 @@
 func (l *leadership) plannerInput(st *state.State, now bootclock.Time) *dispatch.Snapshot {
 	workflows := st.Workflows
 	wall := model.Millis(time.Now().UnixMilli())
-	// The recorded times are from the clocks of this and of earlier leaders, which may be ahead.
-	latest := max(wall, st.Now)
+	latest := l.clock.read(wall, st.Now, now)
 	p := &dispatch.Snapshot{Now: latest, Cautions: workflows.Cautions(latest)}
 	l.startAlone = p.Cautions.StartAlone
 	p.Workers = make([]*dispatch.Worker, 0, len(workflows.Workers))
@@ -294,7 +294,7 @@
 		}
 	}
 	workflows.VisitLiveJobs(func(job *workflow.Job) {
-		for occurrence, run := range job.DueRuns(wall) {
+		for occurrence, run := range job.DueRuns(min(latest, wall+maxClockError)) {
 			p.PendingRuns = append(p.PendingRuns, dispatch.PendingRun{Job: job, Occurrence: occurrence, Run: run})
 		}
 	})
@@ -333,11 +333,12 @@
 // allocations lists the attempts that hold resources on a worker, sorted by task.
 func (l *leadership) allocations(workflows *workflow.State, s *session) []dispatch.Allocation {
 	allocations := make([]dispatch.Allocation, 0, len(s.cachedAllocations)+1)
-	serving, bestEffort, isolated := false, false, false
+	serving, bestEffort, isolated, unsettled := false, false, false, false
 	workflows.VisitOpenAttempts(s.incarnation, func(a workflow.OpenAttempt) {
 		r := dispatch.Allocation{OpenAttempt: a, Pace: 100}
 		if o := s.orders[a.Attempt]; o != nil {
 			r.Pace, r.Stopping = o.pace, o.stopSentAt != 0 || o.evictReason != ""
+			unsettled = unsettled || o.phase == startUnanswered
 		}
 		if run, ok := s.running[a.Attempt]; ok {
 			r.Listed, r.Percent = true, run.Progress
@@ -352,7 +353,7 @@
 		bestEffort = bestEffort || a.Step.UsesSpareCPU
 		allocations = append(allocations, r)
 	})
-	s.colocated, s.isolated = serving && bestEffort, isolated
+	s.colocated, s.isolated, s.unsettled = serving && bestEffort, isolated, unsettled
 	slices.SortFunc(allocations, func(a, b dispatch.Allocation) int {
 		return a.Attempt.Task.Compare(b.Attempt.Task)
 	})
--- a/daemon/fleet/session.go
+++ b/daemon/fleet/session.go
@@ -22,6 +22,9 @@
 	// holdWaitIsolated replaces holdWait while no task may start beside a suspect, which the next list
 	// may show to have survived.
 	holdWaitIsolated = 250 * time.Millisecond
+	// holdWaitUnsettled replaces holdWait while an unanswered start is open. Its task cannot start elsewhere
+	// before two more lists; with holdWait for each it waited for up to 4 s.
+	holdWaitUnsettled = 200 * time.Millisecond
 	// holdWaitProbation replaces holdWait after a restart on a quarantined worker, whose next list may
 	// show that the worker has recovered.
 	holdWaitProbation = 500 * time.Millisecond
@@ -89,6 +92,7 @@
 	clock      model.Millis // reading of the worker's clock at clockAt
 	clockAt    bootclock.Time
 	leaseUntil model.Millis // latest lease end in any call that was sent, on the worker's clock
+	silence    silence
 
 	fullListSentAt    bootclock.Time // when the hold call that returned the last complete list was sent
 	listReceivedAt    bootclock.Time // when the last list was received
@@ -97,6 +101,7 @@
 	runsOrphan        bool                  // the worker lists an attempt that is not open, so its needs are not accounted for
 	cachedAllocations []dispatch.Allocation // result of leadership.allocations in the last pass
 	isolated          bool                  // a suspect attempt runs there and has not survived CrashWindow
+	unsettled         bool                  // a start was not answered, and whether it runs is not known
 	openVersion       uint64                // version of the state's open attempts that cachedAllocations reflects
 	orders            map[workflow.Attempt]*order
 
@@ -116,7 +121,7 @@
 	ctx, cancel := context.WithCancel(l.ctx)
 	s := &session{
 		leadership: l, incarnation: w.Incarnation, addr: w.Addr, zone: w.Zone, cancel: cancel, wake: make(chan struct{}, 1),
-		openedAt: bootclock.Now(), recordedThrough: w.LastRecordedEnd, sequence: w.ReportSequence,
+		openedAt: bootclock.Now(), recordedThrough: w.LastRecordedEnd, sequence: w.ReportSequence, silence: inheritSilence(w),
 		running: map[workflow.Attempt]RunningAttempt{}, orders: map[workflow.Attempt]*order{},
 	}
 	l.sessions[w.Incarnation] = s
@@ -174,10 +179,10 @@
 		return Endpoint{}, HoldCall{}, false
 	}
 	call := HoldCall{Token: l.token}
-	if s.failing || !s.tokenAccepted {
+	if s.failing || !s.tokenAccepted || s.silence.recorded {
 		// No lease is sent until the worker has answered, because an unanswered call may take effect
-		// late. No ends are acknowledged either: a new process of the worker, whose end numbers start
-		// again at 1, may receive the call.
+		// late, and until the answer is recorded. No ends are acknowledged either: a new process of the
+		// worker, whose end numbers start again at 1, may receive the call.
 		return s.endpoint(), call, true
 	}
 	call.AckedThrough = s.recordedThrough
@@ -188,6 +193,9 @@
 	if s.isolated {
 		call.Wait = min(call.Wait, model.Millis(holdWaitIsolated.Milliseconds()))
 	}
+	if s.unsettled {
+		call.Wait = min(call.Wait, model.Millis(holdWaitUnsettled.Milliseconds()))
+	}
 	if s.quarantine.onProbation(now) {
 		call.Wait = min(call.Wait, model.Millis(holdWaitProbation.Milliseconds()))
 	}
@@ -238,7 +246,7 @@
 	healthy := s.tokenAccepted && !s.failing
 	defer func() {
 		// New usage or progress values alone are handled by the next regular pass.
-		if s.endsQueued != endsBefore || !healthy || err != nil {
+		if s.endsQueued != endsBefore || !healthy || err != nil || s.unsettled {
 			l.requestPass()
 		}
 	}()
@@ -274,7 +282,10 @@
 	if len(s.ends) > 0 {
 		return endsRecordWait // the next call acknowledges them once they are recorded
 	}
-	if call.Wait == 0 {
+	switch {
+	case s.silence.recorded:
+		return endsRecordWait // no lease may be sent before the answer is recorded
+	case call.Wait == 0:
 		return 0
 	}
 	return holdGap
@@ -352,6 +363,11 @@
 		}
 	}
 	s.ends = kept
+	s.wakeUp()
+}
+
+// wakeUp ends the wait before the next hold call.
+func (s *session) wakeUp() {
 	select {
 	case s.wake <- struct{}{}:
 	default:
@@ -364,14 +380,8 @@
 	if s.answeredAt != 0 && now.Sub(s.answeredAt) < unreachableAfter {
 		return false
 	}
-	if s.leaseUntil == 0 || !s.tokenAccepted {
-		// Leases from earlier leaders end at most earlierLeaseBound after this term began.
-		if now.Sub(s.leadership.since) < s.leadership.earlierLeaseBound() {
-			return false
-		}
-	}
 	if s.leaseUntil == 0 {
-		return s.tokenAccepted || now.Sub(s.openedAt) > s.leadership.engine.opts.WorkerLease
+		return now >= s.earlierLeaseEnd()
 	}
 	return s.minClock(now) > s.leaseUntil+model.Millis(leaseExpiryMargin.Milliseconds())
 }
--- a/daemon/fleet/usability.go
+++ b/daemon/fleet/usability.go
@@ -37,7 +37,7 @@
 		return unusableLeaves
 	case !s.tokenAccepted:
 		return unusableNoToken
-	case !s.answers(now):
+	case !s.answers(now), s.silence.recorded:
 		return unusableSilent
 	case s.runsOrphan:
 		return unusableOrphan
