Decide by the worker's own answer which process it is and where

A worker that was free, beat and answered got no task for good after one heartbeat of another writer under its id, with a later start time or another address: accepted jobs stayed queued, or were shown as running while nothing ran. Draining that the worker announced later was acknowledged but not recorded.

Cause: a later start time or a higher sequence number was taken for a newer report of the worker. The record was replaced, its session closed, and the worker's own heartbeats counted as outdated. The record is replicated, so a change of leader kept it.

A heartbeat that contradicts the record in its start time or address is now a claim. The leader calls the claimed address once, without a lease and without acknowledging ends. If a process answers there with the id and that start time, the claim is recorded, also with an earlier start time; a restart costs this one call. A later start time without a proof is recorded only while the recorded process does not answer either, and the record it displaces is kept until the later process answers, so that draining and recorded ends survive. Anything else is refused and not acknowledged. Calls to a claimed address run beside the session of the worker and do not delay it.

A session that is opened again keeps its orders and leases, but counts as unanswered until the process has answered anew: attempts of another incarnation are closed only on such an answer.

--- a/core/workflow/apply.go
+++ b/core/workflow/apply.go
@@ -120,6 +120,9 @@
 	for _, worker := range b.Workers {
 		s.recordWorker(now, worker)
 	}
+	for _, worker := range b.Proven {
+		s.recordProven(now, worker)
+	}
 	for _, end := range b.Ends {
 		s.recordEnd(now, end)
 	}
@@ -141,43 +144,6 @@
 	s.dropExpiredWorkers(now)
 }
 
-// recordWorker records a worker's report. A later incarnation replaces an earlier one; reports of
-// earlier incarnations are ignored.
-func (s *State) recordWorker(now model.Millis, w Worker) {
-	known, ok := s.Workers[w.Incarnation.Worker]
-	if ok && known.Incarnation.StartedAt > w.Incarnation.StartedAt {
-		return
-	}
-	if ok && known.Incarnation == w.Incarnation {
-		w.keepLaterReport(known)
-		w.Draining = w.Draining || known.Draining
-		w.Deregistered = w.Deregistered || known.Deregistered
-		w.LastRecordedEnd = known.LastRecordedEnd
-		w.DeregisteredAt = known.DeregisteredAt
-		w.Crashed, w.Lapsed, w.PredecessorLeft = known.Crashed, known.Lapsed, known.PredecessorLeft
-	} else if ok {
-		w.PredecessorLeft = known.announcedEnd()
-		if !w.PredecessorLeft && !known.Crashed {
-			s.countCrash(now, known.Lapsed)
-		}
-	}
-	if w.Deregistered && w.DeregisteredAt == 0 {
-		w.DeregisteredAt = now
-	}
-	s.Workers[w.Incarnation.Worker] = &w
-}
-
-// keepLaterReport replaces the reported attributes by the recorded ones if these are from a later
-// heartbeat.
-func (w *Worker) keepLaterReport(known *Worker) {
-	if w.ReportSequence != 0 && w.ReportSequence < known.ReportSequence {
-		later := *known
-		later.Draining, later.Deregistered = w.Draining, w.Deregistered
-		*w = later
-	}
-	w.ReportSequence = max(w.ReportSequence, known.ReportSequence)
-}
-
 // recordEnd records an end and closes its attempt. Workers repeat an end until it is acknowledged;
 // repeated ends are ignored by their number.
 func (s *State) recordEnd(now model.Millis, e End) {
--- a/core/workflow/commands.go
+++ b/core/workflow/commands.go
@@ -27,6 +27,9 @@
 
 	// Answered are the worker processes that have answered since their attempts lapsed; applied before Lapsed.
 	Answered []Incarnation `cbor:"7,keyasint,omitempty"`
+	// Proven are reports of processes that have answered with their start time at the reported address;
+	// applied after Workers.
+	Proven []Worker `cbor:"8,keyasint,omitempty"`
 }
 
 // EndKind tells how an attempt ended on its worker.
--- a/core/workflow/crash.go
+++ b/core/workflow/crash.go
@@ -101,10 +101,11 @@
 	}
 }
 
-// recordAnswer forgets the attempts that were lost while the worker was silent: it has survived them.
+// recordAnswer forgets the attempts that were lost while the worker was silent: it has survived them. It
+// also forgets the process that the report of this one displaced.
 func (s *State) recordAnswer(incarnation Incarnation) {
 	if worker, ok := s.Workers[incarnation.Worker]; ok && worker.Incarnation == incarnation {
-		worker.Lapsed = nil
+		worker.Lapsed, worker.Displaced, worker.Crashed = nil, nil, false
 	}
 }
 
--- a/core/workflow/types.go
+++ b/core/workflow/types.go
@@ -233,6 +233,9 @@
 	Crashed         bool             `cbor:"15,keyasint,omitempty"` // the process has ended without having announced it
 	Lapsed          []CrashedAttempt `cbor:"16,keyasint,omitempty"` // attempts that were lost while the worker was silent
 	PredecessorLeft bool             `cbor:"17,keyasint,omitempty"` // the process before, under the same id, had announced its end
+
+	// Displaced is the record that this one replaced without a proof, until this process has answered. It is not changed.
+	Displaced *Worker `cbor:"18,keyasint,omitempty"`
 }
 
 // HasLabel reports whether the worker has the label.
--- a/daemon/fleet/bench_test.go
+++ b/daemon/fleet/bench_test.go
@@ -81,7 +81,7 @@
 		reports: map[workflow.WorkerID]*pendingReport{}, seenAt: newSeenAt(), waits: map[waitKey]*waitLog{}, plannerState: dispatch.NewPlannerState(),
 	}
 	for _, w := range st.Workflows.Workers {
-		l.sessions[w.Incarnation] = &session{leadership: l, incarnation: w.Incarnation, tokenAccepted: true, orders: map[workflow.Attempt]*order{}}
+		l.sessions[w.Incarnation] = &session{leadership: l, incarnation: w.Incarnation, addr: w.Addr, tokenAccepted: true, orders: map[workflow.Attempt]*order{}}
 	}
 	for _, s := range l.sessions {
 		answer(st, s, 0)
--- a/daemon/fleet/client.go
+++ b/daemon/fleet/client.go
@@ -133,14 +133,14 @@
 
 // ReportWorker forwards a worker's heartbeat.
 func (c *Client) ReportWorker(ctx context.Context, r WorkerReport) error {
-	_, err := call[struct{}](ctx, c, opReport, r)
-	return err
+	result, err := call[ReportResult](ctx, c, opReport, r)
+	return result.check(err)
 }
 
 // Deregister deregisters a worker whose process has ended.
 func (c *Client) Deregister(ctx context.Context, id workflow.WorkerID) error {
-	_, err := call[struct{}](ctx, c, opDeregister, id)
-	return err
+	result, err := call[ReportResult](ctx, c, opDeregister, id)
+	return result.check(err)
 }
 
 // Ping checks whether a leader can be reached.
--- a/daemon/fleet/crash.go
+++ b/daemon/fleet/crash.go
@@ -26,11 +26,12 @@
 }
 
 // addAnswers adds the worker processes to the batch that have answered since their attempts were lost
-// by silence. An answer within unreachableAfter is later than the loss, which follows a longer silence.
+// by silence, their report displaced another process, or they were taken for crashed. An answer within unreachableAfter is later than the loss, which follows a longer silence.
 func (l *leadership) addAnswers(workflows *workflow.State, now bootclock.Time, p *passPlan) {
 	for _, id := range l.sortedWorkers(workflows) {
 		w := workflows.Workers[id]
-		if s := l.sessions[w.Incarnation]; len(w.Lapsed) > 0 && s != nil && !s.replaced && s.answeredAt != 0 && now.Sub(s.answeredAt) < unreachableAfter {
+		news := len(w.Lapsed) > 0 || w.Displaced != nil || w.Crashed
+		if s := l.sessions[w.Incarnation]; news && s != nil && !s.replaced && s.answeredAt != 0 && now.Sub(s.answeredAt) < unreachableAfter {
 			p.batch.Answered = append(p.batch.Answered, w.Incarnation)
 		}
 	}
--- a/daemon/fleet/engine.go
+++ b/daemon/fleet/engine.go
@@ -122,6 +122,7 @@
 // pendingReport is a worker's report that is not committed to the log yet.
 type pendingReport struct {
 	worker workflow.Worker
+	proven bool          // the process has answered at the reported address
 	done   chan struct{} // closed once the report is committed
 }
 
--- a/daemon/fleet/fleet_test.go
+++ b/daemon/fleet/fleet_test.go
@@ -107,8 +107,8 @@
 func (r *rig) report(w *fakeWorker) {
 	r.t.Helper()
 	r.until("the report is recorded", func() bool {
-		_, err := r.engine.ReportWorker(context.Background(), WorkerReport{Worker: w.worker, Clock: w.clock()})
-		return err == nil
+		result, err := r.engine.ReportWorker(context.Background(), WorkerReport{Worker: w.worker, Clock: w.clock()})
+		return err == nil && !result.NotRecorded
 	})
 }
 
--- a/daemon/fleet/orders.go
+++ b/daemon/fleet/orders.go
@@ -32,6 +32,9 @@
 		defer l.mu.Unlock()
 		answered := bootclock.Now()
 		s.updateClock(clock, answered)
+		if errors.Is(err, ErrWrongWorker) && s.addr != to.Addr {
+			err = ErrNotSent // says nothing about the address at which the worker answers now
+		}
 		l.handleStartResult(s, a, o, answered, err)
 		l.requestPass()
 	}()
--- a/daemon/fleet/pass.go
+++ b/daemon/fleet/pass.go
@@ -31,7 +31,7 @@
 
 func (p *passPlan) empty() bool {
 	b := &p.batch
-	return len(b.Workers) == 0 && len(b.Ends) == 0 && len(b.Crashes) == 0 && len(b.Lapsed) == 0 && len(b.Answered) == 0 && len(b.Lost) == 0 && len(b.Assign) == 0
+	return len(b.Workers) == 0 && len(b.Proven) == 0 && len(b.Ends) == 0 && len(b.Crashes) == 0 && len(b.Lapsed) == 0 && len(b.Answered) == 0 && len(b.Lost) == 0 && len(b.Assign) == 0
 }
 
 // passKind is the extent of a pass.
@@ -135,9 +135,15 @@
 func (l *leadership) addReports(p *passPlan) {
 	for _, report := range l.reports {
 		p.reports = append(p.reports, report)
-		p.batch.Workers = append(p.batch.Workers, report.worker)
+		if report.proven {
+			p.batch.Proven = append(p.batch.Proven, report.worker)
+		} else {
+			p.batch.Workers = append(p.batch.Workers, report.worker)
+		}
+	}
+	for _, workers := range [][]workflow.Worker{p.batch.Workers, p.batch.Proven} {
+		slices.SortFunc(workers, func(a, b workflow.Worker) int { return cmp.Compare(a.Incarnation.Worker, b.Incarnation.Worker) })
 	}
-	slices.SortFunc(p.batch.Workers, func(a, b workflow.Worker) int { return cmp.Compare(a.Incarnation.Worker, b.Incarnation.Worker) })
 }
 
 // syncSessions opens a session for each current worker process and cancels all others. A cancelled
@@ -152,8 +158,8 @@
 			continue
 		}
 		s.recordedThrough = max(s.recordedThrough, w.LastRecordedEnd)
-		if s.addr != w.Addr && !w.Deregistered {
-			s.addr = w.Addr
+		if (s.closed || s.addr != w.Addr) && !w.Deregistered {
+			s.reopen(w)
 		}
 	}
 	for incarnation, s := range l.sessions {
@@ -162,6 +168,7 @@
 			continue
 		}
 		s.cancel()
+		s.closed = true
 		if !workflows.HasOpen(incarnation) {
 			delete(l.sessions, incarnation)
 		}
--- a/daemon/fleet/service.go
+++ b/daemon/fleet/service.go
@@ -175,113 +175,11 @@
 	return c, nil
 }
 
-// ReportWorker handles a worker's heartbeat. Changes are committed before the response, so that a
-// worker whose draining was acknowledged gets no task from a later leader either.
-func (e *Engine) ReportWorker(ctx context.Context, r WorkerReport) (struct{}, error) {
-	l := e.currentLeadership()
-	if l == nil {
-		return struct{}{}, ErrNotLeading
-	}
-	done := l.enqueueReport(r)
-	if done == nil {
-		return struct{}{}, nil
-	}
-	l.requestPass()
-	select {
-	case <-done:
-		return struct{}{}, nil
-	case <-ctx.Done():
-	case <-l.ctx.Done():
-	}
-	return struct{}{}, ErrUnknownOutcome
-}
-
-// enqueueReport handles a heartbeat. If it must be committed, it is queued for the next pass and
-// the returned channel is closed once it is; otherwise the channel is nil.
-func (l *leadership) enqueueReport(r WorkerReport) <-chan struct{} {
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	incarnation := r.Worker.Incarnation
-	now := bootclock.Now()
-	if s := l.sessions[incarnation]; s != nil {
-		if r.Sequence != 0 && r.Sequence <= s.sequence {
-			return nil // an outdated heartbeat is ignored
-		}
-		s.sequence = max(s.sequence, r.Sequence)
-		if s.clock == 0 {
-			s.updateClock(r.Clock, now)
-		}
-		if r.Worker.Draining && r.DrainRemainingMs > 0 {
-			s.drainUntil = now.Add(time.Duration(r.DrainRemainingMs) * time.Millisecond)
-		}
-	}
-	changed := false
-	l.engine.opts.Log.View(func(st *state.State) { changed = changesState(st.Workflows, r.Worker) })
-	pending := l.reports[incarnation.Worker]
-	if !changed && pending == nil {
-		return nil
-	}
-	if pending != nil && (pending.supersedes(r) || sameReport(pending.worker, r.Worker)) {
-		return pending.done
-	}
-	next := &pendingReport{worker: r.Worker, done: make(chan struct{})}
-	next.worker.ReportSequence = r.Sequence
-	if pending != nil && pending.worker.Incarnation == incarnation {
-		next.worker.Draining = next.worker.Draining || pending.worker.Draining
-		next.worker.Deregistered = next.worker.Deregistered || pending.worker.Deregistered
-	}
-	l.reports[incarnation.Worker] = next
-	l.logger.Info().Str("worker", string(incarnation.Worker)).Int64("born", int64(incarnation.StartedAt)).Str("addr", r.Worker.Addr).
-		Bool("draining", r.Worker.Draining).Bool("gone", r.Worker.Deregistered).Msg("worker reports")
-	return next.done
-}
-
-// supersedes reports whether the heartbeat is from an earlier process of the worker, or was sent
-// before the one that is pending.
-func (p *pendingReport) supersedes(r WorkerReport) bool {
-	if p.worker.Incarnation != r.Worker.Incarnation {
-		return p.worker.Incarnation.StartedAt > r.Worker.Incarnation.StartedAt
-	}
-	return r.Sequence != 0 && r.Sequence < p.worker.ReportSequence
-}
-
-// changesState reports whether the report changes the recorded worker.
-func changesState(workflows *workflow.State, w workflow.Worker) bool {
-	known, ok := workflows.Workers[w.Incarnation.Worker]
-	if !ok {
-		return !w.Deregistered
-	}
-	if known.Incarnation.StartedAt != w.Incarnation.StartedAt {
-		return known.Incarnation.StartedAt < w.Incarnation.StartedAt
-	}
-	if known.Deregistered {
-		return false
-	}
-	return (w.Draining && !known.Draining) || w.Deregistered || !sameReport(*known, w)
-}
-
-// sameReport reports whether b adds nothing to a: the attributes are the same, and b is draining
-// or deregistered only if a is.
-func sameReport(a, b workflow.Worker) bool {
-	if a.Incarnation != b.Incarnation || a.Addr != b.Addr || a.Service != b.Service || a.Zone != b.Zone || a.Rack != b.Rack {
-		return false
-	}
-	if a.CPUMillis != b.CPUMillis || a.MemoryMiB != b.MemoryMiB || a.Accelerators != b.Accelerators || len(a.Labels) != len(b.Labels) {
-		return false
-	}
-	for i := range a.Labels {
-		if a.Labels[i] != b.Labels[i] {
-			return false
-		}
-	}
-	return (a.Draining || !b.Draining) && (a.Deregistered || !b.Deregistered)
-}
-
 // Deregister records that a worker has ended. The caller needs to know only its id.
-func (e *Engine) Deregister(ctx context.Context, id workflow.WorkerID) (struct{}, error) {
+func (e *Engine) Deregister(ctx context.Context, id workflow.WorkerID) (ReportResult, error) {
 	l := e.currentLeadership()
 	if l == nil {
-		return struct{}{}, ErrNotLeading
+		return ReportResult{}, ErrNotLeading
 	}
 	var worker workflow.Worker
 	known := false
@@ -291,7 +189,7 @@
 		}
 	})
 	if !known || worker.Deregistered {
-		return struct{}{}, nil
+		return ReportResult{}, nil
 	}
 	worker.Deregistered = true
 	return e.ReportWorker(ctx, WorkerReport{Worker: worker})
--- a/daemon/fleet/session.go
+++ b/daemon/fleet/session.go
@@ -69,7 +69,7 @@
 )
 
 // session is the leader's view of one worker process. Its fields are guarded by leadership.mu,
-// except for those of the first group that do not change after the session is opened: all but addr.
+// except for those of the first group that do not change: all but addr and cancel.
 type session struct {
 	leadership  *leadership
 	incarnation workflow.Incarnation
@@ -85,6 +85,7 @@
 	tokenAccepted bool           // the worker has answered a hold call with this leader's token
 	replaced      bool           // another process answers at the address
 	otherWorker   bool           // that process has another worker id, so that no call can reach this one any more
+	closed        bool           // no calls are made, because another process is recorded under the worker's id
 
 	clock      model.Millis // reading of the worker's clock at clockAt
 	clockAt    bootclock.Time
@@ -125,6 +126,19 @@
 	return s
 }
 
+// reopen starts the calls anew for a process that has answered at another address, or that is recorded
+// again after another one was. It keeps the orders and the leases that were sent. What depends on an
+// answer starts anew: an earlier answer says nothing about who answers at the address now.
+func (s *session) reopen(w *workflow.Worker) {
+	s.cancel()
+	ctx, cancel := context.WithCancel(s.leadership.ctx)
+	s.cancel, s.addr, s.zone, s.sequence = cancel, w.Addr, w.Zone, w.ReportSequence
+	s.openedAt, s.answeredAt = bootclock.Now(), 0
+	s.closed, s.failing, s.tokenAccepted, s.replaced, s.otherWorker = false, false, false, false, false
+	s.leadership.wg.Add(1)
+	go s.run(ctx)
+}
+
 // endpoint returns the address of the worker; leadership.mu must be held.
 func (s *session) endpoint() Endpoint {
 	return Endpoint{Incarnation: s.incarnation, Addr: s.addr, Zone: s.zone}
@@ -159,8 +173,10 @@
 	defer cancel()
 	sentAt := bootclock.Now()
 	listing, err := s.leadership.engine.opts.Workers.Hold(callCtx, to, call)
+	s.leadership.mu.Lock()
+	defer s.leadership.mu.Unlock()
 	if ctx.Err() != nil {
-		return 0
+		return 0 // the session was closed, or calls another address by now
 	}
 	return s.handleHoldResult(sentAt, call, listing, err)
 }
@@ -230,10 +246,9 @@
 	}
 }
 
+// handleHoldResult returns how long to wait before the next hold call; leadership.mu must be held.
 func (s *session) handleHoldResult(sentAt bootclock.Time, call HoldCall, listing Listing, err error) time.Duration {
 	l := s.leadership
-	l.mu.Lock()
-	defer l.mu.Unlock()
 	endsBefore := s.endsQueued
 	healthy := s.tokenAccepted && !s.failing
 	defer func() {
