Record draining whatever the number of the heartbeat

After one heartbeat of another writer with a high sequence number, the worker's own heartbeats were acknowledged and dropped until their number had passed it: changes of its capacity, and its draining, so that tasks would still start on a worker whose draining was acknowledged.

Cause: a number that is not higher than the last one was taken for a delayed heartbeat, and a delayed one was taken to have no news. An outdated draining report of the same process is still true, and numbers of other writers are no measure for the worker's.

Draining and deregistration are now recorded whatever the number, also beside a pending report with a higher one; the attributes of the later heartbeat are kept. A worker that answers and goes on with rising lower numbers, three in a row, is right about its number. A heartbeat that was delayed comes alone.

--- a/daemon/fleet/claims.go
+++ b/daemon/fleet/claims.go
@@ -143,11 +143,11 @@
 			return nil, true
 		}
 	} else if s := l.sessions[r.Worker.Incarnation]; s != nil && known != nil {
-		if r.Sequence != 0 && r.Sequence <= s.sequence {
-			return nil, false // an outdated heartbeat is ignored
+		outdated := false
+		if outdated, proven = s.takeSequence(r.Sequence); outdated && !announcesMore(known, r.Worker) {
+			return nil, false // an outdated heartbeat is ignored, unless it announces that the worker leaves
 		}
-		s.sequence = max(s.sequence, r.Sequence)
-		s.takeTimes(r)
+		s.takeTimes(r, outdated)
 	}
 	if pending := l.reports[r.Worker.Incarnation.Worker]; pending == nil && !claim && !changesState(known, r.Worker) {
 		return nil, false
@@ -155,6 +155,12 @@
 	return l.queueReport(r, proven)
 }
 
+// announcesMore reports whether the report announces that the worker leaves, and the record does not. This
+// is true however old the report is.
+func announcesMore(known *workflow.Worker, w workflow.Worker) bool {
+	return (w.Draining && !known.Draining) || (w.Deregistered && !known.Deregistered)
+}
+
 // changesState reports whether the report changes the record of the same process, or adds one.
 func changesState(known *workflow.Worker, w workflow.Worker) bool {
 	if known == nil {
@@ -164,16 +170,47 @@
 }
 
 // takeTimes takes over the times in a heartbeat; leadership.mu must be held.
-func (s *session) takeTimes(r WorkerReport) {
+func (s *session) takeTimes(r WorkerReport, outdated bool) {
 	now := bootclock.Now()
 	if s.clock == 0 {
 		s.updateClock(r.Clock, now)
 	}
-	if r.Worker.Draining && r.DrainRemainingMs > 0 {
+	if r.Worker.Draining && r.DrainRemainingMs > 0 && (!outdated || s.drainUntil == 0) {
 		s.drainUntil = now.Add(time.Duration(r.DrainRemainingMs) * time.Millisecond)
 	}
 }
 
+// minLowerSequences is the number of heartbeats with rising numbers below that of another heartbeat after
+// which the worker's own numbers are the lower ones. A heartbeat that was delayed comes alone.
+const minLowerSequences = 3
+
+// lowerSequences describes the heartbeats that are numbered below the latest one.
+type lowerSequences struct {
+	last  uint64
+	count int // heartbeats whose numbers have risen up to last
+}
+
+// takeSequence takes over the number of a heartbeat, and reports whether it is outdated. A worker that
+// answers and goes on with lower numbers is right about itself: restarted reports that its number, and
+// what it says, replace those of a heartbeat with a higher one. leadership.mu must be held.
+func (s *session) takeSequence(sequence uint64) (outdated, restarted bool) {
+	switch {
+	case sequence == 0:
+		return false, false
+	case sequence > s.sequence:
+		s.sequence, s.lower = sequence, lowerSequences{}
+		return false, false
+	case sequence < s.sequence && sequence > s.lower.last:
+		s.lower.last = sequence
+		s.lower.count++
+	}
+	if s.lower.count < minLowerSequences || !s.answers(bootclock.Now()) {
+		return true, false
+	}
+	s.sequence, s.lower = sequence, lowerSequences{}
+	return false, true
+}
+
 // queueReport queues a report for the next pass, in place of the one of the same worker that is pending;
 // l.mu must be held.
 func (l *leadership) queueReport(r WorkerReport, proven bool) (done <-chan struct{}, refused bool) {
@@ -206,7 +243,7 @@
 // addsNothingTo reports whether the pending report of the same process already says what this one does.
 func (p *pendingReport) addsNothingTo(pending *pendingReport) bool {
 	if p.outdatedBy(pending) {
-		return true
+		return !announcesMore(&pending.worker, p.worker)
 	}
 	return sameReport(pending.worker, p.worker) && (pending.proven || !p.proven)
 }
--- a/daemon/fleet/claims_test.go
+++ b/daemon/fleet/claims_test.go
@@ -79,6 +79,7 @@
 		"a higher sequence number":       func(b *beating) { b.foreign(beatingBorn, 1000, "nobody") },
 		"an earlier start time":          func(b *beating) { b.foreign(5, 1000, "nobody") },
 		"the address of another worker":  func(b *beating) { b.addWorker("b", 1).refusesStarts = true; b.foreign(beatingBorn, 1000, "addr-b") },
+		"its own address":                func(b *beating) { b.foreign(beatingBorn, math.MaxUint64, "addr-a") },
 		"no start time":                  func(b *beating) { b.foreign(0, 1000, "nobody") },
 		"again and again": func(b *beating) {
 			for i := range 5 {
@@ -155,7 +156,8 @@
 // Guards against tasks that start on a worker whose draining was acknowledged but not recorded.
 func TestDrainingIsRecordedBesideForeignHeartbeats(t *testing.T) {
 	for name, disturb := range map[string]func(*beating){
-		"a higher sequence number": func(b *beating) { b.foreign(beatingBorn, 1000, "nobody") },
+		"a higher sequence number at its address": func(b *beating) { b.foreign(beatingBorn, math.MaxUint64, "addr-a") },
+		"a higher sequence number":                func(b *beating) { b.foreign(beatingBorn, 1000, "nobody") },
 		"a later start time": func(b *beating) {
 			b.w.withLock(func() { b.w.silent = true })
 			time.Sleep(50 * time.Millisecond)
@@ -192,3 +194,16 @@
 		})
 	}
 }
+
+// Guards against draining that is acknowledged but not recorded, because a heartbeat with a higher number
+// waits for its commit.
+func TestOutdatedDrainingIsAddedToThePendingReport(t *testing.T) {
+	l := &leadership{reports: map[workflow.WorkerID]*pendingReport{}}
+	w := workflow.Worker{Incarnation: workflow.Incarnation{Worker: "a", StartedAt: 1}, Addr: "a", CPUMillis: 1}
+	l.queueReport(WorkerReport{Worker: w, Sequence: 9}, false)
+	w.Draining, w.CPUMillis = true, 2
+	l.queueReport(WorkerReport{Worker: w, Sequence: 8}, false)
+	if p := l.reports["a"]; !p.worker.Draining || p.worker.CPUMillis != 1 || p.worker.ReportSequence != 9 {
+		t.Errorf("the pending report is %+v", p.worker)
+	}
+}
--- a/daemon/fleet/session.go
+++ b/daemon/fleet/session.go
@@ -108,6 +108,7 @@
 	pauseUntil bootclock.Time // no starts before this time
 	drainUntil bootclock.Time // earliest end of a draining worker; zero if not known
 	sequence   uint64         // sequence number of the last heartbeat
+	lower      lowerSequences // heartbeats with lower numbers since then
 	latency    dispatch.LatencyState
 	colocated  bool // best-effort tasks run beside serving tasks
 	quarantine quarantine
