Call a worker again after another process answered at its address

A worker whose address answered once as another process got no tasks for good, although its own process went on beating and answered there again.

Cause: the session was marked as replaced and never made a call again. Its heartbeats have no news, so that they start no new session.

A replaced session now calls the address again, without a lease and without acknowledging ends, after 1 s and then ever less often, up to 16 s. An answer of its own process to a call that was sent after the mark makes it usable; an older answer that arrives late does not.

Evidence: the case "another process at its address for a moment" failed before after 5 s and passes.

--- a/daemon/fleet/claims_test.go
+++ b/daemon/fleet/claims_test.go
@@ -108,6 +108,11 @@
 				b.t.Fatal(err)
 			}
 		},
+		"another process at its address for a moment": func(b *beating) {
+			other := b.workers.add("a", 7)
+			b.until("the other process was called", func() bool { return other.holdCount() > 0 })
+			b.workers.move(b.w, "addr-a")
+		},
 		"then a restart after the clock was set back": func(b *beating) {
 			b.foreign(1<<62, 3, "nobody")
 			b.restart(beatingBorn - 60_000)
--- a/daemon/fleet/orders.go
+++ b/daemon/fleet/orders.go
@@ -64,7 +64,7 @@
 		case errors.Is(err, ErrFenced):
 			l.resign()
 		case errors.Is(err, ErrWrongWorker):
-			s.replaced, s.otherWorker = true, true
+			s.noteReplaced(true)
 		}
 	default:
 		if o.phase == startSent {
--- a/daemon/fleet/session.go
+++ b/daemon/fleet/session.go
@@ -86,6 +86,8 @@
 	replaced      bool           // another process answers at the address
 	otherWorker   bool           // that process has another worker id, so that no call can reach this one any more
 	closed        bool           // no calls are made, because another process is recorded under the worker's id
+	replacedAt    bootclock.Time // when replaced was set
+	replacedRetry time.Duration  // after which a replaced session calls the address again
 
 	clock      model.Millis // reading of the worker's clock at clockAt
 	clockAt    bootclock.Time
@@ -134,7 +136,7 @@
 	s.cancel()
 	ctx, cancel := context.WithCancel(s.leadership.ctx)
 	s.cancel, s.addr, s.zone, s.sequence = cancel, w.Addr, w.Zone, w.ReportSequence
-	s.openedAt, s.answeredAt = bootclock.Now(), 0
+	s.openedAt, s.answeredAt, s.replacedRetry = bootclock.Now(), 0, 0
 	s.closed, s.failing, s.tokenAccepted, s.replaced, s.otherWorker = false, false, false, false, false
 	s.leadership.wg.Add(1)
 	go s.run(ctx)
@@ -187,11 +189,11 @@
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	now := bootclock.Now()
-	if s.replaced || !l.lease.valid(now) {
+	if !l.lease.valid(now) {
 		return Endpoint{}, HoldCall{}, false
 	}
 	call := HoldCall{Token: l.token}
-	if s.failing || !s.tokenAccepted {
+	if s.replaced || s.failing || !s.tokenAccepted {
 		// No lease is sent until the worker has answered, because an unanswered call may take effect
 		// late. No ends are acknowledged either: a new process of the worker, whose end numbers start
 		// again at 1, may receive the call.
@@ -261,10 +263,7 @@
 	now := bootclock.Now()
 	switch {
 	case errors.Is(err, ErrWrongWorker), err == nil && listing.StartedAt != 0 && s.incarnation.StartedAt != 0 && listing.StartedAt != s.incarnation.StartedAt:
-		l.logger.Info().Str("worker", string(s.incarnation.Worker)).Int64("born", int64(s.incarnation.StartedAt)).
-			Msg("another process answers at the worker's address; its predecessor has ended")
-		s.replaced, s.otherWorker = true, err != nil
-		return time.Second
+		return s.noteReplaced(err != nil)
 	case errors.Is(err, ErrFenced):
 		l.logger.Warn().Str("worker", string(s.incarnation.Worker)).Uint64("token", l.token).Msg("the worker has seen a higher fencing token")
 		l.resign()
@@ -272,6 +271,8 @@
 	case errors.Is(err, ErrNotSent):
 		l.engine.opts.Metrics.count("holds", "not_sent", 1)
 		return holdRetryDelay
+	case s.replaced && (err != nil || sentAt < s.replacedAt):
+		return s.noteReplaced(s.otherWorker)
 	case err != nil:
 		s.noteFailure(sentAt, now, call)
 		if !s.failing {
@@ -284,6 +285,7 @@
 	if s.failing && s.answeredAt != 0 {
 		l.logger.Info().Str("worker", string(s.incarnation.Worker)).Int64("silent_ms", now.Sub(s.answeredAt).Milliseconds()).Msg("worker answers again")
 	}
+	s.replaced, s.otherWorker, s.replacedRetry = false, false, 0
 	s.failing, s.tokenAccepted, s.answeredAt, s.aliveAt = false, true, now, now
 	s.updateClock(listing.Clock, now)
 	s.applyListing(sentAt, now, listing)
@@ -296,6 +298,25 @@
 	return holdGap
 }
 
+// A replaced session calls its address again after minReplacedRetry, and then ever less often: the process
+// may answer there again.
+const (
+	minReplacedRetry = time.Second
+	maxReplacedRetry = 16 * time.Second
+)
+
+// noteReplaced records that another process answers at the address, and returns the time to the next call.
+func (s *session) noteReplaced(otherWorker bool) time.Duration {
+	if !s.replaced {
+		s.replacedAt = bootclock.Now()
+		s.leadership.logger.Info().Str("worker", string(s.incarnation.Worker)).Int64("born", int64(s.incarnation.StartedAt)).
+			Msg("another process answers at the worker's address; its predecessor has ended")
+	}
+	s.replaced, s.otherWorker = true, otherWorker
+	s.replacedRetry = min(maxReplacedRetry, max(minReplacedRetry, 2*s.replacedRetry))
+	return s.replacedRetry
+}
+
 const (
 	// endsRecordWait bounds the wait until listed ends are committed. A commit takes two syncs of
 	// 9 ms, and longer on a busy leader, which must not request the same ends again meanwhile.
