Pass over addresses of controllers that cannot be called

A daemon with one entry among its seeds, the controllers that another daemon named, or as the named leader, that was empty or no address did not reach the leader any more: all its calls failed.

Cause: no request can be made to such an address, and that failure did not count, so that the same entry was tried again and again.

Entries that are no addresses are left out of the lists, so that they are not handed on to workers either, and a request that cannot be made counts as a failure at its address.

--- a/daemon/fleet/client.go
+++ b/daemon/fleet/client.go
@@ -2,13 +2,16 @@
 
 import (
 	"bytes"
+	"cmp"
 	"context"
 	"errors"
 	"fmt"
 	"io"
 	"net"
 	"net/http"
+	"net/url"
 	"slices"
+	"strconv"
 	"strings"
 	"sync"
 	"time"
@@ -61,7 +64,7 @@
 
 // NewClient returns a client that starts from the seed addresses.
 func NewClient(seeds []string, transport http.RoundTripper, logger zerolog.Logger) *Client {
-	return &Client{http: &http.Client{Transport: transport}, seeds: slices.Clone(seeds), logger: logger, calls: inFlightCalls{}}
+	return &Client{http: &http.Client{Transport: transport}, seeds: callableAddrs(seeds), logger: logger, calls: inFlightCalls{}}
 }
 
 // NewControllerClient returns the client of a controller. It sends the addresses of the controllers
@@ -76,7 +79,7 @@
 func (c *Client) SetSeeds(seeds []string) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.seeds = slices.Clone(seeds)
+	c.seeds = callableAddrs(seeds)
 }
 
 // SinceContact returns the time since the last response from a leader.
@@ -199,6 +202,7 @@
 	defer done()
 	request, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+addr+PathPrefix+op, bytes.NewReader(data))
 	if err != nil {
+		c.recordFailure(addr, "") // a request to the address cannot be made, so the next one is tried
 		return nil, false, err
 	}
 	request.GetBody = nil // prevents automatic retries by the transport
@@ -265,6 +269,19 @@
 	return all
 }
 
+// callableAddrs returns the addresses to which a request can be made. The lists are from other programs, and
+// the rest of a list remains useful beside one entry that is no address.
+func callableAddrs(addrs []string) []string {
+	return slices.DeleteFunc(slices.Clone(addrs), func(addr string) bool {
+		parsed, err := url.Parse("http://" + addr)
+		if err != nil || parsed.Host != addr || parsed.Hostname() == "" {
+			return true
+		}
+		port, err := strconv.ParseUint(cmp.Or(parsed.Port(), "80"), 10, 16)
+		return err != nil || port == 0
+	})
+}
+
 // AnnounceMembers sends the addresses of the controllers to the seeds that are not controllers.
 // Without these announcements, relays whose seeds are only other relays could not find the
 // controllers after a power loss of all VMs.
@@ -344,7 +361,7 @@
 	if header == "" {
 		return
 	}
-	list := strings.Split(header, ",")
+	list := callableAddrs(strings.Split(header, ","))
 	if len(list) > maxMembers {
 		list = list[:maxMembers]
 	}
