Start with the other controllers beside an entry that is no address

A daemon ended at its start when one of the addresses of controllers in its settings was no address, and a running one kept its previous list.

Cause: the check of the settings refused the whole file. The platform renders that list from a directory that others write.

Entries that are no addresses are left out with a warning. A list without any address is still refused, with the same message.

--- a/daemon/fleetd/daemon.go
+++ b/daemon/fleetd/daemon.go
@@ -80,6 +80,7 @@
 		debug.SetMemoryLimit(int64(float64(s.MemoryMiB<<20) * memoryLimitShare))
 	}
 	d := &Daemon{settings: s, path: path, logger: logger, log: closer, metrics: fleet.NewMetrics()}
+	d.warnSkipped(s)
 	d.metricsServer = newMetricsServer(d.metrics)
 	d.client = fleet.NewClient(s.Controllers, d.transport(maxControllerConns), logger)
 	listeners, err := d.build(ctx, adapter)
@@ -222,6 +223,12 @@
 	}
 }
 
+func (d *Daemon) warnSkipped(s settings.Fleet) {
+	if len(s.SkippedControllers) > 0 {
+		d.logger.Warn().Strs("skipped", s.SkippedControllers).Msg("settings: entries of controllers that are no addresses")
+	}
+}
+
 // watchSettings applies changed addresses of controllers; other settings need a restart. Without a
 // signal, it reads the settings only while no leader responds.
 func (d *Daemon) watchSettings(ctx context.Context, reload <-chan struct{}) {
@@ -245,6 +252,7 @@
 			continue
 		}
 		if signalled {
+			d.warnSkipped(s)
 			d.logger.Info().Strs("controllers", s.Controllers).Msg("settings reloaded")
 		}
 		d.client.SetSeeds(s.Controllers)
--- a/daemon/settings/fleet.go
+++ b/daemon/settings/fleet.go
@@ -4,6 +4,9 @@
 	"errors"
 	"fmt"
 	"os"
+	"slices"
+
+	"github.com/go-playground/validator/v10"
 
 	"samphirepaddle.example/core/model"
 )
@@ -43,6 +46,8 @@
 	MemoryMiB     int64        `json:"memory_mib,omitempty" validate:"omitempty,min=32"`                  // memory available to the process
 	DrainMs       model.Millis `json:"drain_ms,omitempty" validate:"omitempty,min=0,max=60000"`           // time from the shutdown signal until no connections are accepted any more
 	LogLevel      string       `json:"log_level,omitempty" validate:"omitempty,oneof=debug info warn error"`
+
+	SkippedControllers []string `json:"-"` // entries of controllers that were left out because they are no addresses
 }
 
 // Defaults of the optional settings.
@@ -77,6 +82,7 @@
 	if err := decodeStrict(data, &s); err != nil {
 		return Fleet{}, err
 	}
+	s.skipControllers()
 	setDefault(&s.ControlAddr, s.ControlListen)
 	setDefault(&s.WorkerLeaseMs, DefaultWorkerLeaseMs)
 	setDefault(&s.AgentWorkers, DefaultAgentWorkers)
@@ -85,6 +91,20 @@
 	return s, s.validate()
 }
 
+// skipControllers leaves out the entries that are no addresses. The list is from a directory that others
+// write, and a daemon that did not start would be lost for one odd entry. A list without any address is
+// kept, so that it is refused.
+func (s *Fleet) skipControllers() {
+	checker := validator.New()
+	isOdd := func(addr string) bool { return checker.Var(addr, "hostname_port") != nil }
+	addrs := slices.DeleteFunc(slices.Clone(s.Controllers), isOdd)
+	if len(addrs) == 0 || len(addrs) == len(s.Controllers) {
+		return
+	}
+	s.SkippedControllers = slices.DeleteFunc(slices.Clone(s.Controllers), func(addr string) bool { return !isOdd(addr) })
+	s.Controllers = addrs
+}
+
 func (s Fleet) validate() error {
 	problems, err := fieldErrors(s)
 	if err != nil {
--- a/daemon/settings/fleet_test.go
+++ b/daemon/settings/fleet_test.go
@@ -63,3 +63,14 @@
 		}
 	}
 }
+
+// Guards against a daemon that does not start, or does not follow changed settings, because one of the
+// addresses of controllers is none.
+func TestOddControllerIsSkipped(t *testing.T) {
+	for _, odd := range []string{``, ` `, `10.0.0.1`, `10.0.0.1:99999`, `10.0.0.1:-1`, `10.0.0.1:http`, `a b:1`} {
+		s, err := ParseFleet([]byte(strings.Replace(validController, `["10.0.0.1:80"]`, `["`+odd+`","10.0.0.1:80"]`, 1)))
+		if err != nil || len(s.Controllers) != 1 || s.Controllers[0] != "10.0.0.1:80" || len(s.SkippedControllers) != 1 {
+			t.Errorf("%q: controllers %q, skipped %q, error %v", odd, s.Controllers, s.SkippedControllers, err)
+		}
+	}
+}
