Refuse submissions whose numbers overflow

An occurrence of a repeated job could start before its time: with an interval near 2^63 ms, 7 of 100,000 occurrences were due at the time of the first. Amounts and estimates near 2^63 turned negative when they were added.

Cause: only the counts of a submission were bounded.

The first due time, the interval, amounts, estimates and the target of a tail are bounded so that no sum or product over all occurrences, tasks and steps overflows.

--- a/core/workflow/types.go
+++ b/core/workflow/types.go
@@ -98,6 +98,11 @@
 	maxSteps        = 256
 	maxTasksPerStep = 10_000
 	maxRepeats      = 100_000
+
+	// The limits of numbers keep their sums and products, over all occurrences, tasks and steps, far from an overflow.
+	maxAmount   = 1_000_000_000_000                   // of a resource of one task
+	maxDueMs    = model.Millis(253_402_300_799_999)   // the end of the year 9999
+	maxLengthMs = model.Millis(10 * 366 * 86_400_000) // of an interval or an estimate: ten years
 )
 
 // Validate reports why the submission cannot be accepted.
@@ -111,6 +116,9 @@
 	if s.Repeats < 0 || s.Repeats > maxRepeats || (s.Repeats > 1 && s.IntervalMs <= 0) {
 		return fmt.Errorf("repeats %d with interval %d ms is not allowed", s.Repeats, s.IntervalMs)
 	}
+	if s.FirstMs < -maxDueMs || s.FirstMs > maxDueMs || s.IntervalMs < 0 || s.IntervalMs > maxLengthMs {
+		return fmt.Errorf("the first due time %d ms or the interval %d ms is out of range", s.FirstMs, s.IntervalMs)
+	}
 	for i, step := range s.Steps {
 		if err := step.validate(i); err != nil {
 			return fmt.Errorf("step %d: %w", i, err)
@@ -126,6 +134,10 @@
 	if s.CPUMillis < 0 || s.MemoryMiB < 0 || s.Accelerators < 0 || s.MaxPerWorker < 0 || s.MaxUnavailable < 0 {
 		return fmt.Errorf("amounts must not be negative: %+v", s)
 	}
+	if max(s.CPUMillis, s.MemoryMiB, s.Accelerators) > maxAmount ||
+		s.EstimateMs < -maxLengthMs || max(s.EstimateMs, s.TailTargetMs) > maxLengthMs {
+		return fmt.Errorf("an amount or a time is out of range: %+v", s)
+	}
 	for _, earlier := range s.After {
 		if earlier < 0 || earlier >= number {
 			return fmt.Errorf("it follows step %d, which is not an earlier step", earlier)
