Ignore ends with numbers far ahead of the others

After one end with the number 2^53 in a worker's list, later ends of that worker counted as repeated: they were never recorded, and their tasks stayed open or ran again.

Cause: the highest number that was listed decided which ends are new, and it stands in the replicated state.

Ends that are more than a million numbers ahead of the last one are ignored; a worker numbers its ends one after the other. A smaller jump cannot be told from ends that another leader has recorded.

Evidence: both cases of the test failed before and pass.

--- a/daemon/fleet/session.go
+++ b/daemon/fleet/session.go
@@ -324,6 +324,10 @@
 	holdGap        = time.Millisecond
 )
 
+// maxEndNumberGap bounds the distance of an end's number from the last one. A worker numbers its ends one
+// after the other, and one odd number far ahead would make all later ends look repeated.
+const maxEndNumberGap = 1_000_000
+
 func (s *session) applyListing(sentAt, now bootclock.Time, listing Listing) {
 	running := make(map[workflow.Attempt]RunningAttempt, len(listing.Running))
 	for _, r := range listing.Running {
@@ -351,7 +355,8 @@
 	// An acknowledgement covers all lower numbers, so the ends are queued in the order of theirs.
 	slices.SortFunc(listing.Ended, func(a, b EndedAttempt) int { return cmp.Compare(a.Number, b.Number) })
 	for _, e := range listing.Ended {
-		if e.Number <= s.endsQueued || e.Number <= s.recordedThrough {
+		last := max(s.endsQueued, s.recordedThrough)
+		if e.Number <= last || e.Number-last > maxEndNumberGap {
 			continue
 		}
 		s.endsQueued = e.Number
--- a/daemon/fleet/session_test.go
+++ b/daemon/fleet/session_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"math"
 	"testing"
 	"time"
 
@@ -190,6 +191,18 @@
 	}
 }
 
+// Guards against ends that look repeated, and tasks that never end, behind one odd number.
+func TestEndWithOddNumberHidesNoLaterEnd(t *testing.T) {
+	for _, odd := range []uint64{1 << 53, math.MaxUint64} {
+		s := &session{orders: map[workflow.Attempt]*order{}, recordedThrough: 7}
+		s.applyListing(1, 2, Listing{Ended: []EndedAttempt{{Number: 8}, {Number: odd}}})
+		s.applyListing(2, 3, Listing{Ended: []EndedAttempt{{Number: odd}, {Number: 9}}})
+		if len(s.ends) != 2 || s.ends[0].Number != 8 || s.ends[1].Number != 9 {
+			t.Errorf("with an end %d: queued are %+v, want 8 and 9", odd, s.ends)
+		}
+	}
+}
+
 // Guards against taking a shortage on the leader's VM for a silent worker.
 func TestHoldThatWasNotSentIsNoEvidenceAgainstTheWorker(t *testing.T) {
 	l := &leadership{engine: NewEngine(Options{}), sessions: map[workflow.Incarnation]*session{}, passRequests: make(chan struct{}, 1)}
