Space hold calls that a worker answers at once

A worker that lists an end that cannot be read is called about every millisecond: a hold call waits for an end, and the odd one is never acknowledged.

Cause: such a row is left out, so that the response looks like one after a full wait, which is followed by the next call at once.

After 20 calls in a row that were answered within half of their wait and without an end, the next calls are 150 ms apart, as after a failed one.

Evidence: 100 calls were made in 100 ms before; now they take over 10 s.

--- a/daemon/fleet/session.go
+++ b/daemon/fleet/session.go
@@ -82,6 +82,7 @@
 	answeredAt    bootclock.Time // time of the last answered hold call; zero if none
 	aliveAt       bootclock.Time // when the worker process was last known to be alive
 	failing       bool           // the last hold call was not answered
+	quickHolds    int            // hold calls in a row that were answered at once and without an end
 	tokenAccepted bool           // the worker has answered a hold call with this leader's token
 	replaced      bool           // another process answers at the address
 	otherWorker   bool           // that process has another worker id, so that no call can reach this one any more
@@ -295,9 +296,25 @@
 	if call.Wait == 0 {
 		return 0
 	}
-	return holdGap
+	return s.pauseAfterHold(now.Sub(sentAt), call, s.endsQueued != endsBefore)
 }
 
+// pauseAfterHold returns the time to the next hold call. A worker that lists an end that cannot be read, and
+// so is never acknowledged, answers each call at once.
+func (s *session) pauseAfterHold(took time.Duration, call HoldCall, news bool) time.Duration {
+	if news || took >= time.Duration(call.Wait)*time.Millisecond/2 {
+		s.quickHolds = 0
+		return holdGap
+	}
+	if s.quickHolds++; s.quickHolds <= maxQuickHolds {
+		return holdGap
+	}
+	return holdRetryDelay
+}
+
+// maxQuickHolds is the number of hold calls in a row that may be answered at once and without an end.
+const maxQuickHolds = 20
+
 // A replaced session calls its address again after minReplacedRetry, and then ever less often: the process
 // may answer there again.
 const (
--- a/daemon/fleet/session_test.go
+++ b/daemon/fleet/session_test.go
@@ -212,3 +212,17 @@
 		t.Error("the worker counts as failing")
 	}
 }
+
+// Guards against a leader that spends its time on a worker that lists an end that cannot be read: the
+// worker answers each hold call at once.
+func TestHoldsThatAreAnsweredAtOnceAreSpaced(t *testing.T) {
+	l := &leadership{engine: NewEngine(Options{}), passRequests: make(chan struct{}, 1)}
+	s := &session{leadership: l, orders: map[workflow.Attempt]*order{}}
+	began, pauses := bootclock.Now(), time.Duration(0)
+	for range 100 {
+		pauses += s.handleHoldResult(began.Add(pauses), HoldCall{Wait: 1000}, Listing{}, nil)
+	}
+	if pauses < 10*time.Second {
+		t.Errorf("100 calls are made in %v", pauses)
+	}
+}
