Withdraw a deregistration that the worker's answer contradicts

A deregistration names the worker's id only. One of an earlier process that arrived after the restart, or one from another writer, took the worker away for good, and its attempts were closed after 1 s although they ran.

Cause: a deregistered process was taken to have ended, without a look at its answers, and its later heartbeats were dropped.

Attempts of a deregistered process are closed only while it does not answer hold calls: the connections of one that has ended break at once. A heartbeat of a process that is recorded as deregistered but never announced that it drains is a claim, and its answer withdraws the deregistration. Draining is recorded for a deregistered process as well.

Evidence: the case "a deregistration of an earlier process" failed before after 5 s; it passes, and the attempt that ran goes on.

--- a/core/workflow/worker.go
+++ b/core/workflow/worker.go
@@ -27,6 +27,7 @@
 // program, or the clock of the worker's VM was set back.
 func (s *State) recordProven(now model.Millis, w Worker) {
 	known, ok := s.Workers[w.Incarnation.Worker]
+	leaves := w.Draining || w.Deregistered
 	switch {
 	case !ok:
 	case known.Incarnation == w.Incarnation:
@@ -37,6 +38,9 @@
 		s.follow(now, &w, known.lastAnswering())
 	}
 	w.Lapsed, w.Crashed, w.Displaced = nil, false, nil
+	if !leaves && !w.Draining {
+		w.Deregistered, w.DeregisteredAt = false, 0 // the process has not ended
+	}
 	s.storeWorker(now, w)
 }
 
--- a/daemon/fleet/claims.go
+++ b/daemon/fleet/claims.go
@@ -81,9 +81,18 @@
 	return found
 }
 
-// isClaim reports whether a report contradicts the record of which process the worker is and where.
+// isClaim reports whether a report contradicts the record of which process the worker is and where, or that
+// it has ended. A worker drains before it ends, so its deregistration is doubtful if it did not.
 func isClaim(known *workflow.Worker, w workflow.Worker) bool {
-	return known != nil && (known.Incarnation != w.Incarnation || (known.Addr != w.Addr && !known.Deregistered))
+	switch {
+	case known == nil:
+		return false
+	case known.Incarnation != w.Incarnation:
+		return true
+	case known.Deregistered:
+		return !known.Draining && !w.Draining && !w.Deregistered
+	}
+	return known.Addr != w.Addr
 }
 
 // probe is a call to the address of a claim.
@@ -166,7 +175,7 @@
 	if known == nil {
 		return !w.Deregistered
 	}
-	return !known.Deregistered && !sameReport(*known, w)
+	return announcesMore(known, w) || (!known.Deregistered && !sameReport(*known, w))
 }
 
 // takeTimes takes over the times in a heartbeat; leadership.mu must be held.
--- a/daemon/fleet/claims_test.go
+++ b/daemon/fleet/claims_test.go
@@ -77,10 +77,14 @@
 		"a start time a minute later":    func(b *beating) { b.foreign(beatingBorn+60_000, 3, "nobody") },
 		"the highest sequence number":    func(b *beating) { b.foreign(beatingBorn, math.MaxUint64, "nobody") },
 		"a higher sequence number":       func(b *beating) { b.foreign(beatingBorn, 1000, "nobody") },
-		"an earlier start time":          func(b *beating) { b.foreign(5, 1000, "nobody") },
-		"the address of another worker":  func(b *beating) { b.addWorker("b", 1).refusesStarts = true; b.foreign(beatingBorn, 1000, "addr-b") },
-		"its own address":                func(b *beating) { b.foreign(beatingBorn, math.MaxUint64, "addr-a") },
-		"no start time":                  func(b *beating) { b.foreign(0, 1000, "nobody") },
+		"a deregistration of an earlier process": func(b *beating) {
+			b.until("the deregistration is acknowledged", func() bool { _, err := b.engine.Deregister(b.t.Context(), "a"); return err == nil })
+			time.Sleep(deregistrationGrace + 300*time.Millisecond)
+		},
+		"an earlier start time":         func(b *beating) { b.foreign(5, 1000, "nobody") },
+		"the address of another worker": func(b *beating) { b.addWorker("b", 1).refusesStarts = true; b.foreign(beatingBorn, 1000, "addr-b") },
+		"its own address":               func(b *beating) { b.foreign(beatingBorn, math.MaxUint64, "addr-a") },
+		"no start time":                 func(b *beating) { b.foreign(0, 1000, "nobody") },
 		"again and again": func(b *beating) {
 			for i := range 5 {
 				b.foreign(1<<62+model.Millis(i), 3, "nobody")
--- a/daemon/fleet/reconcile.go
+++ b/daemon/fleet/reconcile.go
@@ -43,7 +43,7 @@
 	case s.leaseExpired(now):
 		lossReason = "the worker's lease has expired"
 		p.batch.Lapsed = append(p.batch.Lapsed, workflow.Crash{Incarnation: incarnation, Attempts: l.possibleCauses(incarnation, nil, workflows, ended)})
-	case known && current.Deregistered && l.deregisteredFor(current, now) > deregistrationGrace:
+	case known && current.Deregistered && l.deregisteredFor(current, now) > deregistrationGrace && !s.answers(now):
 		lossReason = "the worker has deregistered"
 	}
 	workflows.VisitOpenAttempts(incarnation, func(a workflow.OpenAttempt) {
--- a/daemon/fleet/session.go
+++ b/daemon/fleet/session.go
@@ -39,7 +39,7 @@
 	noCapacityPause     = 300 * time.Millisecond  // without starts after the worker refused one that did not fit
 	unavailablePause    = 1000 * time.Millisecond // without starts after the worker refused one as unavailable or could not be reached
 	notSentPause        = 100 * time.Millisecond  // without starts after one could not be sent
-	deregistrationGrace = 1000 * time.Millisecond // from a worker's deregistration until its tasks count as lost
+	deregistrationGrace = 1000 * time.Millisecond // from a worker's deregistration until its tasks count as lost, if it does not answer
 )
 
 // order tracks the calls to a worker about one attempt.
