--- a/core/workflow/commands.go
+++ b/core/workflow/commands.go
@@ -33,6 +33,10 @@
 
 	// Silent are the worker processes that do not answer; applied after Answered.
 	Silent []SilentWorker `cbor:"8,keyasint,omitempty"`
+
+	// Proven are reports of processes that have answered with their start time at the reported address;
+	// applied after Workers.
+	Proven []Worker `cbor:"9,keyasint,omitempty"`
 }
 
 // SilentWorker reports that a worker process does not answer and is sent no lease until a later batch
--- a/daemon/fleet/crash.go
+++ b/daemon/fleet/crash.go
@@ -26,12 +26,16 @@
 }
 
 // addAnswers adds the worker processes to the batch that have answered since their attempts were lost
-// by silence or they were recorded as silent. An answer within unreachableAfter is later than both,
-// which follow a longer silence.
+// by silence or they were recorded as silent, whose report displaced another process, or which were taken for
+// crashed. An answer within unreachableAfter is later than the loss, which follows a longer silence.
 func (l *leadership) addAnswers(workflows *workflow.State, now bootclock.Time, p *passPlan) {
 	for _, id := range l.sortedWorkers(workflows) {
 		w := workflows.Workers[id]
-		if s := l.sessions[w.Incarnation]; s != nil && (len(w.Lapsed) > 0 || s.silence.recorded) && !s.replaced && s.answeredAt != 0 && now.Sub(s.answeredAt) < unreachableAfter {
+		s := l.sessions[w.Incarnation]
+		if s == nil || s.replaced || s.answeredAt == 0 || now.Sub(s.answeredAt) >= unreachableAfter {
+			continue
+		}
+		if len(w.Lapsed) > 0 || s.silence.recorded || w.Displaced != nil || w.Crashed {
 			p.batch.Answered = append(p.batch.Answered, w.Incarnation)
 		}
 	}
--- a/daemon/fleet/orders.go
+++ b/daemon/fleet/orders.go
@@ -32,6 +32,9 @@
 		defer l.mu.Unlock()
 		answered := bootclock.Now()
 		s.updateClock(clock, answered)
+		if errors.Is(err, ErrWrongWorker) && s.addr != to.Addr {
+			err = ErrNotSent // says nothing about the address at which the worker answers now
+		}
 		l.handleStartResult(s, a, o, answered, err)
 		l.requestPass()
 	}()
@@ -61,7 +64,7 @@
 		case errors.Is(err, ErrFenced):
 			l.resign()
 		case errors.Is(err, ErrWrongWorker):
-			s.replaced, s.otherWorker = true, true
+			s.noteReplaced(true)
 		}
 	default:
 		if o.phase == startSent {
--- a/daemon/fleet/reconcile.go
+++ b/daemon/fleet/reconcile.go
@@ -45,7 +45,7 @@
 		// Unknown run times count as short: without it a task that crashes its workers was started six and seven times
 		// while leaders changed and no crash was proven.
 		p.batch.Lapsed = append(p.batch.Lapsed, workflow.Crash{Incarnation: incarnation, Attempts: l.possibleCauses(incarnation, nil, workflows, ended, 0)})
-	case known && current.Deregistered && l.deregisteredFor(current, now) > deregistrationGrace:
+	case known && current.Deregistered && l.deregisteredFor(current, now) > deregistrationGrace && !s.answers(now):
 		lossReason = "the worker has deregistered"
 	case known:
 		l.recordSilence(s, current, now, p)
--- a/daemon/fleet/session.go
+++ b/daemon/fleet/session.go
@@ -42,7 +42,7 @@
 	noCapacityPause     = 300 * time.Millisecond  // without starts after the worker refused one that did not fit
 	unavailablePause    = 1000 * time.Millisecond // without starts after the worker refused one as unavailable or could not be reached
 	notSentPause        = 100 * time.Millisecond  // without starts after one could not be sent
-	deregistrationGrace = 1000 * time.Millisecond // from a worker's deregistration until its tasks count as lost
+	deregistrationGrace = 1000 * time.Millisecond // from a worker's deregistration until its tasks count as lost, if it does not answer
 )
 
 // order tracks the calls to a worker about one attempt.
@@ -72,7 +72,7 @@
 )
 
 // session is the leader's view of one worker process. Its fields are guarded by leadership.mu,
-// except for those of the first group that do not change after the session is opened: all but addr.
+// except for those of the first group that do not change: all but addr and cancel.
 type session struct {
 	leadership  *leadership
 	incarnation workflow.Incarnation
@@ -85,9 +85,13 @@
 	answeredAt    bootclock.Time // time of the last answered hold call; zero if none
 	aliveAt       bootclock.Time // when the worker process was last known to be alive
 	failing       bool           // the last hold call was not answered
+	quickHolds    int            // hold calls in a row that were answered at once and without an end
 	tokenAccepted bool           // the worker has answered a hold call with this leader's token
 	replaced      bool           // another process answers at the address
 	otherWorker   bool           // that process has another worker id, so that no call can reach this one any more
+	closed        bool           // no calls are made, because another process is recorded under the worker's id
+	replacedAt    bootclock.Time // when replaced was set
+	replacedRetry time.Duration  // after which a replaced session calls the address again
 
 	clock      model.Millis // reading of the worker's clock at clockAt
 	clockAt    bootclock.Time
@@ -112,6 +116,7 @@
 	pauseUntil bootclock.Time // no starts before this time
 	drainUntil bootclock.Time // earliest end of a draining worker; zero if not known
 	sequence   uint64         // sequence number of the last heartbeat
+	lower      lowerSequences // heartbeats with lower numbers since then
 	latency    dispatch.LatencyState
 	colocated  bool // best-effort tasks run beside serving tasks
 	quarantine quarantine
@@ -130,6 +135,19 @@
 	return s
 }
 
+// reopen starts the calls anew for a process that has answered at another address, or that is recorded
+// again after another one was. It keeps the orders and the leases that were sent. What depends on an
+// answer starts anew: an earlier answer says nothing about who answers at the address now.
+func (s *session) reopen(w *workflow.Worker) {
+	s.cancel()
+	ctx, cancel := context.WithCancel(s.leadership.ctx)
+	s.cancel, s.addr, s.zone, s.sequence = cancel, w.Addr, w.Zone, w.ReportSequence
+	s.openedAt, s.answeredAt, s.replacedRetry = bootclock.Now(), 0, 0
+	s.closed, s.failing, s.tokenAccepted, s.replaced, s.otherWorker = false, false, false, false, false
+	s.leadership.wg.Add(1)
+	go s.run(ctx)
+}
+
 // endpoint returns the address of the worker; leadership.mu must be held.
 func (s *session) endpoint() Endpoint {
 	return Endpoint{Incarnation: s.incarnation, Addr: s.addr, Zone: s.zone}
@@ -164,8 +182,10 @@
 	defer cancel()
 	sentAt := bootclock.Now()
 	listing, err := s.leadership.engine.opts.Workers.Hold(callCtx, to, call)
+	s.leadership.mu.Lock()
+	defer s.leadership.mu.Unlock()
 	if ctx.Err() != nil {
-		return 0
+		return 0 // the session was closed, or calls another address by now
 	}
 	return s.handleHoldResult(sentAt, call, listing, err)
 }
@@ -175,11 +195,11 @@
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	now := bootclock.Now()
-	if s.replaced || !l.lease.valid(now) {
+	if !l.lease.valid(now) {
 		return Endpoint{}, HoldCall{}, false
 	}
 	call := HoldCall{Token: l.token}
-	if s.failing || !s.tokenAccepted || s.silence.recorded {
+	if s.replaced || s.failing || !s.tokenAccepted || s.silence.recorded {
 		// No lease is sent until the worker has answered, because an unanswered call may take effect
 		// late, and until the answer is recorded. No ends are acknowledged either: a new process of the
 		// worker, whose end numbers start again at 1, may receive the call.
@@ -238,10 +258,9 @@
 	}
 }
 
+// handleHoldResult returns how long to wait before the next hold call; leadership.mu must be held.
 func (s *session) handleHoldResult(sentAt bootclock.Time, call HoldCall, listing Listing, err error) time.Duration {
 	l := s.leadership
-	l.mu.Lock()
-	defer l.mu.Unlock()
 	endsBefore := s.endsQueued
 	healthy := s.tokenAccepted && !s.failing
 	defer func() {
@@ -253,10 +272,7 @@
 	now := bootclock.Now()
 	switch {
 	case errors.Is(err, ErrWrongWorker), err == nil && listing.StartedAt != 0 && s.incarnation.StartedAt != 0 && listing.StartedAt != s.incarnation.StartedAt:
-		l.logger.Info().Str("worker", string(s.incarnation.Worker)).Int64("born", int64(s.incarnation.StartedAt)).
-			Msg("another process answers at the worker's address; its predecessor has ended")
-		s.replaced, s.otherWorker = true, err != nil
-		return time.Second
+		return s.noteReplaced(err != nil)
 	case errors.Is(err, ErrFenced):
 		l.logger.Warn().Str("worker", string(s.incarnation.Worker)).Uint64("token", l.token).Msg("the worker has seen a higher fencing token")
 		l.resign()
@@ -264,6 +280,8 @@
 	case errors.Is(err, ErrNotSent):
 		l.engine.opts.Metrics.count("holds", "not_sent", 1)
 		return holdRetryDelay
+	case s.replaced && (err != nil || sentAt < s.replacedAt):
+		return s.noteReplaced(s.otherWorker)
 	case err != nil:
 		s.noteFailure(sentAt, now, call)
 		if !s.failing {
@@ -276,6 +294,7 @@
 	if s.failing && s.answeredAt != 0 {
 		l.logger.Info().Str("worker", string(s.incarnation.Worker)).Int64("silent_ms", now.Sub(s.answeredAt).Milliseconds()).Msg("worker answers again")
 	}
+	s.replaced, s.otherWorker, s.replacedRetry = false, false, 0
 	s.failing, s.tokenAccepted, s.answeredAt, s.aliveAt = false, true, now, now
 	s.updateClock(listing.Clock, now)
 	s.applyListing(sentAt, now, listing)
@@ -288,7 +307,42 @@
 	case call.Wait == 0:
 		return 0
 	}
-	return holdGap
+	return s.pauseAfterHold(now.Sub(sentAt), call, s.endsQueued != endsBefore)
+}
+
+// pauseAfterHold returns the time to the next hold call. A worker that lists an end that cannot be read, and
+// so is never acknowledged, answers each call at once.
+func (s *session) pauseAfterHold(took time.Duration, call HoldCall, news bool) time.Duration {
+	if news || took >= time.Duration(call.Wait)*time.Millisecond/2 {
+		s.quickHolds = 0
+		return holdGap
+	}
+	if s.quickHolds++; s.quickHolds <= maxQuickHolds {
+		return holdGap
+	}
+	return holdRetryDelay
+}
+
+// maxQuickHolds is the number of hold calls in a row that may be answered at once and without an end.
+const maxQuickHolds = 20
+
+// A replaced session calls its address again after minReplacedRetry, and then ever less often: the process
+// may answer there again.
+const (
+	minReplacedRetry = time.Second
+	maxReplacedRetry = 16 * time.Second
+)
+
+// noteReplaced records that another process answers at the address, and returns the time to the next call.
+func (s *session) noteReplaced(otherWorker bool) time.Duration {
+	if !s.replaced {
+		s.replacedAt = bootclock.Now()
+		s.leadership.logger.Info().Str("worker", string(s.incarnation.Worker)).Int64("born", int64(s.incarnation.StartedAt)).
+			Msg("another process answers at the worker's address; its predecessor has ended")
+	}
+	s.replaced, s.otherWorker = true, otherWorker
+	s.replacedRetry = min(maxReplacedRetry, max(minReplacedRetry, 2*s.replacedRetry))
+	return s.replacedRetry
 }
 
 const (
@@ -298,6 +352,10 @@
 	holdGap        = time.Millisecond
 )
 
+// maxEndNumberGap bounds the distance of an end's number from the last one. A worker numbers its ends one
+// after the other, and one odd number far ahead would make all later ends look repeated.
+const maxEndNumberGap = 1_000_000
+
 func (s *session) applyListing(sentAt, now bootclock.Time, listing Listing) {
 	running := make(map[workflow.Attempt]RunningAttempt, len(listing.Running))
 	for _, r := range listing.Running {
@@ -325,7 +383,8 @@
 	// An acknowledgement covers all lower numbers, so the ends are queued in the order of theirs.
 	slices.SortFunc(listing.Ended, func(a, b EndedAttempt) int { return cmp.Compare(a.Number, b.Number) })
 	for _, e := range listing.Ended {
-		if e.Number <= s.endsQueued || e.Number <= s.recordedThrough {
+		last := max(s.endsQueued, s.recordedThrough)
+		if e.Number <= last || e.Number-last > maxEndNumberGap {
 			continue
 		}
 		s.endsQueued = e.Number
