--- a/daemon/fleet/claims.go
+++ b/daemon/fleet/claims.go
@@ -17,6 +17,8 @@
 //     with an earlier start time than the recorded one. A restart is recorded after this one short call.
 //   - Otherwise a later start time is recorded only while the recorded process does not answer either. The
 //     record that it displaces is kept until the later process answers.
+//   - A report of a process that is recorded as deregistered and never drained is a claim, too: a deregistration
+//     names the worker's id only, and may be that of an earlier process. The answer withdraws it.
 //   - All other claims are refused. A refused heartbeat is not acknowledged, because it may be the
 //     announcement of a worker that leaves.
 
