Restart long-running best-effort tasks that are down for too long

What callers saw: nothing yet; such a task stays down for as long as it would interfere wherever it fits, if another task of its job is at work. Cause: best-effort tasks start in any case once nothing of their job has been at work for the starvation timeout. Callers of long-running tasks miss each one that is down. Evidence: TestStarvedJobStarts failed for "a long-running task beside others of its job": 0 tasks start after 1200 ms, want 1; 2 restarts wait because "it would interfere with serving tasks". Change: the timeout also counts from the end of the task's last run.

--- a/core/dispatch/plan.go
+++ b/core/dispatch/plan.go
@@ -128,7 +128,7 @@
 func (p *pass) placeStep(q PendingRun, ready readyStep) {
 	p.buildCandidates()
 	spec := &q.Job.Steps[ready.step]
-	starved := p.starved(q)
+	starved := p.starved(q) || p.isDownTooLong(q, spec, ready.tasks[0].task)
 	first := len(p.assignments)
 	defer func() { p.recordRestarts(spec, ready.tasks, first) }()
 	minAttempt := uint32(0)
--- a/core/dispatch/starvation.go
+++ b/core/dispatch/starvation.go
@@ -50,6 +50,12 @@
 	return p.now-since > p.starvationTimeouts[q.Job.Service]
 }
 
+// isDownTooLong reports whether a long-running best-effort task has waited for its restart for longer than the starvation
+// timeout. Its users miss it, whether other tasks of the job run or not.
+func (p *pass) isDownTooLong(q PendingRun, spec *workflow.StepSpec, task workflow.Task) bool {
+	return spec.LongRunning && spec.UsesSpareCPU && task.Attempt > 0 && p.now-task.WaitingAt > p.starvationTimeouts[q.Job.Service]
+}
+
 // answers reports whether the worker process is a current one that answers.
 func (p *pass) answers(incarnation workflow.Incarnation) bool {
 	if p.answering == nil {
--- a/core/dispatch/starvation_test.go
+++ b/core/dispatch/starvation_test.go
@@ -36,6 +36,8 @@
 	step := workflow.StepSpec{Count: 3, CPUMillis: 4000, MemoryMiB: 10, UsesSpareCPU: true, Image: "f"}
 	gang := step
 	gang.Gang = true
+	lasting := step
+	lasting.LongRunning = true
 	oneOpen := func(job *workflow.Job, on *Worker) {
 		open := workflow.Task{Phase: workflow.TaskOpen, Attempt: 1, Incarnation: on.Incarnation}
 		job.Runs = map[int]*workflow.Run{0: {Steps: []workflow.StepRun{{Tasks: []workflow.Task{open, {}, {}}}}}}
@@ -78,6 +80,13 @@
 			}
 			return workers
 		}, 1},
+		"a long-running task beside others of its job": {lasting, func(workers []*Worker, job *workflow.Job) []*Worker {
+			oneOpen(job, workers[0])
+			for i := range 2 {
+				job.Runs[0].Steps[0].Tasks[1+i] = workflow.Task{Attempt: 1, WaitingAt: 1000}
+			}
+			return workers
+		}, 1},
 		"the service is full": {step, func(workers []*Worker, _ *workflow.Job) []*Worker {
 			for _, w := range workers {
 				fill(w)
