Check that no job waits beside room on a mostly free service

A property of the planner: after a pass on a random fleet with silent and unusable workers, serving tasks and all kinds of jobs, no job of which nothing starts fits on a worker once it is starved.

--- a/core/dispatch/starvation_test.go
+++ b/core/dispatch/starvation_test.go
@@ -2,6 +2,8 @@
 
 import (
 	"fmt"
+	"math/rand/v2"
+	"slices"
 	"strings"
 	"testing"
 
@@ -116,3 +118,61 @@
 		}
 	}
 }
+
+// Guards against a job of any kind that does not start although a worker has room and under half of the cores are
+// reserved, before and after the pass: beside serving tasks, with workers that are silent or take no tasks, and with
+// limits for each worker.
+func TestNoJobWaitsBesideRoomOnAMostlyFreeService(t *testing.T) {
+	checked, started := 0, 0
+	for seed := range uint64(600) {
+		random := rand.New(rand.NewPCG(seed, 4))
+		p, state := randomSnapshot(random)
+		for _, w := range p.Workers {
+			w.Usable = random.IntN(3) > 0
+			w.Silent = !w.Usable && random.IntN(2) == 0
+		}
+		for i := range p.PendingRuns {
+			q := &p.PendingRuns[i]
+			if q.Run == nil || random.IntN(3) > 0 {
+				continue
+			}
+			task := &q.Run.Steps[0].Tasks[0]
+			if w := p.Workers[random.IntN(len(p.Workers))]; w.Silent {
+				*task = workflow.Task{Phase: workflow.TaskOpen, Attempt: 1, Incarnation: w.Incarnation}
+			}
+		}
+		p.Now += starvationTimeoutSpare + 1
+		assigned, waits := Plan(p, state)
+		startedJobs := map[workflow.JobID]bool{}
+		runs := map[workflow.JobID]PendingRun{}
+		for _, q := range p.PendingRuns {
+			runs[q.Job.ID] = q
+		}
+		for _, a := range assigned {
+			startedJobs[a.Attempt.Task.Job] = true
+			for _, w := range p.Workers {
+				if w.Incarnation == a.Incarnation {
+					w.Allocations = append(w.Allocations, Allocation{OpenAttempt: workflow.OpenAttempt{Attempt: a.Attempt, Step: &runs[a.Attempt.Task.Job].Job.Steps[0]}})
+				}
+			}
+		}
+		after := &pass{now: p.Now, interference: state.InterferenceModel, usable: slices.DeleteFunc(slices.Clone(p.Workers), func(w *Worker) bool { return !w.Usable })}
+		after.buildCandidates()
+		if usage := UsageByService(p)["s"]; usage.All.ReservedShare() >= idleUtilization && usage.OnUsable.ReservedShare() >= idleUtilization {
+			continue
+		}
+		started += len(startedJobs)
+		for _, wait := range waits {
+			checked++
+			if startedJobs[wait.Job] {
+				continue
+			}
+			if best, _ := after.best(after.needsOf(runs[wait.Job], 0), workflow.Task{}, true); best != nil {
+				t.Errorf("seed %d: nothing of job %s starts because %v, but it fits on %s", seed, wait.Job, wait.Reason, best.worker.Incarnation.Worker)
+			}
+		}
+	}
+	if checked < 1000 || started < 1000 {
+		t.Errorf("only %d waits were checked, and %d jobs started", checked, started)
+	}
+}
