--- a/daemon/fleet/idlejobs.go
+++ b/daemon/fleet/idlejobs.go
@@ -1,6 +1,8 @@
 package fleet
 
 import (
+	"cmp"
+	"slices"
 	"time"
 
 	"samphirepaddle.example/core/dispatch"
@@ -13,6 +15,10 @@
 	idleCheckInterval = 500 * time.Millisecond
 	minIdleTime       = 2500 * time.Millisecond // a task that can run should do so within 3 s
 	idleLogInterval   = 5 * time.Second
+
+	// maxIdleLines bounds the lines of one check. With all workers lost 700 runs were idle at once; the others are
+	// written at the next checks, so that none is left out.
+	maxIdleLines = 50
 )
 
 // runKey identifies one occurrence of a job.
@@ -32,6 +38,13 @@
 	loggedAt bootclock.Time // zero if the run was never logged
 }
 
+// dueLine is an idle run for which a line is due.
+type dueLine struct {
+	*idleRun
+	run  dispatch.PendingRun
+	open int // attempts
+}
+
 // logIdleRuns writes a line that is never dropped for each due run of which nothing has been at work for
 // minIdleTime while the service is mostly free. It also finds runs whose only attempts are on workers
 // that do not list them, which are not among the waiting steps. l.mu must be held.
@@ -41,7 +54,7 @@
 	}
 	before := l.idleRuns.runs
 	l.idleRuns = idleRuns{checkedAt: now, runs: map[runKey]*idleRun{}}
-	var states map[string]*serviceState
+	var due []dueLine
 	for _, q := range snapshot.PendingRuns {
 		open, atWork := l.openAttempts(q, now)
 		if atWork {
@@ -53,25 +66,32 @@
 			entry = &idleRun{since: now}
 		}
 		l.idleRuns.runs[key] = entry
-		if now.Sub(entry.since) < minIdleTime || (entry.loggedAt != 0 && now.Sub(entry.loggedAt) < idleLogInterval) {
-			continue
-		}
-		if states == nil {
-			states = l.serviceStates(snapshot, now)
-		}
-		if state := states[q.Job.Service]; state != nil && state.usage.MostlyFree() {
-			l.logIdleRun(q, entry, open, state, waits, now)
+		if now.Sub(entry.since) >= minIdleTime && (entry.loggedAt == 0 || now.Sub(entry.loggedAt) >= idleLogInterval) {
+			due = append(due, dueLine{entry, q, open})
 		}
 	}
+	if len(due) == 0 {
+		return
+	}
+	states := l.serviceStates(snapshot, now)
+	due = slices.DeleteFunc(due, func(r dueLine) bool {
+		state := states[r.run.Job.Service]
+		return state == nil || !state.usage.MostlyFree()
+	})
+	slices.SortStableFunc(due, func(a, b dueLine) int { return cmp.Compare(a.loggedAt, b.loggedAt) })
+	for _, r := range due[:min(len(due), maxIdleLines)] {
+		l.logIdleRun(r, states[r.run.Job.Service], waits, now)
+	}
 }
 
-func (l *leadership) logIdleRun(q dispatch.PendingRun, entry *idleRun, open int, state *serviceState, waits []dispatch.WaitingStep, now bootclock.Time) {
-	if entry.loggedAt == 0 {
+func (l *leadership) logIdleRun(r dueLine, state *serviceState, waits []dispatch.WaitingStep, now bootclock.Time) {
+	q := r.run
+	if r.loggedAt == 0 {
 		l.engine.opts.Metrics.count("waits", "beside_free_capacity", 1)
 	}
-	entry.loggedAt = now
-	line := l.logger.Warn().Str("job", string(q.Job.ID)).Int("occurrence", q.Occurrence).Int("open_attempts", open).
-		Int64("idle_ms", now.Sub(entry.since).Milliseconds()).Int("waiting", len(waits))
+	r.loggedAt = now
+	line := l.logger.Warn().Str("job", string(q.Job.ID)).Int("occurrence", q.Occurrence).Int("open_attempts", r.open).
+		Int64("idle_ms", now.Sub(r.since).Milliseconds()).Int("waiting", len(waits))
 	reason := "its attempts are open on workers that do not list them"
 	for _, w := range waits {
 		if w.Job == q.Job.ID && w.Occurrence == q.Occurrence {
--- a/daemon/fleet/idlejobs_test.go
+++ b/daemon/fleet/idlejobs_test.go
@@ -2,7 +2,9 @@
 
 import (
 	"bytes"
+	"fmt"
 	"net/http/httptest"
+	"regexp"
 	"strings"
 	"testing"
 	"time"
@@ -62,3 +64,30 @@
 		})
 	}
 }
+
+// Guards against hundreds of lines at once, and against a job that is never named because others are.
+func TestLinesAboutIdleJobsAreBoundedAndNameAll(t *testing.T) {
+	var out bytes.Buffer
+	begin := bootclock.Now()
+	l, snapshot, _ := waitingFleet(t, &out, begin)
+	const jobs = 3*maxIdleLines - 10
+	for i := range jobs {
+		job := &workflow.Job{ID: workflow.JobID(fmt.Sprintf("j%03d", i)), Service: "s"}
+		snapshot.PendingRuns = append(snapshot.PendingRuns, dispatch.PendingRun{Job: job})
+	}
+	named := map[string]bool{}
+	for after := time.Duration(0); after <= minIdleTime+2*idleCheckInterval; after += idleCheckInterval {
+		out.Reset()
+		l.logIdleRuns(snapshot, nil, begin.Add(after))
+		lines := regexp.MustCompile(`"job":"(j\d+)"`).FindAllString(out.String(), -1)
+		if len(lines) > maxIdleLines {
+			t.Errorf("%d lines after %v, want %d at most", len(lines), after, maxIdleLines)
+		}
+		for _, line := range lines {
+			named[line] = true
+		}
+	}
+	if len(named) != jobs {
+		t.Errorf("%d of %d idle jobs were named", len(named), jobs)
+	}
+}
