Treat a batch that was not applied as not committed

Read in the code, no play: a committed batch that changes nothing, for example because this version cannot decode it, was logged and then handled as if it had been applied. Its ends and heartbeats were acknowledged, so an end was lost for good, its attempt counted as no longer listed, and its task ran again.

Evidence: TestBatchThatIsNotAppliedAcknowledgesNothing. Before: "ends up to 1 are acknowledged, 0 ends and 0 reports wait". The result is now an error like that of a failed commit: ends and reports are proposed again, assigned attempts never start.

--- a/daemon/fleet/pass.go
+++ b/daemon/fleet/pass.go
@@ -3,6 +3,7 @@
 import (
 	"cmp"
 	"context"
+	"fmt"
 	"maps"
 	"slices"
 	"time"
@@ -70,7 +71,7 @@
 	began := bootclock.Now()
 	result, err := l.engine.opts.Log.Propose(ctx, state.Command{Workflow: &workflow.Command{Batch: &p.batch}})
 	if err == nil && !result.OK() {
-		l.logger.Error().Str("code", string(result.Code)).Str("detail", result.Message).Msg("batch not applied")
+		err = fmt.Errorf("batch not applied: %s: %s", result.Code, result.Message)
 	}
 	l.engine.opts.Metrics.observe("pass_commit_ms", bootclock.Since(began))
 	l.passStats.committed(bootclock.Since(began), len(p.batch.Assign))
--- a/daemon/fleet/pass_test.go
+++ b/daemon/fleet/pass_test.go
@@ -1,6 +1,7 @@
 package fleet
 
 import (
+	"context"
 	"testing"
 	"time"
 
@@ -94,3 +95,26 @@
 		t.Errorf("the planner's time is %d ms before the latest recorded time", st.Now-p.Now)
 	}
 }
+
+// refusingLog is a Log that commits commands without applying them.
+type refusingLog struct{ fixedLog }
+
+func (refusingLog) Propose(context.Context, state.Command) (state.Result, error) {
+	return state.Result{Code: state.CodeInvalid}, nil
+}
+
+// Guards against heartbeats and ends that are acknowledged although the batch with them had no effect, for
+// example because this version could not decode it: an end would be lost, and its task would run again.
+func TestBatchThatIsNotAppliedAcknowledgesNothing(t *testing.T) {
+	l, st := planningLeadership(t, 1, 0, 0)
+	l.engine.opts.Log = refusingLog{fixedLog{state: st}}
+	id := l.sortedWorkers(st.Workflows)[0]
+	s := l.sessions[st.Workflows.Workers[id].Incarnation]
+	s.ends = []workflow.End{{Incarnation: s.incarnation, Number: 1, Kind: workflow.EndDone}}
+	report := &pendingReport{worker: *st.Workflows.Workers[id], done: make(chan struct{})}
+	l.reports[id] = report
+	l.runPass(fullPass)
+	if s.recordedThrough != 0 || len(s.ends) != 1 || l.reports[id] != report {
+		t.Errorf("ends up to %d are acknowledged, %d ends and %d reports wait", s.recordedThrough, len(s.ends), len(l.reports))
+	}
+}
