Ignore a deregistration that may concern the process before

A worker that had started again under its id got no task any more, for good: the deregistration of its predecessor arrived late, through another controller or a link that was cut, and names only the id. It was recorded for the current process, whose heartbeats were ignored from then on. By the code its attempts were also closed 1 s later, although they run on.

A deregistration within 15 s of the start of the current process (born, by the leader's wall clock) is now answered and ignored; calls are executed up to 12 s late. A process that does end so soon costs the wait for its lease, as one that crashes.

--- a/daemon/fleet/service.go
+++ b/daemon/fleet/service.go
@@ -277,7 +277,13 @@
 	return (a.Draining || !b.Draining) && (a.Deregistered || !b.Deregistered)
 }
 
-// Deregister records that a worker has ended. The caller needs to know only its id.
+// lateDeregistration bounds how long after the start of a worker process the deregistration of the one
+// before it may arrive. Calls are executed up to 12 s late.
+const lateDeregistration = 15 * time.Second
+
+// Deregister records that a worker has ended. The caller needs to know only its id, so the call may
+// concern the process before the current one: it is ignored while that is possible. The tasks of a process
+// that does end so soon after its start are lost with its lease.
 func (e *Engine) Deregister(ctx context.Context, id workflow.WorkerID) (struct{}, error) {
 	l := e.currentLeadership()
 	if l == nil {
@@ -293,6 +299,11 @@
 	if !known || worker.Deregistered {
 		return struct{}{}, nil
 	}
+	age := time.Since(time.UnixMilli(int64(worker.Incarnation.StartedAt)))
+	if age < lateDeregistration {
+		l.logger.Info().Str("worker", string(id)).Int64("age_ms", age.Milliseconds()).Msg("deregistration ignored: it may be one of the process before")
+		return struct{}{}, nil
+	}
 	worker.Deregistered = true
 	return e.ReportWorker(ctx, WorkerReport{Worker: worker})
 }
