Bound the size of a batch

A batch above 5 MiB is refused by the log, built again with the same content, and refused for ever: no task starts any more, on this leader or the next, while workers keep listing the ends. 120 heartbeats with 60 KB of labels, or ends with checkpoints of some kilobytes, are enough.

Evidence: TestBatchesFitIntoTheLog. A batch now takes 1 MiB of the workers' texts in heartbeats and 1 MiB of checkpoints in ends; the rest follows in the next ones. Checkpoints of lost attempts and the number of assignments still have no bound.

--- a/daemon/fleet/pass.go
+++ b/daemon/fleet/pass.go
@@ -19,6 +19,10 @@
 const (
 	passTimeout  = 3 * time.Second // for the commit of a batch
 	maxBatchEnds = 2000            // ends of attempts in one batch
+
+	// maxBatchText bounds the bytes of texts that workers choose, of their heartbeats and of their ends
+	// each. Batches were without bound, and one above 5 MiB, the limit of the log, was proposed for ever.
+	maxBatchText = 1 << 20
 )
 
 // passPlan is the result of planning one pass.
@@ -134,13 +138,26 @@
 }
 
 func (l *leadership) addReports(p *passPlan) {
+	text := 0
 	for _, report := range l.reports {
+		if text += reportText(&report.worker); text > maxBatchText {
+			break // the next batch holds the others
+		}
 		p.reports = append(p.reports, report)
 		p.batch.Workers = append(p.batch.Workers, report.worker)
 	}
 	slices.SortFunc(p.batch.Workers, func(a, b workflow.Worker) int { return cmp.Compare(a.Incarnation.Worker, b.Incarnation.Worker) })
 }
 
+// reportText returns the bytes of the texts in a worker's report, and two for the encoding of each label.
+func reportText(w *workflow.Worker) int {
+	text := len(w.Incarnation.Worker) + len(w.Addr) + len(w.Service) + len(w.Zone) + len(w.Rack) + 2*len(w.Labels)
+	for _, label := range w.Labels {
+		text += len(label)
+	}
+	return text
+}
+
 // syncSessions opens a session for each current worker process and cancels all others. A cancelled
 // session is kept while its worker process has open attempts.
 func (l *leadership) syncSessions(workflows *workflow.State) {
@@ -172,10 +189,12 @@
 // addEnds adds the ends that workers listed to the batch and returns their attempts.
 func (l *leadership) addEnds(workflows *workflow.State, now bootclock.Time, p *passPlan) map[workflow.Attempt]bool {
 	ended := map[workflow.Attempt]bool{}
+	text := 0
 	for _, s := range l.sessions {
 		for _, e := range s.ends {
 			ended[e.Attempt] = true // including those that are left for the next batch
-			if len(p.batch.Ends) >= maxBatchEnds {
+			text += len(e.Checkpoint)
+			if len(p.batch.Ends) >= maxBatchEnds || (text > maxBatchText && len(p.batch.Ends) > 0) {
 				continue
 			}
 			p.batch.Ends = append(p.batch.Ends, e)
--- a/daemon/fleet/reports_test.go
+++ b/daemon/fleet/reports_test.go
@@ -3,8 +3,10 @@
 import (
 	"context"
 	"errors"
+	"strings"
 	"testing"
 
+	"samphirepaddle.example/core/model"
 	"samphirepaddle.example/core/state"
 	"samphirepaddle.example/core/workflow"
 )
@@ -60,3 +62,28 @@
 		}
 	}
 }
+
+// Guards against passes that stop for good because the batch with all new heartbeats and ends is larger
+// than an entry of the log may be.
+func TestBatchesFitIntoTheLog(t *testing.T) {
+	const many, large = 120, 60_000
+	l, st := planningLeadership(t, many, 0, 0)
+	waiting := 0
+	for _, w := range st.Workflows.Workers {
+		id := workflow.WorkerID("next-" + w.Incarnation.Worker)
+		l.reports[id] = &pendingReport{worker: workflow.Worker{Incarnation: workflow.Incarnation{Worker: id}, Labels: []string{strings.Repeat("l", large)}}, done: make(chan struct{})}
+		s := l.sessions[w.Incarnation]
+		s.ends = []workflow.End{{Incarnation: w.Incarnation, Number: 1, Kind: workflow.EndStopped, Checkpoint: strings.Repeat("c", large)}}
+		waiting += 2
+	}
+	for passes := 0; waiting > 0; passes++ {
+		p := &passPlan{}
+		l.buildPlan(st, p)
+		data, err := model.Encode(state.Command{Workflow: &workflow.Command{Batch: &p.batch}})
+		if err != nil || len(data) > 4<<20 || len(p.reports) != len(p.batch.Workers) || passes > many {
+			t.Fatalf("pass %d: a batch of %d bytes with %d of %d reports, error %v", passes, len(data), len(p.batch.Workers), len(p.reports), err)
+		}
+		waiting -= len(p.batch.Workers) + len(p.batch.Ends)
+		l.handleCommitResult(p, nil)
+	}
+}
