Benchmark passes in which most waiting steps have no room

Two more cases have 1,100 workers whose memory is taken, 150 best-effort jobs of 40 tasks and 40 lasting jobs of 24 that wait, and 36 short tasks that start.

Jobs are accepted at the present time, because those of the year 1970 counted as starved and were searched for without a ranking.

--- a/daemon/fleet/bench_test.go
+++ b/daemon/fleet/bench_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"testing"
+	"time"
 
 	"github.com/rs/zerolog"
 
@@ -32,7 +33,7 @@
 
 func applyOrFail(b testing.TB, st *state.State, c workflow.Command) {
 	b.Helper()
-	if outcome, message := st.Workflows.Apply(1, st.Config.Routing, &c); outcome != workflow.Accepted {
+	if outcome, message := st.Workflows.Apply(model.Millis(time.Now().UnixMilli()), st.Config.Routing, &c); outcome != workflow.Accepted {
 		b.Fatalf("%v: %s", outcome, message)
 	}
 }
@@ -89,6 +90,27 @@
 	return l, st
 }
 
+// addSteadyLoad leaves the workers memory for short tasks only and submits what waits in the busiest seconds: lasting
+// and best-effort steps that have no room, and as many short tasks as one pass of 20 ms starts at 1,800 starts a second.
+func addSteadyLoad(b testing.TB, st *state.State) {
+	for _, w := range st.Workflows.Workers {
+		w.MemoryMiB = 0
+		st.Workflows.VisitOpenAttempts(w.Incarnation, func(a workflow.OpenAttempt) { w.MemoryMiB += a.Step.MemoryMiB })
+		w.MemoryMiB += 1000
+	}
+	submit := func(id, path string, step workflow.StepSpec) {
+		applyOrFail(b, st, workflow.Command{Submit: &workflow.Submission{Host: "h", Path: path + id, Steps: []workflow.StepSpec{step}}})
+	}
+	for i := range 40 {
+		submit(fmt.Sprintf("late%d", i), "/q/", workflow.StepSpec{
+			Count: 24, CPUMillis: 13_000, MemoryMiB: 26_000 - int64(i), LongRunning: true, TailTargetMs: 18, Image: fmt.Sprintf("s%d", i%16),
+		})
+	}
+	for i := range 9 {
+		submit(fmt.Sprintf("short%d", i), "/u/", workflow.StepSpec{Count: 4, CPUMillis: 500, MemoryMiB: 200, EstimateMs: 100, Image: "u"})
+	}
+}
+
 // answer takes in a listing of the worker's open attempts.
 func answer(st *state.State, s *session, round int) {
 	var listing Listing
@@ -102,9 +124,16 @@
 
 // BenchmarkBuildPlan plans passes in which a part of the workers has answered since the last one.
 func BenchmarkBuildPlan(b *testing.B) {
-	for name, kind := range map[string]passKind{"full": fullPass, "reserved": reservedPass} {
-		b.Run(name, func(b *testing.B) {
+	for _, c := range []struct {
+		name   string
+		kind   passKind
+		steady bool
+	}{{"full", fullPass, false}, {"reserved", reservedPass, false}, {"steady", fullPass, true}, {"steady-reserved", reservedPass, true}} {
+		b.Run(c.name, func(b *testing.B) {
 			l, st := planningLeadership(b, benchWorkers, benchLastingJobs, benchTimedJobs)
+			if c.steady {
+				addSteadyLoad(b, st)
+			}
 			sessions := make([]*session, 0, len(l.sessions))
 			for _, s := range l.sessions {
 				sessions = append(sessions, s)
@@ -117,7 +146,7 @@
 					answer(st, sessions[(round*benchChanged+i)%len(sessions)], round)
 				}
 				b.StartTimer()
-				l.buildPlan(st, &passPlan{kind: kind})
+				l.buildPlan(st, &passPlan{kind: c.kind})
 			}
 		})
 	}
