Keep what the attempts of a worker hold between passes

Each pass summed up the allocations of every worker five times: for its candidate, the reserve for short tasks (twice), and the usage of its service (twice). The sums are now kept in the session together with the allocations, and change with the worker's listing, an order or its open attempts.

The fixture of waiting fleets replaces allocations, so it drops their sums as well.

--- a/core/dispatch/candidate.go
+++ b/core/dispatch/candidate.go
@@ -48,13 +48,17 @@
 func stepKeyOf(k workflow.TaskKey) stepKey { return stepKey{k.Job, k.Occurrence, k.Step} }
 
 func newCandidate(w *Worker, index int) *candidate {
-	c := &candidate{worker: w, index: index, freeCPU: w.CPUMillis, freeMemory: w.MemoryMiB, freeAccelerators: w.Accelerators, spareCPU: w.CPUMillis, isolated: w.Isolated}
-	for i := range w.Allocations {
-		c.account(w.Allocations[i].Step, 1)
-	}
+	c := &candidate{}
+	c.init(w, index)
 	return c
 }
 
+func (c *candidate) init(w *Worker, index int) {
+	*c = candidate{worker: w, index: index, freeCPU: w.CPUMillis, freeMemory: w.MemoryMiB, freeAccelerators: w.Accelerators, spareCPU: w.CPUMillis, isolated: w.Isolated}
+	load := w.load()
+	c.take(&load)
+}
+
 // shareOf returns the share of the worker's cores that a task of the step declares.
 func (c *candidate) shareOf(step *workflow.StepSpec) float64 {
 	return float64(step.CPUMillis) / float64(max(1, c.worker.CPUMillis))
@@ -115,18 +119,16 @@
 
 // account subtracts (sign 1) or adds back (sign -1) the resources of a task of the step.
 func (c *candidate) account(step *workflow.StepSpec, sign int64) {
-	cpu := sign * step.CPUMillis
-	c.freeMemory -= sign * step.MemoryMiB
-	c.freeAccelerators -= sign * step.Accelerators
-	switch {
-	case step.UsesSpareCPU:
-		c.spareCPU -= cpu
-	case step.LongRunning:
-		c.longRunning += int(sign)
-		c.freeCPU -= cpu
-		c.spareCPU -= int64(expectedServingUse * float64(cpu))
-	default:
-		c.freeCPU -= cpu
-		c.spareCPU -= int64(expectedOtherUse * float64(cpu))
-	}
+	var load Load
+	load.account(step, sign)
+	c.take(&load)
+}
+
+// take subtracts a load from the free resources.
+func (c *candidate) take(l *Load) {
+	c.freeCPU -= l.ReservedCPU
+	c.freeMemory -= l.MemoryMiB
+	c.freeAccelerators -= l.Accelerators
+	c.spareCPU -= l.ExpectedUse
+	c.longRunning += l.LongRunning
 }
--- a/core/dispatch/plan.go
+++ b/core/dispatch/plan.go
@@ -207,8 +207,11 @@
 	if p.candidates != nil {
 		return
 	}
+	block := make([]candidate, len(p.usable)) // rankings visit all of them many times
+	p.candidates = make([]*candidate, len(p.usable))
 	for i, w := range p.usable {
-		p.candidates = append(p.candidates, newCandidate(w, i))
+		block[i].init(w, i)
+		p.candidates[i] = &block[i]
 	}
 }
 
--- a/core/dispatch/reserve.go
+++ b/core/dispatch/reserve.go
@@ -33,10 +33,9 @@
 func (r *ShortTaskReserve) recordDemand(p *Snapshot) {
 	demand := map[string]float64{}
 	for _, w := range p.Workers {
-		for i := range w.Allocations {
-			if step := w.Allocations[i].Step; isShort(step) {
-				demand[w.Service] += float64(step.CPUMillis)
-			}
+		load := w.load()
+		if load.Short > 0 {
+			demand[w.Service] += float64(load.shortCPU())
 		}
 	}
 	for _, q := range p.PendingRuns {
@@ -72,11 +71,8 @@
 		}
 		capacity[w.Service] += float64(w.CPUMillis)
 		free[w.Service] += float64(w.CPUMillis)
-		for i := range w.Allocations {
-			if step := w.Allocations[i].Step; step.LongRunning && !step.UsesSpareCPU {
-				free[w.Service] -= float64(step.CPUMillis)
-			}
-		}
+		load := w.load()
+		free[w.Service] -= float64(load.LastingCPU)
 	}
 	firstStartBudget := map[string]int64{}
 	for service, available := range free {
--- a/core/dispatch/types.go
+++ b/core/dispatch/types.go
@@ -31,6 +31,7 @@
 	Silent      bool // the worker does not answer, so that attempts there do not count as at work
 	Isolated    bool // no task may start on the worker until a suspect there has survived
 	Allocations []Allocation
+	Load        *Load // of the allocations; nil if it is not known yet
 	Latency     LatencyState
 }
 
--- a/core/dispatch/usage.go
+++ b/core/dispatch/usage.go
@@ -12,15 +12,10 @@
 func (c *Capacity) add(w *Worker) {
 	c.CPUMillis += w.CPUMillis
 	c.MemoryMiB += w.MemoryMiB
-	for i := range w.Allocations {
-		step := w.Allocations[i].Step
-		c.UsedMemory += step.MemoryMiB
-		if step.UsesSpareCPU {
-			c.BestEffortCPU += step.CPUMillis
-		} else {
-			c.ReservedCPU += step.CPUMillis
-		}
-	}
+	load := w.load()
+	c.UsedMemory += load.MemoryMiB
+	c.BestEffortCPU += load.BestEffortCPU
+	c.ReservedCPU += load.ReservedCPU
 }
 
 // CPUShare returns the share of the CPU that is reserved or declared by best-effort tasks.
--- a/daemon/fleet/engine.go
+++ b/daemon/fleet/engine.go
@@ -111,6 +111,7 @@
 	clock         passClock
 	passStats     passStats
 	workerOrder   []workflow.WorkerID       // result of sortedWorkers in the last pass
+	described     []dispatch.Worker         // workers of the last pass
 	startAlone    map[workflow.TaskKey]bool // tasks whose attempts isolate their workers in this pass
 
 	mu           sync.Mutex // guards the fields below and those of the sessions
--- a/daemon/fleet/pass.go
+++ b/daemon/fleet/pass.go
@@ -293,13 +293,7 @@
 	latest := l.clock.read(wall, st.Now, now)
 	p := &dispatch.Snapshot{Now: latest, Cautions: workflows.Cautions(latest)}
 	l.startAlone = p.Cautions.StartAlone
-	p.Workers = make([]*dispatch.Worker, 0, len(workflows.Workers))
-	for _, id := range l.sortedWorkers(workflows) {
-		w := workflows.Workers[id]
-		if s := l.sessions[w.Incarnation]; s != nil {
-			p.Workers = append(p.Workers, l.describeWorker(workflows, s, w, now))
-		}
-	}
+	p.Workers = l.describeWorkers(workflows, now)
 	workflows.VisitLiveJobs(func(job *workflow.Job) {
 		for occurrence, run := range job.DueRuns(min(latest, wall+maxClockError)) {
 			p.PendingRuns = append(p.PendingRuns, dispatch.PendingRun{Job: job, Occurrence: occurrence, Run: run})
@@ -308,6 +302,26 @@
 	return p
 }
 
+// describeWorkers returns the workers in order of their ids. The next pass reuses the memory.
+func (l *leadership) describeWorkers(workflows *workflow.State, now bootclock.Time) []*dispatch.Worker {
+	if cap(l.described) < len(workflows.Workers) {
+		l.described = make([]dispatch.Worker, 0, 2*len(workflows.Workers))
+	}
+	clear(l.described)
+	l.described = l.described[:0]
+	workers := make([]*dispatch.Worker, 0, len(workflows.Workers))
+	for _, id := range l.sortedWorkers(workflows) {
+		w := workflows.Workers[id]
+		if s := l.sessions[w.Incarnation]; s != nil {
+			l.described = append(l.described, dispatch.Worker{Worker: *w})
+			d := &l.described[len(l.described)-1]
+			l.describeWorker(workflows, s, d, now)
+			workers = append(workers, d)
+		}
+	}
+	return workers
+}
+
 // sortedWorkers returns the ids of the workers in order. Sorting a thousand of them takes longer
 // than the rest of a pass without news, and they change rarely.
 func (l *leadership) sortedWorkers(workflows *workflow.State) []workflow.WorkerID {
@@ -318,15 +332,18 @@
 	return l.workerOrder
 }
 
-func (l *leadership) describeWorker(workflows *workflow.State, s *session, w *workflow.Worker, now bootclock.Time) *dispatch.Worker {
-	why := s.usability(w, now)
-	d := &dispatch.Worker{Worker: *w, Usable: why == usable, LastResort: why == unusableQuarantined && s.quarantine.allowsRestart(now), Silent: !s.answers(now), Latency: s.latency}
+// describeWorker sets what the planner needs of a worker beside its record. The allocations and their load are
+// kept until the worker's listing, an order or the set of its open attempts changes.
+func (l *leadership) describeWorker(workflows *workflow.State, s *session, d *dispatch.Worker, now bootclock.Time) {
+	why := s.usability(&d.Worker, now)
+	d.Usable, d.LastResort = why == usable, why == unusableQuarantined && s.quarantine.allowsRestart(now)
+	d.Silent, d.Latency = !s.answers(now), s.latency
 	l.applyPendingCapacity(&d.Worker)
 	if openVersion := workflows.OpenVersion(s.incarnation); s.changed || s.openVersion != openVersion {
 		s.cachedAllocations, s.openVersion, s.changed = l.allocations(workflows, s), openVersion, false
+		s.cachedLoad = dispatch.LoadOf(s.cachedAllocations)
 	}
-	d.Allocations, d.Isolated = s.cachedAllocations, s.isolated
-	return d
+	d.Allocations, d.Load, d.Isolated = s.cachedAllocations, &s.cachedLoad, s.isolated
 }
 
 // applyPendingCapacity sets the capacity that the worker has reported since the last commit. The
--- a/daemon/fleet/session.go
+++ b/daemon/fleet/session.go
@@ -104,6 +104,7 @@
 	changed           bool                  // the listing or an order has changed since the last pass
 	runsOrphan        bool                  // the worker lists an attempt that is not open, so its needs are not accounted for
 	cachedAllocations []dispatch.Allocation // result of leadership.allocations in the last pass
+	cachedLoad        dispatch.Load         // of cachedAllocations
 	isolated          bool                  // a suspect attempt runs there and has not survived CrashWindow
 	unsettled         bool                  // a start was not answered, and whether it runs is not known
 	openVersion       uint64                // version of the state's open attempts that cachedAllocations reflects
--- a/daemon/fleet/waits_test.go
+++ b/daemon/fleet/waits_test.go
@@ -86,7 +86,7 @@
 	snapshot := l.plannerInput(st, now)
 	for _, w := range snapshot.Workers {
 		if w.Usable {
-			w.Isolated = true
+			w.Isolated, w.Load = true, nil
 			w.Allocations = []dispatch.Allocation{{OpenAttempt: workflow.OpenAttempt{Step: &workflow.StepSpec{CPUMillis: 16_000, MemoryMiB: 1000}}}}
 		}
 	}
