Rate no workers for steps that have no room for a known reason

A step that found no room ruled out later steps of the same image only, so that each of 30 best-effort images rated all 1,100 workers in each pass, and the headrooms of all of them were computed although no best-effort task had the memory on them.

A step that finds no capacity now rules out steps of all images that need as much, except gangs and jobs with suspects, for which the reason of the wait could differ. Headrooms are computed for a worker once a best-effort task fits there. The rankings of a pass share their memory.

--- a/core/dispatch/candidate.go
+++ b/core/dispatch/candidate.go
@@ -26,7 +26,8 @@
 	isolatedNow      bool       // isolated for a suspect of this pass
 	longRunning      int        // number of long-running tasks that reserve CPU
 	assigned         []assigned // tasks assigned in this pass
-	headrooms        []headroom // of the serving tasks; set by pass.buildHeadrooms
+	headrooms        []headroom // of the serving tasks; set by headroomsFor
+	headroomsKnown   bool
 }
 
 // notRanked is the index of a candidate that is not in pass.candidates.
--- a/core/dispatch/pacing.go
+++ b/core/dispatch/pacing.go
@@ -204,34 +204,3 @@
 	}
 	return running
 }
-
-// headroom is the utilization that interference may still add to a serving task.
-type headroom struct {
-	image int     // index of the task's image
-	free  float64 // expected distance of the utilization from the limit, less placementMargin
-}
-
-// headrooms returns the headroom of each serving task of the worker with all best-effort tasks at
-// full pace. It adds images that are new to the indexes.
-func (m *InterferenceModel) headrooms(w *Worker, indexes map[string]int) []headroom {
-	var list []headroom
-	for i := range w.Allocations {
-		serving := &w.Allocations[i]
-		if !serving.Step.Serving() {
-			continue
-		}
-		expected := m.loadOf(serving.Attempt.Task.Job)
-		for j := range w.Allocations {
-			if r := &w.Allocations[j]; r.bestEffort() {
-				expected += m.coefficient(serving.Step.Image, r.Step.Image) * expectedShare(w, r, 100)
-			}
-		}
-		image, known := indexes[serving.Step.Image]
-		if !known {
-			image = len(indexes)
-			indexes[serving.Step.Image] = image
-		}
-		list = append(list, headroom{image, m.utilizationLimit(serving.Step) - placementMargin - expected})
-	}
-	return list
-}
--- a/core/dispatch/plan.go
+++ b/core/dispatch/plan.go
@@ -12,6 +12,12 @@
 // has an entry for each step with a task that could not be placed, with the reason of the first
 // such task.
 func Plan(p *Snapshot, state *PlannerState) (assign []workflow.Assignment, waits []WaitingStep) {
+	pass := newPass(p, state)
+	pass.placeRuns(p)
+	return pass.assignments, pass.waits
+}
+
+func newPass(p *Snapshot, state *PlannerState) *pass {
 	pass := &pass{
 		now: p.Now, workers: p.Workers, cautions: p.Cautions, interference: state.InterferenceModel, restarts: state.RestartHistory,
 		starvationTimeouts: starvationTimeouts(p), firstStartBudget: state.ShortTaskReserve.firstStartBudget(p),
@@ -24,14 +30,17 @@
 			pass.lastResorts = append(pass.lastResorts, w)
 		}
 	}
-	pass.restarts.forgetOld(p.Now)
-	for _, turn := range sortRuns(p, pass.restarts) {
-		if p.BeforeBestEffort && usesSpareCPU(turn.Job) {
+	return pass
+}
+
+func (p *pass) placeRuns(snapshot *Snapshot) {
+	p.restarts.forgetOld(p.now)
+	for _, turn := range sortRuns(snapshot, p.restarts) {
+		if snapshot.BeforeBestEffort && usesSpareCPU(turn.Job) {
 			break
 		}
-		pass.placeRun(turn)
+		p.placeRun(turn)
 	}
-	return pass.assignments, pass.waits
 }
 
 func usesSpareCPU(job *workflow.Job) bool {
@@ -51,8 +60,9 @@
 	answering          map[workflow.Incarnation]bool // set by answers
 	lastResorts        []*Worker                     // those that have no task of this pass
 	candidates         []*candidate                  // the usable workers; set by buildCandidates
-	servingImages      map[string]int                // index by image of a serving task; set by buildHeadrooms
-	coefficients       map[string][]float64          // by best-effort image; indexed by servingImages
+	servingImages      imageIndex
+	coefficients       map[string]*coefficientRow // by best-effort image
+	ranking            ranking                    // of the present step; its memory serves all steps
 	unplaced           []unplaced
 	assignments        []workflow.Assignment
 	waits              []WaitingStep
@@ -71,18 +81,39 @@
 // rulesOut reports whether no worker can be feasible for the given step either, because it has the
 // same requirements and needs at least as much.
 func (u *unplaced) rulesOut(service string, step *workflow.StepSpec) bool {
-	return u.service == service && u.step.Image == step.Image && u.step.RequiredLabel == step.RequiredLabel &&
-		u.step.UsesSpareCPU == step.UsesSpareCPU && u.step.MaxPerWorker == 0 &&
-		u.step.CPUMillis <= step.CPUMillis && u.step.MemoryMiB <= step.MemoryMiB && u.step.Accelerators <= step.Accelerators
+	return u.needsNoMore(service, step) && u.step.Image == step.Image && u.step.UsesSpareCPU == step.UsesSpareCPU &&
+		u.step.CPUMillis <= step.CPUMillis
 }
 
-// knownUnplaced returns why no worker is feasible for the step, if that is known in this pass.
-func (p *pass) knownUnplaced(service string, step *workflow.StepSpec) (WaitReason, bool) {
+// leavesNoRoomFor reports whether no worker has the room for the given step, of whatever image. A step that
+// uses spare CPU finds room whatever its CPU is, so the given step must not be one unless u is.
+func (u *unplaced) leavesNoRoomFor(service string, step *workflow.StepSpec) bool {
+	return u.reason <= WaitNoCapacity && u.needsNoMore(service, step) &&
+		(u.step.UsesSpareCPU || (!step.UsesSpareCPU && u.step.CPUMillis <= step.CPUMillis))
+}
+
+func (u *unplaced) needsNoMore(service string, step *workflow.StepSpec) bool {
+	return u.service == service && u.step.RequiredLabel == step.RequiredLabel && u.step.MaxPerWorker == 0 &&
+		u.step.MemoryMiB <= step.MemoryMiB && u.step.Accelerators <= step.Accelerators
+}
+
+// knownUnplaced returns why no worker is feasible for the step, if that is known in this pass. A rating might give
+// another reason for a suspect, and a gang that finds no room ends what is known.
+func (p *pass) knownUnplaced(job *workflow.Job, step *workflow.StepSpec) (WaitReason, bool) {
 	for i := range p.unplaced {
-		if p.unplaced[i].rulesOut(service, step) {
+		if p.unplaced[i].rulesOut(job.Service, step) {
 			return p.unplaced[i].reason, true
 		}
 	}
+	if step.Gang || len(job.Suspects) > 0 || len(p.cautions.StartAlone) > 0 {
+		return 0, false
+	}
+	for i := range p.unplaced {
+		if reason := p.unplaced[i].reason; p.unplaced[i].leavesNoRoomFor(job.Service, step) {
+			p.unplaced = append(p.unplaced, unplaced{job.Service, step, reason}) // as after a rating
+			return reason, true
+		}
+	}
 	return 0, false
 }
 
@@ -135,9 +166,11 @@
 	if spec.Gang {
 		minAttempt = nextGangAttempt(q, ready.step)
 	}
-	if reason, known := p.knownUnplaced(q.Job.Service, spec); known && !starved && !p.mayUseLastResort(q.Job, spec, ready.tasks[0].task, starved) && !p.mayShare(q, ready) {
-		p.recordWait(q, ready.step, ready.tasks, reason)
-		return
+	if !starved && !p.mayUseLastResort(q.Job, spec, ready.tasks[0].task, starved) {
+		if reason, known := p.knownUnplaced(q.Job, spec); known && !p.mayShare(q, ready) {
+			p.recordWait(q, ready.step, ready.tasks, reason)
+			return
+		}
 	}
 	n := p.needsOf(q, ready.step)
 	var ranked *ranking
@@ -220,7 +253,7 @@
 	service      string
 	spec         *workflow.StepSpec
 	step         stepKey
-	coefficients []float64 // of interference with the images of serving tasks; nil unless the step uses spare CPU
+	coefficients *coefficientRow // nil unless the step uses spare CPU
 }
 
 func (p *pass) needsOf(q PendingRun, step int) needs {
@@ -299,8 +332,8 @@
 func (c *candidate) interferenceCost(n *needs) (cost float64, tolerable bool) {
 	tolerable = true
 	share := c.shareOf(n.spec)
-	for _, h := range c.headrooms {
-		coeff := n.coefficients[h.image]
+	for _, h := range c.headroomsFor(n) {
+		coeff := n.coefficients.of(h.image)
 		if coeff < negligibleCoefficient {
 			continue
 		}
@@ -321,36 +354,10 @@
 		return
 	}
 	share := c.shareOf(n.spec)
-	for i := range c.headrooms {
-		h := &c.headrooms[i]
-		h.free -= sign * n.coefficients[h.image] * share
-	}
-}
-
-// coefficientsOf returns the coefficients of a best-effort image, by the index of the serving
-// image. They do not change within a pass.
-func (p *pass) coefficientsOf(bestEffort string) []float64 {
-	p.buildHeadrooms()
-	if row, ok := p.coefficients[bestEffort]; ok {
-		return row
-	}
-	row := make([]float64, len(p.servingImages))
-	for image, i := range p.servingImages {
-		row[i] = p.interference.coefficient(image, bestEffort)
-	}
-	p.coefficients[bestEffort] = row
-	return row
-}
-
-// buildHeadrooms computes the headrooms of the candidates at its first call in a pass, so that a
-// pass without best-effort tasks to place skips this work.
-func (p *pass) buildHeadrooms() {
-	if p.servingImages != nil {
-		return
-	}
-	p.servingImages, p.coefficients = map[string]int{}, map[string][]float64{}
-	for _, c := range p.candidates {
-		c.headrooms = p.interference.headrooms(c.worker, p.servingImages)
+	headrooms := c.headroomsFor(n)
+	for i := range headrooms {
+		h := &headrooms[i]
+		h.free -= sign * n.coefficients.of(h.image) * share
 	}
 }
 
--- a/core/dispatch/ranking.go
+++ b/core/dispatch/ranking.go
@@ -21,8 +21,13 @@
 	score     float64
 }
 
+// newRanking ranks the workers for a step. The ranking is valid until the next call.
 func (p *pass) newRanking(n needs) *ranking {
-	r := &ranking{needs: n, places: make([]int, len(p.candidates)), entries: make([]rankingEntry, 0, len(p.candidates))}
+	r := &p.ranking
+	*r = ranking{needs: n, places: r.places, entries: r.entries[:0]}
+	if r.places == nil {
+		r.places, r.entries = make([]int, len(p.candidates)), make([]rankingEntry, 0, len(p.candidates))
+	}
 	for i, c := range p.candidates {
 		r.places[i] = -1
 		if score, ok := r.rate(c); ok {
--- a/core/dispatch/ranking_test.go
+++ b/core/dispatch/ranking_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"math/rand/v2"
+	"reflect"
 	"testing"
 
 	"samphirepaddle.example/core/workflow"
@@ -144,3 +145,33 @@
 		}
 	}
 }
+
+// Guards against a wrong conclusion from an earlier step with another image, and against headrooms that depend on
+// when they are computed: the plan must be the one without such conclusions and with all headrooms computed first.
+func TestPlanEqualsExhaustivePlan(t *testing.T) {
+	waiting := 0
+	for seed := range uint64(300) {
+		p, state := randomSnapshot(rand.New(rand.NewPCG(seed, 2)))
+		if seed%2 == 0 {
+			p.Workers = p.Workers[:5] // so that many steps find no room
+		}
+		assignments, waits := Plan(p, state)
+		waiting += len(waits)
+		q, state := randomSnapshot(rand.New(rand.NewPCG(seed, 2)))
+		q.Workers = q.Workers[:len(p.Workers)]
+		exhaustive := newPass(q, state)
+		exhaustive.buildCandidates()
+		for _, c := range exhaustive.candidates {
+			c.headroomsFor(&needs{coefficients: exhaustive.coefficientsOf("")})
+		}
+		// With a task that may be a suspect, no step is left out because of one with another image.
+		exhaustive.cautions.StartAlone = map[workflow.TaskKey]bool{{Job: "another"}: true}
+		exhaustive.placeRuns(q)
+		if !reflect.DeepEqual(assignments, exhaustive.assignments) || !reflect.DeepEqual(waits, exhaustive.waits) {
+			t.Fatalf("seed %d: the plan is %v, waits %v; exhaustively it is %v, waits %v", seed, assignments, waits, exhaustive.assignments, exhaustive.waits)
+		}
+	}
+	if waiting < 1000 {
+		t.Errorf("only %d steps waited", waiting)
+	}
+}
