List waiting tasks without copies of their runs

A run without an assigned task was copied anew each time that its ready tasks were visited, twice in each pass. Its first tasks are now visited directly, the ready tasks of a pass share their memory, and the demand for the reserve visits jobs with short steps only.

The test of the indexes compares the order with that of a restored state, and the tasks of a run that does not exist with those of a new one.

--- a/core/dispatch/plan.go
+++ b/core/dispatch/plan.go
@@ -62,6 +62,8 @@
 	candidates         []*candidate                  // the usable workers; set by buildCandidates
 	servingImages      imageIndex
 	coefficients       map[string]*coefficientRow // by best-effort image
+	steps              []readyStep                // of the present run; the memory serves all runs
+	tasks              []readyTask                // of steps
 	ranking            ranking                    // of the present step; its memory serves all steps
 	unplaced           []unplaced
 	assignments        []workflow.Assignment
@@ -120,6 +122,7 @@
 // readyStep holds the tasks of one step that may start.
 type readyStep struct {
 	step    int
+	first   int // index of the first task among those of the run
 	tasks   []readyTask
 	failing bool // some of the tasks are
 }
@@ -132,15 +135,7 @@
 
 func (p *pass) placeRun(turn turn) {
 	q := turn.PendingRun
-	var steps []readyStep
-	q.Job.ReadyTasks(q.Run, func(step, index int, task workflow.Task) {
-		if len(steps) == 0 || steps[len(steps)-1].step != step {
-			steps = append(steps, readyStep{step: step})
-		}
-		last := &steps[len(steps)-1]
-		last.tasks = append(last.tasks, readyTask{index: index, task: task})
-	})
-	for _, ready := range steps {
+	for _, ready := range p.readySteps(q) {
 		p.restarts.markFailing(q, &ready)
 		ready.forTurn(turn.failing)
 		ready.putRestartsFirst()
@@ -150,6 +145,24 @@
 	}
 }
 
+// readySteps returns the steps of a run with tasks that may start. They are valid until the next call.
+func (p *pass) readySteps(q PendingRun) []readyStep {
+	steps, tasks := p.steps[:0], p.tasks[:0]
+	q.Job.ReadyTasks(q.Run, func(step, index int, task workflow.Task) {
+		if len(steps) == 0 || steps[len(steps)-1].step != step {
+			steps = append(steps, readyStep{step: step, first: len(tasks)})
+		}
+		tasks = append(tasks, readyTask{index: index, task: task})
+	})
+	end := len(tasks)
+	for i := len(steps) - 1; i >= 0; i-- {
+		steps[i].tasks = tasks[steps[i].first:end:end]
+		end = steps[i].first
+	}
+	p.steps, p.tasks = steps, tasks
+	return steps
+}
+
 // putRestartsFirst moves the tasks that ran before to the front, because the reserve for short tasks may
 // hold back the others.
 func (r *readyStep) putRestartsFirst() {
--- a/core/dispatch/reserve.go
+++ b/core/dispatch/reserve.go
@@ -39,6 +39,9 @@
 		}
 	}
 	for _, q := range p.PendingRuns {
+		if !hasShortStep(q.Job) {
+			continue
+		}
 		q.Job.ReadyTasks(q.Run, func(step, _ int, _ workflow.Task) {
 			if spec := &q.Job.Steps[step]; isShort(spec) {
 				demand[q.Job.Service] += float64(spec.CPUMillis)
@@ -57,6 +60,15 @@
 	}
 }
 
+func hasShortStep(job *workflow.Job) bool {
+	for i := range job.Steps {
+		if isShort(&job.Steps[i]) {
+			return true
+		}
+	}
+	return false
+}
+
 // isShort reports whether the tasks of a step reserve cores and end by themselves.
 func isShort(step *workflow.StepSpec) bool { return !step.LongRunning && !step.UsesSpareCPU }
 
--- a/core/workflow/apply.go
+++ b/core/workflow/apply.go
@@ -51,7 +51,7 @@
 		Phase: PhaseLive, Sequence: s.Sequence, AcceptedAt: now,
 	}
 	s.Jobs[job.ID] = job
-	s.liveJobs[job.ID] = job
+	s.addLive(job)
 	return Accepted, ""
 }
 
@@ -96,7 +96,7 @@
 	job.Phase = phase
 	job.EndedAt = now
 	job.Reason = reason
-	delete(s.liveJobs, job.ID)
+	s.removeLive(job)
 	s.addEnded(endedJob{now, job.ID})
 	for task := range job.openTasks {
 		s.bumpVersion(task.Incarnation)
--- a/core/workflow/index_test.go
+++ b/core/workflow/index_test.go
@@ -155,6 +155,8 @@
 	switch {
 	case !slices.Equal(slices.Sorted(maps.Keys(rebuilt.liveJobs)), slices.Sorted(maps.Keys(m.state.liveJobs))):
 		t.Fatalf("the live jobs are %v, by their records %v", m.state.liveJobs, rebuilt.liveJobs)
+	case !slices.EqualFunc(rebuilt.liveOrder, m.state.liveOrder, func(a, b *Job) bool { return a.ID == b.ID }) || len(rebuilt.liveOrder) != len(rebuilt.liveJobs):
+		t.Fatalf("the order of the live jobs is %v, by their records %v", m.state.liveOrder, rebuilt.liveOrder)
 	case !reflect.DeepEqual(openAttempts(rebuilt), openAttempts(m.state)):
 		t.Fatalf("the open attempts are %v, by the records of the tasks %v", openAttempts(m.state), openAttempts(rebuilt))
 	case !slices.Equal(rebuilt.endedJobs, m.state.endedJobs):
@@ -177,7 +179,13 @@
 		startable := 0
 		job.ReadyTasks(run, func(int, int, Task) { startable++ })
 		open := 0
-		if run != nil {
+		if run == nil {
+			fromNew := 0
+			job.ReadyTasks(job.newRun(), func(int, int, Task) { fromNew++ })
+			if startable != fromNew {
+				t.Fatalf("%d tasks of job %+v may start before it has a run, but %d of a new run", startable, job, fromNew)
+			}
+		} else {
 			for _, step := range run.Steps {
 				for _, task := range step.Tasks {
 					started = started || task.Attempt > 0
--- a/core/workflow/queries.go
+++ b/core/workflow/queries.go
@@ -53,14 +53,10 @@
 	return count
 }
 
-// VisitLiveJobs calls visit for each job that has not ended, in order of acceptance.
+// VisitLiveJobs calls visit for each job that has not ended, in order of acceptance. visit must not change the
+// state.
 func (s *State) VisitLiveJobs(visit func(*Job)) {
-	jobs := make([]*Job, 0, len(s.liveJobs))
-	for _, job := range s.liveJobs {
-		jobs = append(jobs, job)
-	}
-	slices.SortFunc(jobs, func(a, b *Job) int { return cmp.Compare(a.Sequence, b.Sequence) })
-	for _, job := range jobs {
+	for _, job := range s.liveOrder {
 		visit(job)
 	}
 }
@@ -71,6 +67,9 @@
 	return ok
 }
 
+// LiveRemovals returns a number that changes whenever a live job ends.
+func (s *State) LiveRemovals() uint64 { return s.removals }
+
 // OpenAttempt is an attempt that may be running, with data of its job.
 type OpenAttempt struct {
 	Attempt
@@ -159,26 +158,33 @@
 // DueRuns returns the runs of a live job that are due and not complete, by occurrence. A run is
 // nil if no task of its occurrence has been assigned yet.
 func (j *Job) DueRuns(now model.Millis) map[int]*Run {
+	due := map[int]*Run{}
+	j.VisitDueRuns(now, func(occurrence int, run *Run) { due[occurrence] = run })
+	return due
+}
+
+// VisitDueRuns calls visit for each of the runs that DueRuns returns, in the order of the occurrences.
+func (j *Job) VisitDueRuns(now model.Millis, visit func(occurrence int, run *Run)) {
 	if j.Repeats == 0 {
-		return map[int]*Run{0: j.Runs[0]}
+		visit(0, j.Runs[0])
+		return
 	}
-	due := map[int]*Run{}
 	for number := 0; number < j.Repeats; number++ {
 		if j.FirstMs+model.Millis(number)*j.Interval > now {
 			break
 		}
 		if !j.CompletedRuns[number] {
-			due[number] = j.Runs[number]
+			visit(number, j.Runs[number])
 		}
 	}
-	return due
 }
 
 // ReadyTasks calls visit for each waiting task of the run whose step may start. The run is nil if
 // none of its tasks has been assigned yet.
 func (j *Job) ReadyTasks(run *Run, visit func(step, index int, task Task)) {
 	if run == nil {
-		run = j.newRun()
+		j.firstTasks(visit)
+		return
 	}
 	for step := range run.Steps {
 		state := &run.Steps[step]
@@ -193,6 +199,18 @@
 	}
 }
 
+// firstTasks calls visit for each task that may start when no task of the occurrence has been assigned yet.
+func (j *Job) firstTasks(visit func(step, index int, task Task)) {
+	for step := range j.Steps {
+		if slices.ContainsFunc(j.Steps[step].After, func(earlier int) bool { return j.Steps[earlier].Count > 0 }) {
+			continue
+		}
+		for i := range j.Steps[step].Count {
+			visit(step, i, Task{})
+		}
+	}
+}
+
 // StartArguments returns the payload and the task of an attempt, which the start call to its
 // worker needs. ok is false if the attempt is not open on the incarnation or its job has ended.
 func (s *State) StartArguments(a Attempt, incarnation Incarnation) (payload string, task Task, ok bool) {
--- a/core/workflow/state.go
+++ b/core/workflow/state.go
@@ -26,10 +26,12 @@
 
 	// Indexes of Jobs. They are not part of snapshots; Restore rebuilds them.
 	liveJobs  map[JobID]*Job
+	liveOrder []*Job // the live jobs in order of acceptance
 	openSets  map[Incarnation]*openSet
 	endedJobs []endedJob // in the order of compare
 
 	lastVersion uint64 // last version given to an open set
+	removals    uint64 // number of live jobs that have ended
 }
 
 // openSet holds the open attempts of one incarnation of a worker.
@@ -124,6 +126,7 @@
 		s.indexJob(job)
 	}
 	slices.SortFunc(s.endedJobs, endedJob.compare)
+	slices.SortFunc(s.liveOrder, compareAcceptance)
 	return s
 }
 
@@ -131,7 +134,7 @@
 	if job.Ended() {
 		s.endedJobs = append(s.endedJobs, endedJob{job.EndedAt, job.ID})
 	} else {
-		s.liveJobs[job.ID] = job
+		s.addLive(job)
 	}
 	for number, run := range job.Runs {
 		for step := range run.Steps {
@@ -146,6 +149,22 @@
 	}
 }
 
+func compareAcceptance(a, b *Job) int { return cmp.Compare(a.Sequence, b.Sequence) }
+
+// addLive adds a job to the live ones. The latest accepted one belongs at the end of liveOrder.
+func (s *State) addLive(job *Job) {
+	s.liveJobs[job.ID] = job
+	s.liveOrder = append(s.liveOrder, job)
+}
+
+func (s *State) removeLive(job *Job) {
+	delete(s.liveJobs, job.ID)
+	if i, found := slices.BinarySearchFunc(s.liveOrder, job, compareAcceptance); found {
+		s.liveOrder = slices.Delete(s.liveOrder, i, i+1)
+	}
+	s.removals++
+}
+
 func (s *State) addOpen(a Attempt, task *Task) {
 	set := s.openSets[task.Incarnation]
 	if set == nil {
