Forget ended jobs only after one has ended

The state now counts the live jobs that have ended, and the model notes samples of jobs that had ended before, because their attempts stay open until the worker reports the end. Due runs are visited in order without a map for each job; the order of the occurrences of one job was random before.

The test of kept state fails without either of the two conditions.

--- a/core/dispatch/interference.go
+++ b/core/dispatch/interference.go
@@ -18,6 +18,7 @@
 	images      map[string]*sensitivity     // by image of the serving task
 	jobLoads    map[workflow.JobID]*jobLoad // by serving job
 	lastSamples map[workflow.TaskKey]sample
+	endedJobs   bool // jobs that had ended may have got samples since the last call of Forget
 }
 
 // sample is the last latency sample of a serving task and its residual.
@@ -144,6 +145,7 @@
 		if tail := max(minTailMs, float64(r.TailMs)); s.baseTail == 0 || tail < s.baseTail {
 			s.baseTail = tail
 		}
+		m.endedJobs = m.endedJobs || r.Ended
 		m.lastSamples[r.Attempt.Task] = sample{r.TailMs, bestEffortShare, m.update(now, r, uses, s)}
 	}
 }
@@ -179,8 +181,12 @@
 	return residual
 }
 
+// HasEndedJobs reports whether jobs that had ended may have got samples since the last call of Forget.
+func (m *InterferenceModel) HasEndedJobs() bool { return m.endedJobs }
+
 // Forget removes loads and samples of jobs that are not live.
 func (m *InterferenceModel) Forget(live func(workflow.JobID) bool) {
+	m.endedJobs = false
 	for job := range m.jobLoads {
 		if !live(job) {
 			delete(m.jobLoads, job)
--- a/daemon/fleet/engine.go
+++ b/daemon/fleet/engine.go
@@ -111,6 +111,7 @@
 	clock         passClock
 	passStats     passStats
 	workerOrder   []workflow.WorkerID       // result of sortedWorkers in the last pass
+	forgotten     uint64                    // value of LiveRemovals when the model last forgot ended jobs
 	described     []dispatch.Worker         // workers of the last pass
 	startAlone    map[workflow.TaskKey]bool // tasks whose attempts isolate their workers in this pass
 
--- a/daemon/fleet/keptstate_test.go
+++ b/daemon/fleet/keptstate_test.go
@@ -150,7 +150,7 @@
 	}
 	var p passPlan
 	f.rebuilt.InterferenceModel.Forget(f.st.Workflows.IsLive)
-	f.l.plannerState.InterferenceModel.Forget(f.st.Workflows.IsLive)
+	f.l.forgetEndedJobs(f.st.Workflows)
 	for _, w := range rebuilt.Workers {
 		if s := f.l.sessions[w.Incarnation]; s.tokenAccepted && !s.failing {
 			w.Latency, _ = f.rebuilt.InterferenceModel.Adjust(kept.Now, w, model.Millis(time.Duration(s.listReceivedAt).Milliseconds()))
--- a/daemon/fleet/pass.go
+++ b/daemon/fleet/pass.go
@@ -95,7 +95,7 @@
 		l.reconcileWorker(workflows, incarnation, now, ended, p)
 	}
 	l.stopOrphans(workflows, checkAll, now, p)
-	l.plannerState.InterferenceModel.Forget(workflows.IsLive)
+	l.forgetEndedJobs(workflows)
 	plannerInput := l.plannerInput(st, now)
 	if p.kind == fullPass {
 		l.adjustPaces(plannerInput, now, p)
@@ -295,9 +295,9 @@
 	l.startAlone = p.Cautions.StartAlone
 	p.Workers = l.describeWorkers(workflows, now)
 	workflows.VisitLiveJobs(func(job *workflow.Job) {
-		for occurrence, run := range job.DueRuns(min(latest, wall+maxClockError)) {
+		job.VisitDueRuns(min(latest, wall+maxClockError), func(occurrence int, run *workflow.Run) {
 			p.PendingRuns = append(p.PendingRuns, dispatch.PendingRun{Job: job, Occurrence: occurrence, Run: run})
-		}
+		})
 	})
 	return p
 }
@@ -384,6 +384,15 @@
 	return allocations
 }
 
+// forgetEndedJobs removes the samples of jobs that are not live, if there may be any.
+func (l *leadership) forgetEndedJobs(workflows *workflow.State) {
+	model := l.plannerState.InterferenceModel
+	if removals := workflows.LiveRemovals(); removals != l.forgotten || model.HasEndedJobs() {
+		model.Forget(workflows.IsLive)
+		l.forgotten = removals
+	}
+}
+
 // adjustPaces changes the paces of best-effort tasks according to the latest tail latencies of the
 // serving tasks beside them.
 func (l *leadership) adjustPaces(snapshot *dispatch.Snapshot, now bootclock.Time, p *passPlan) {
