--- a/core/dispatch/reserve.go
+++ b/core/dispatch/reserve.go
@@ -33,13 +33,15 @@
 func (r *ShortTaskReserve) recordDemand(p *Snapshot) {
 	demand := map[string]float64{}
 	for _, w := range p.Workers {
-		for i := range w.Allocations {
-			if step := w.Allocations[i].Step; isShort(step) {
-				demand[w.Service] += float64(step.CPUMillis)
-			}
+		load := w.load()
+		if load.Short > 0 {
+			demand[w.Service] += float64(load.shortCPU())
 		}
 	}
 	for _, q := range p.PendingRuns {
+		if !hasShortStep(q.Job) {
+			continue
+		}
 		q.Job.ReadyTasks(q.Run, func(step, _ int, _ workflow.Task) {
 			if spec := &q.Job.Steps[step]; isShort(spec) {
 				demand[q.Job.Service] += float64(spec.CPUMillis)
@@ -58,6 +60,15 @@
 	}
 }
 
+func hasShortStep(job *workflow.Job) bool {
+	for i := range job.Steps {
+		if isShort(&job.Steps[i]) {
+			return true
+		}
+	}
+	return false
+}
+
 // isShort reports whether the tasks of a step reserve cores and end by themselves.
 func isShort(step *workflow.StepSpec) bool { return !step.LongRunning && !step.UsesSpareCPU }
 
@@ -72,11 +83,8 @@
 		}
 		capacity[w.Service] += float64(w.CPUMillis)
 		free[w.Service] += float64(w.CPUMillis)
-		for i := range w.Allocations {
-			if step := w.Allocations[i].Step; step.LongRunning && !step.UsesSpareCPU {
-				free[w.Service] -= float64(step.CPUMillis)
-			}
-		}
+		load := w.load()
+		free[w.Service] -= float64(load.LastingCPU)
 	}
 	firstStartBudget := map[string]int64{}
 	for service, available := range free {
