--- a/daemon/fleet/rpc.go
+++ b/daemon/fleet/rpc.go
@@ -26,6 +26,7 @@
 	statusNotLeading      = http.StatusMisdirectedRequest
 	statusNoConfiguration = http.StatusPreconditionFailed
 	statusUnknownOutcome  = http.StatusGatewayTimeout
+	statusOverloaded      = http.StatusTooManyRequests
 )
 
 // maxCallBytes limits the body of a request or response; the largest one carries a routing table
@@ -122,6 +123,8 @@
 		w.WriteHeader(statusNotLeading)
 	case errors.Is(err, ErrNoConfiguration):
 		w.WriteHeader(statusNoConfiguration)
+	case errors.Is(err, ErrOverloaded):
+		w.WriteHeader(statusOverloaded)
 	default:
 		w.WriteHeader(statusUnknownOutcome)
 	}
