Do not take long runs under an earlier leader for causes of crashes

Callers saw jobs of which nothing runs for seconds, with most workers free: sound tasks were suspects and started one after the other, each alone on a worker. When a worker crashes, the tasks that it started less than 0.5 s before are suspect. A new leader knew of no run time, so after a loss of power of all controllers, or any change of leader, all tasks of each worker that had started again or ended meanwhile were. The same attempts counted for holding tasks back.

Evidence: TestLongRunsUnderAnEarlierLeaderAreNoSuspects. Before: "task of job long: suspect is true, want false".

WaitingAt of a task with an open attempt now is the time when that was opened. Worker processes with open attempts that do not answer for 2.5 s are recorded, so one without that record was alive shortly before the latest time in the state that a new leader finds. An attempt that was opened 3.4 s before that has run for longer than 0 s by the difference. One that was opened later stays suspect (same test). The bound is no safety matter: it only decides how tasks are started.

--- a/core/workflow/apply.go
+++ b/core/workflow/apply.go
@@ -139,7 +139,7 @@
 		s.closeAttempt(now, loss.Attempt, loss.Incarnation, End{Checkpoint: loss.Checkpoint, Kind: EndLeaseExpired})
 	}
 	for _, assignment := range b.Assign {
-		s.assign(assignment)
+		s.assign(now, assignment)
 	}
 	s.dropExpiredWorkers(now)
 }
@@ -326,7 +326,7 @@
 
 // assign opens an attempt if the task may start now. It ignores assignments that were planned
 // from outdated state.
-func (s *State) assign(a Assignment) {
+func (s *State) assign(now model.Millis, a Assignment) {
 	key := a.Attempt.Task
 	job, ok := s.liveJobs[key.Job]
 	if !ok || !job.validKey(key) {
@@ -347,6 +347,7 @@
 	task.Phase = TaskOpen
 	task.Attempt = a.Attempt.Number
 	task.Incarnation = a.Incarnation
+	task.WaitingAt = now
 	job.Started = true
 	s.addOpen(a.Attempt, task)
 }
--- a/core/workflow/types.go
+++ b/core/workflow/types.go
@@ -162,9 +162,9 @@
 	Phase       TaskPhase
 	Attempt     uint32 // of the last attempt
 	Failures    uint32
-	Incarnation Incarnation // of the open attempt, or of the last one if none is open
-	Checkpoint  string      // of the last ended attempt that reported one
-	WaitingAt   model.Millis
+	Incarnation Incarnation  // of the open attempt, or of the last one if none is open
+	Checkpoint  string       // of the last ended attempt that reported one
+	WaitingAt   model.Millis // since when the task waits or, while an attempt is open, when that was opened
 }
 
 // Run is the state of one occurrence of a job.
--- a/daemon/fleet/crash.go
+++ b/daemon/fleet/crash.go
@@ -66,15 +66,43 @@
 			return
 		}
 		if s == nil {
-			attempts = append(attempts, workflow.CrashedAttempt{Attempt: a.Attempt})
+			attempts = append(attempts, workflow.CrashedAttempt{Attempt: a.Attempt, RanMs: l.inherited.ranFor(a)})
 		} else if o := s.orders[a.Attempt]; o == nil || (o.phase != startPlanned && o.phase != startImpossible) {
-			attempts = append(attempts, workflow.CrashedAttempt{Attempt: a.Attempt, RanMs: s.ranFor(a.Attempt)})
+			attempts = append(attempts, workflow.CrashedAttempt{Attempt: a.Attempt, RanMs: max(s.ranFor(a.Attempt), l.inherited.ranFor(a))})
 		}
 	})
 	slices.SortFunc(attempts, func(a, b workflow.CrashedAttempt) int { return a.Attempt.Task.Compare(b.Attempt.Task) })
 	return attempts
 }
 
+// inherited is what the state showed of worker processes when the term began.
+type inherited struct {
+	aliveAt   model.Millis                  // when the earlier leader had heard of the processes in answering
+	answering map[workflow.Incarnation]bool // those that were not recorded as silent
+}
+
+// inherit notes what an earlier leader has recorded. While it led, it recorded each worker process with
+// open attempts that did not answer for unreachableAfter, at the latest one full check later.
+func (l *leadership) inherit(st *state.State) {
+	l.inherited.aliveAt = st.Now - model.Millis((unreachableAfter + 2*maxPassInterval).Milliseconds())
+	l.inherited.answering = map[workflow.Incarnation]bool{}
+	for _, w := range st.Workflows.Workers {
+		if !w.Silent {
+			l.inherited.answering[w.Incarnation] = true
+		}
+	}
+}
+
+// ranFor returns for how long an attempt that was opened by an earlier leader ran at least. Without it, all
+// tasks of a worker that crashes around a change of leader would count as the possible cause, and start
+// one after the other.
+func (i *inherited) ranFor(a workflow.OpenAttempt) model.Millis {
+	if !i.answering[a.Incarnation] {
+		return 0
+	}
+	return max(0, i.aliveAt-a.Task.WaitingAt-model.Millis(orderTimeout.Milliseconds()))
+}
+
 func (s *session) lists(a workflow.Attempt) bool {
 	_, listed := s.running[a]
 	return listed
--- a/daemon/fleet/engine.go
+++ b/daemon/fleet/engine.go
@@ -101,6 +101,7 @@
 	token         uint64         // fencing token: the term, which is unique to one leader
 	since         bootclock.Time // when this engine began to lead the term
 	lease         leaderLease
+	inherited     inherited
 	wg            sync.WaitGroup
 	passRequests  chan struct{}
 
@@ -140,7 +141,7 @@
 	l.sampledLogger = l.logger.Sample(l.limiter)
 	go l.watchLeadership(term)
 	// The state must include everything that earlier leaders committed.
-	if err := e.opts.Log.Read(ctx, func(*state.State) {}); err != nil {
+	if err := e.opts.Log.Read(ctx, l.inherit); err != nil {
 		l.logger.Info().Err(err).Msg("leadership not confirmed")
 		wait.For(parent, leaseRetryDelay)
 		return
