Let only weak suspects share a worker

Suspects that have waited for 1 s share workers since. A task that crashes its workers then took down dozens of other suspects with each of its up to five starts, so that sound jobs were given up.

Cause: suspects of several crashes shared as well.

Suspects of two crashes or more, and tasks that start alone after possible crashes, have a worker of their own again.

TestManySuspectsStartWithinSeconds built its suspects by hand, two thirds of them with several suspicions. They now come from three crashes of all workers, through the replicated state; the numbers and the limit of 3 s are the same.

--- a/core/dispatch/candidate.go
+++ b/core/dispatch/candidate.go
@@ -23,7 +23,7 @@
 	freeAccelerators int64
 	spareCPU         int64      // millicores expected to be left for best-effort tasks
 	isolated         bool       // no further task may start, so that a crash has only one suspect
-	isolatedNow      bool       // isolated for a suspect of this pass
+	sharable         bool       // isolated for suspects of this pass that may share it
 	longRunning      int        // number of long-running tasks that reserve CPU
 	assigned         []assigned // tasks assigned in this pass
 	headrooms        []headroom // of the serving tasks; set by pass.buildHeadrooms
--- a/core/dispatch/isolation.go
+++ b/core/dispatch/isolation.go
@@ -5,9 +5,10 @@
 	"samphirepaddle.example/core/workflow"
 )
 
-// maxIsolationWait is how long a suspect waits for a worker of its own. After that suspects that start in the
-// same pass share workers. When whole racks crash, hundreds of tasks are suspect at once, and a worker takes
-// 0.75 s to clear one: without sharing they waited for 25 s beside free workers.
+// maxIsolationWait is how long a weak suspect waits for a worker of its own. After that weak suspects that start
+// in the same pass share workers. When whole racks crash, hundreds of tasks are suspect at once, and a worker takes
+// 0.75 s to clear one: without sharing they waited for 25 s beside free workers. Suspects of several crashes do
+// not share: with 4 tasks among 260 that crash their workers, 4 of 10 sound jobs were given up (simulated).
 const maxIsolationWait = model.Millis(1000)
 
 // isSuspect reports whether the task may crash the worker that starts it. The members of a gang are not told
@@ -16,16 +17,21 @@
 	return !job.Steps[key.Step].Gang && (job.IsSuspect(key) || p.cautions.StartAlone[key])
 }
 
+// isSharable reports whether other suspects may start beside a suspect.
+func (p *pass) isSharable(job *workflow.Job, key workflow.TaskKey) bool {
+	return p.isSuspect(job, key) && job.IsWeakSuspect(key) && !p.cautions.StartAlone[key]
+}
+
 // mayShareIsolation reports whether a suspect may start beside other suspects of this pass.
-func (p *pass) mayShareIsolation(task workflow.Task) bool {
-	return p.now-task.WaitingAt > maxIsolationWait
+func (p *pass) mayShareIsolation(job *workflow.Job, key workflow.TaskKey, task workflow.Task) bool {
+	return p.now-task.WaitingAt > maxIsolationWait && p.isSharable(job, key)
 }
 
 // mayShare reports whether the step has a suspect that may start beside others.
 func (p *pass) mayShare(q PendingRun, ready readyStep) bool {
 	for _, waiting := range ready.tasks {
 		key := workflow.TaskKey{Job: q.Job.ID, Occurrence: q.Occurrence, Step: ready.step, Index: waiting.index}
-		if p.mayShareIsolation(waiting.task) && p.isSuspect(q.Job, key) {
+		if p.mayShareIsolation(q.Job, key, waiting.task) {
 			return true
 		}
 	}
@@ -33,9 +39,9 @@
 }
 
 // workerForSuspect returns the worker on which a suspect starts: one of its own if there is one, otherwise,
-// after maxIsolationWait, one that it shares with suspects of this pass. If there is none it returns the reason,
+// if mayShare is set, one that it shares with suspects of this pass. If there is none it returns the reason,
 // which is the given obstacle unless the isolation of other suspects is in the way.
-func (p *pass) workerForSuspect(n needs, task workflow.Task, starved bool, obstacle WaitReason) (*candidate, WaitReason) {
+func (p *pass) workerForSuspect(n needs, task workflow.Task, mayShare, starved bool, obstacle WaitReason) (*candidate, WaitReason) {
 	if p.mayIsolate(n.service) {
 		if c := p.leastLoaded(n, task, starved); c != nil {
 			return c, 0
@@ -43,7 +49,7 @@
 	} else {
 		obstacle = WaitIsolation
 	}
-	if p.mayShareIsolation(task) {
+	if mayShare {
 		return p.leastShared(n, task, starved), obstacle
 	}
 	return nil, obstacle
@@ -53,7 +59,7 @@
 func (p *pass) leastShared(n needs, task workflow.Task, starved bool) *candidate {
 	var best *candidate
 	for _, c := range p.candidates {
-		if !c.isolatedNow || (best != nil && len(c.assigned) >= len(best.assigned)) {
+		if !c.sharable || (best != nil && len(c.assigned) >= len(best.assigned)) {
 			continue
 		}
 		c.isolated = false
--- a/core/dispatch/isolation_test.go
+++ b/core/dispatch/isolation_test.go
@@ -68,40 +68,36 @@
 	}
 }
 
-// Guards against suspects that wait for each other beside free workers after whole racks have crashed.
+// Guards against suspects that wait for each other beside free workers after all workers have crashed, also
+// several times.
 func TestManySuspectsStartWithinSeconds(t *testing.T) {
 	const (
-		workers, suspects = 48, 1000
-		isolation         = model.Millis(750) // until a worker has cleared its suspects
-		limit             = model.Millis(3000)
+		workers, suspects, crashes = 48, 1000, 3
+		isolation                  = model.Millis(750) // until a worker has cleared its suspects
+		limit                      = model.Millis(3000)
 	)
-	p := &Snapshot{}
-	for i := range workers {
-		w := freeWorker(fmt.Sprintf("w%02d", i), 0)
-		w.CPUMillis, w.MemoryMiB = 64_000, 256_000
-		p.Workers = append(p.Workers, w)
+	s := newCrashSim(1)
+	for range workers - simWorkers {
+		s.addWorker()
 	}
-	q := suspectJob("j", workflow.StepSpec{Count: suspects, CPUMillis: 1000, MemoryMiB: 1000})
-	q.Run = &workflow.Run{Steps: []workflow.StepRun{{Tasks: make([]workflow.Task, suspects)}}}
-	for i := range suspects {
-		q.Job.Suspects = append(q.Job.Suspects, workflow.Suspect{Index: i, Crashed: []uint32{1}, Suspicions: 1 + i%3})
-		q.Run.Steps[0].Tasks[i].Attempt = 1
+	s.apply(workflow.Command{Submit: &workflow.Submission{Host: "h", Path: "/q/j", Steps: []workflow.StepSpec{{Count: suspects, CPUMillis: 50}}}})
+	for range crashes {
+		s.assignAll("j")
+		for _, incarnation := range s.liveWorkers() {
+			s.crash(incarnation, true)
+		}
 	}
-	p.PendingRuns = []PendingRun{q}
-	isolatedUntil := map[workflow.WorkerID]model.Millis{}
-	started := 0
-	state := NewPlannerState()
-	for ; p.Now <= limit; p.Now += 100 {
+	isolatedUntil, started := map[workflow.Incarnation]model.Millis{}, 0
+	for end := s.now + limit; s.now <= end; s.now += simStep {
+		p := s.snapshot()
 		for _, w := range p.Workers {
-			w.Isolated = isolatedUntil[w.Incarnation.Worker] > p.Now
+			w.Isolated = isolatedUntil[w.Incarnation] > s.now
 		}
-		assigned, _ := Plan(p, state)
+		assigned, _ := Plan(p, s.planner)
 		for _, a := range assigned {
-			isolatedUntil[a.Incarnation.Worker] = p.Now + isolation
-			q.Run.Steps[0].Tasks[a.Attempt.Task.Index].Phase = workflow.TaskOpen
-			i := slices.IndexFunc(p.Workers, func(w *Worker) bool { return w.Incarnation == a.Incarnation })
-			p.Workers[i].Allocations = append(p.Workers[i].Allocations, Allocation{OpenAttempt: workflow.OpenAttempt{Attempt: a.Attempt, Step: &q.Job.Steps[0]}})
+			isolatedUntil[a.Incarnation] = s.now + isolation
 		}
+		s.apply(workflow.Command{Batch: &workflow.Batch{Assign: assigned}})
 		started += len(assigned)
 	}
 	if started < suspects {
@@ -109,6 +105,30 @@
 	}
 }
 
+// Guards against sound tasks that are taken down again and again because they start beside a suspect of several
+// crashes, which most likely crashes its workers.
+func TestOnlyWeakSuspectsShareWorkers(t *testing.T) {
+	for _, c := range []struct {
+		name       string
+		suspicions int
+		alone      bool
+		want       int
+	}{{"one crash", 1, false, 3}, {"two crashes", 2, false, 1}, {"possible crashes", 1, true, 1}} {
+		p := &Snapshot{Now: 2 * maxIsolationWait, Workers: []*Worker{freeWorker("a", 0)}}
+		q := suspectJob("j", workflow.StepSpec{Count: 3, CPUMillis: 100}, 0, 1, 2)
+		for i := range q.Job.Suspects {
+			q.Job.Suspects[i].Suspicions = c.suspicions
+		}
+		if c.alone {
+			p.Cautions.StartAlone = map[workflow.TaskKey]bool{{Job: "j"}: true, {Job: "j", Index: 1}: true, {Job: "j", Index: 2}: true}
+		}
+		p.PendingRuns = []PendingRun{q}
+		if assigned, _ := Plan(p, NewPlannerState()); len(assigned) != c.want {
+			t.Errorf("%s: %d suspects start on one worker, want %d", c.name, len(assigned), c.want)
+		}
+	}
+}
+
 // crashSim runs jobs on workers of which some crash, with the planner and the replicated state.
 type crashSim struct {
 	random   *rand.Rand
@@ -179,20 +199,40 @@
 // ran returns for how long an attempt has run.
 func (s *crashSim) ran(a workflow.Attempt) model.Millis { return s.now - s.startsAt[a] }
 
-// crash ends a worker with all that runs there, and starts its successor.
-func (s *crashSim) crash(incarnation workflow.Incarnation) {
-	c := workflow.Crash{Incarnation: incarnation}
+// crash ends a worker with all that runs there, and starts its successor. common tells that most workers crash.
+func (s *crashSim) crash(incarnation workflow.Incarnation, common bool) {
+	s.endWorker(incarnation, common)
+	s.addWorker()
+}
+
+func (s *crashSim) endWorker(incarnation workflow.Incarnation, common bool) {
+	c := workflow.Crash{Incarnation: incarnation, Common: common}
 	var lost []workflow.LostAttempt
 	for _, a := range s.attemptsOn(incarnation) {
 		c.Attempts = append(c.Attempts, workflow.CrashedAttempt{Attempt: a.Attempt, RanMs: s.ran(a.Attempt)})
 		lost = append(lost, workflow.LostAttempt{Incarnation: incarnation, Attempt: a.Attempt})
 	}
 	s.apply(workflow.Command{Batch: &workflow.Batch{Crashes: []workflow.Crash{c}, Lost: lost}})
-	s.addWorker()
 }
 
-// plan plans a pass and applies its assignments. It returns the workers on which a deadly task started.
-func (s *crashSim) plan() map[workflow.Incarnation]bool {
+// assignAll starts the tasks of a job on the workers in turn, without the planner.
+func (s *crashSim) assignAll(id workflow.JobID) {
+	live, job := s.liveWorkers(), s.state.Jobs[id]
+	var assigned []workflow.Assignment
+	for i := range job.Steps[0].Count {
+		number := uint32(1)
+		if run := job.Runs[0]; run != nil {
+			number = run.Steps[0].Tasks[i].Attempt + 1
+		}
+		attempt := workflow.Attempt{Task: workflow.TaskKey{Job: id, Index: i}, Number: number}
+		assigned = append(assigned, workflow.Assignment{Attempt: attempt, Incarnation: live[i%len(live)]})
+		s.startsAt[attempt] = s.now
+	}
+	s.apply(workflow.Command{Batch: &workflow.Batch{Assign: assigned}})
+}
+
+// snapshot returns the input of a pass.
+func (s *crashSim) snapshot() *Snapshot {
 	p := &Snapshot{Now: s.now, Cautions: s.state.Cautions(s.now)}
 	for _, incarnation := range s.liveWorkers() {
 		w := s.state.Workers[incarnation.Worker]
@@ -204,7 +244,12 @@
 		p.Workers = append(p.Workers, d)
 	}
 	s.state.VisitLiveJobs(func(job *workflow.Job) { p.PendingRuns = append(p.PendingRuns, PendingRun{Job: job, Run: job.Runs[0]}) })
-	assigned, _ := Plan(p, s.planner)
+	return p
+}
+
+// plan plans a pass and applies its assignments. It returns the workers on which a deadly task started.
+func (s *crashSim) plan() map[workflow.Incarnation]bool {
+	assigned, _ := Plan(s.snapshot(), s.planner)
 	s.apply(workflow.Command{Batch: &workflow.Batch{Assign: assigned}})
 	crashing := map[workflow.Incarnation]bool{}
 	for _, a := range assigned {
@@ -252,12 +297,12 @@
 	s.finish()
 	if s.random.IntN(50) == 0 {
 		live := s.liveWorkers()
-		s.crash(live[s.random.IntN(len(live))])
+		s.crash(live[s.random.IntN(len(live))], false)
 	}
 	crashing := s.plan()
 	for _, incarnation := range s.liveWorkers() {
 		if crashing[incarnation] {
-			s.crash(incarnation)
+			s.crash(incarnation, false)
 			crashes++
 		}
 	}
--- a/core/dispatch/plan.go
+++ b/core/dispatch/plan.go
@@ -152,7 +152,7 @@
 			p.unplaced = append(p.unplaced, unplaced{q.Job.Service, spec, reason})
 		}
 		if suspect {
-			best, reason = p.workerForSuspect(n, waiting.task, starved, reason)
+			best, reason = p.workerForSuspect(n, waiting.task, p.mayShareIsolation(q.Job, key, waiting.task), starved, reason)
 		}
 		if best == nil {
 			best = p.takeLastResort(q.Job, n, waiting.task, starved)
@@ -173,7 +173,7 @@
 		}
 		best.reserve(spec, key)
 		best.consumeHeadroom(&n, 1)
-		best.isolated, best.isolatedNow = suspect, suspect
+		best.isolated, best.sharable = suspect, suspect && p.isSharable(q.Job, key)
 		if ranked != nil {
 			ranked.update(best)
 		}
--- a/core/workflow/crash.go
+++ b/core/workflow/crash.go
@@ -32,6 +32,9 @@
 type Crash struct {
 	Incarnation Incarnation      `cbor:"1,keyasint"`
 	Attempts    []CrashedAttempt `cbor:"2,keyasint,omitempty"`
+
+	// Common reports that the process ended in the same moment as half of its service's workers or more.
+	Common bool `cbor:"3,keyasint,omitempty"`
 }
 
 // CrashedAttempt is an attempt that was open on a worker process when that ended or fell silent.
@@ -46,7 +49,7 @@
 	Step       int      `cbor:"2,keyasint,omitempty"`
 	Index      int      `cbor:"3,keyasint,omitempty"`
 	Crashed    []uint32 `cbor:"4,keyasint,omitempty"` // numbers of the attempts whose worker crashed
-	Suspicions int      `cbor:"5,keyasint,omitempty"` // crashes within CrashWindow of the start
+	Suspicions int      `cbor:"5,keyasint,omitempty"` // crashes within CrashWindow of the start; all common ones count as one at most
 	Sole       int      `cbor:"6,keyasint,omitempty"` // suspicions without another suspect of the same standing
 
 	LastCrashAt model.Millis `cbor:"7,keyasint,omitempty"` // when the latest crash was recorded
@@ -80,6 +83,12 @@
 	return i >= 0 && j.Suspects[i].Suspicions > 0
 }
 
+// IsWeakSuspect reports whether the task is suspect for one crash only, or for common crashes.
+func (j *Job) IsWeakSuspect(key TaskKey) bool {
+	i := j.suspectIndex(key)
+	return i >= 0 && j.Suspects[i].Suspicions == 1
+}
+
 // clearSuspicion forgets the crashes under a task that has shown that workers survive it.
 func (j *Job) clearSuspicion(key TaskKey) {
 	if i := j.suspectIndex(key); i >= 0 {
@@ -139,7 +148,7 @@
 	case ok && worker.PredecessorLeft:
 		return
 	}
-	s.countCrash(now, attempts)
+	s.countCrash(now, attempts, c.Common)
 }
 
 // announcedEnd reports whether the worker process has announced that it leaves, so that its end is
@@ -150,7 +159,11 @@
 // suspect that was suspect before explains the crash, so it does not count for those that ran for
 // longer. A task that starts for the first time explains none: on a busy worker there nearly always is
 // one, and a task that crashes its workers late would never be counted.
-func (s *State) countCrash(now model.Millis, attempts []CrashedAttempt) {
+//
+// A common crash makes weak suspects only, because most tasks on the workers are sound. It counts against
+// maxCrashes all the same: tasks that crash most workers in the same moment, again and again, must not
+// escape the limit.
+func (s *State) countCrash(now model.Millis, attempts []CrashedAttempt, common bool) {
 	if s.isCounted(attempts) {
 		return
 	}
@@ -165,10 +178,15 @@
 		suspect.Suspicions++
 	}
 	sole := soleSuspect(recent)
-	if sole != nil {
+	explained := sole != nil && sole.Suspicions > 1
+	if sole != nil && !common {
 		sole.Sole++
 	}
-	explained := sole != nil && sole.Suspicions > 1
+	for _, suspect := range recent {
+		if common {
+			suspect.Suspicions = max(1, suspect.Suspicions-1)
+		}
+	}
 	for _, a := range attempts {
 		if suspect := s.suspectOf(a); suspect != nil && (!explained || a.RanMs < CrashWindow) {
 			suspect.Crashed = append(suspect.Crashed, a.Attempt.Number)
--- a/core/workflow/worker.go
+++ b/core/workflow/worker.go
@@ -57,7 +57,7 @@
 func (s *State) follow(now model.Millis, w, before *Worker) {
 	w.PredecessorLeft = before.announcedEnd()
 	if !w.PredecessorLeft && !before.Crashed {
-		s.countCrash(now, before.Lapsed)
+		s.countCrash(now, before.Lapsed, false)
 	}
 }
 
--- a/daemon/fleet/crash.go
+++ b/daemon/fleet/crash.go
@@ -57,6 +57,7 @@
 	}
 	p.batch.Crashes = append(p.batch.Crashes, workflow.Crash{
 		Incarnation: incarnation, Attempts: l.possibleCauses(incarnation, next, workflows, ended, unknownRunTime),
+		Common: l.isCommonCrash(incarnation),
 	})
 }
 
@@ -121,6 +122,7 @@
 func (s *session) noteFailure(sentAt, now bootclock.Time, call HoldCall) {
 	if !s.failing && now.Sub(sentAt) < time.Duration(call.Wait)*time.Millisecond+holdTimeoutMargin/2 {
 		s.aliveAt = now
+		s.noteConnectionEnd(now)
 	}
 }
 
@@ -151,7 +153,7 @@
 	l.engine.opts.Metrics.count("workers", "crashed", 1)
 	l.engine.opts.Metrics.count("jobs", "given_up", len(failed))
 	l.logger.Warn().Str("worker", string(crash.Incarnation.Worker)).Int64("born", int64(crash.Incarnation.StartedAt)).
-		Int("attempts", len(crash.Attempts)).Strs("recent", recent).Msg("worker crashed")
+		Int("attempts", len(crash.Attempts)).Strs("recent", recent).Bool("common", crash.Common).Msg("worker crashed")
 	for job, reason := range failed {
 		l.logger.Warn().Str("job", string(job)).Str("detail", reason).Msg("job failed")
 	}
--- a/daemon/fleet/engine.go
+++ b/daemon/fleet/engine.go
@@ -113,13 +113,14 @@
 	workerOrder   []workflow.WorkerID       // result of sortedWorkers in the last pass
 	startAlone    map[workflow.TaskKey]bool // tasks whose attempts isolate their workers in this pass
 
-	mu           sync.Mutex // guards the fields below and those of the sessions
-	sessions     map[workflow.Incarnation]*session
-	reports      map[workflow.WorkerID]*pendingReport
-	seenAt       seenAt
-	waits        map[waitKey]*waitLog
-	idleRuns     idleRuns
-	plannerState *dispatch.PlannerState
+	mu             sync.Mutex // guards the fields below and those of the sessions
+	sessions       map[workflow.Incarnation]*session
+	reports        map[workflow.WorkerID]*pendingReport
+	seenAt         seenAt
+	connectionEnds map[workflow.Incarnation]connectionEnd // of processes that have not answered since
+	waits          map[waitKey]*waitLog
+	idleRuns       idleRuns
+	plannerState   *dispatch.PlannerState
 }
 
 // pendingReport is a worker's report that is not committed to the log yet.
@@ -136,7 +137,7 @@
 		engine: e, ctx: ctx, cancel: cancel, token: term, since: bootclock.Now(),
 		logger:       e.opts.Logger.With().Uint64("term", term).Logger(),
 		passRequests: make(chan struct{}, 1), sessions: map[workflow.Incarnation]*session{},
-		reports: map[workflow.WorkerID]*pendingReport{}, seenAt: newSeenAt(), waits: map[waitKey]*waitLog{},
+		reports: map[workflow.WorkerID]*pendingReport{}, seenAt: newSeenAt(), connectionEnds: map[workflow.Incarnation]connectionEnd{}, waits: map[waitKey]*waitLog{},
 		plannerState: dispatch.NewPlannerState(),
 	}
 	l.limiter = &logLimiter{maxPerSecond: maxDecisionLinesPerSecond}
--- a/daemon/fleet/session.go
+++ b/daemon/fleet/session.go
@@ -78,6 +78,7 @@
 	incarnation workflow.Incarnation
 	addr        string
 	zone        model.Zone
+	service     string
 	cancel      context.CancelFunc
 	wake        chan struct{}
 
@@ -125,7 +126,7 @@
 func (l *leadership) newSession(w workflow.Worker) *session {
 	ctx, cancel := context.WithCancel(l.ctx)
 	s := &session{
-		leadership: l, incarnation: w.Incarnation, addr: w.Addr, zone: w.Zone, cancel: cancel, wake: make(chan struct{}, 1),
+		leadership: l, incarnation: w.Incarnation, addr: w.Addr, zone: w.Zone, service: w.Service, cancel: cancel, wake: make(chan struct{}, 1),
 		openedAt: bootclock.Now(), recordedThrough: w.LastRecordedEnd, sequence: w.ReportSequence, silence: inheritSilence(w),
 		running: map[workflow.Attempt]RunningAttempt{}, orders: map[workflow.Attempt]*order{},
 	}
@@ -294,6 +295,7 @@
 	if s.failing && s.answeredAt != 0 {
 		l.logger.Info().Str("worker", string(s.incarnation.Worker)).Int64("silent_ms", now.Sub(s.answeredAt).Milliseconds()).Msg("worker answers again")
 	}
+	delete(l.connectionEnds, s.incarnation)
 	s.replaced, s.otherWorker, s.replacedRetry = false, false, 0
 	s.failing, s.tokenAccepted, s.answeredAt, s.aliveAt = false, true, now, now
 	s.updateClock(listing.Clock, now)
