--- a/daemon/fleet/admission.go
+++ b/daemon/fleet/admission.go
@@ -24,9 +24,10 @@
 	operationClasses // number of classes
 )
 
+var classNames = [operationClasses]string{"configuration", "cancellation", "submission"}
+
 // classLimits are the bounds of one class.
 type classLimits struct {
-	name string
 	// inProgress is the number of commands of all classes in the log below which one of this class is
 	// proposed. The log commits in the order of arrival, so it also bounds what a batch of a pass and a
 	// command of a higher class wait behind.
@@ -38,30 +39,25 @@
 // A commit of 20 ms carries 128 submissions, which is 6,400 a second; the busiest site submits a few hundred.
 // Submissions wait for a third of callTimeout, so that the commit still fits into it.
 var admissionLimits = [operationClasses]classLimits{
-	classConfiguration: {name: "configuration", inProgress: 256, waiting: 64},
-	classCancellation:  {name: "cancellation", inProgress: 192, waiting: 1024},
-	classSubmission:    {name: "submission", inProgress: 128, waiting: 512, wait: callTimeout / 3},
+	classConfiguration: {inProgress: 256, waiting: 64},
+	classCancellation:  {inProgress: 192, waiting: 1024},
+	classSubmission:    {inProgress: 128, waiting: 512, wait: callTimeout / 3},
 }
 
-// errNotAdmitted reports that an operation must not be begun.
-var errNotAdmitted = errors.New("not admitted")
-
-// admission bounds the operations in progress: commands of callers and operators in the log, or calls to one
-// worker. Those that wait are admitted by class, and in the order of their arrival within a class.
+// admission bounds the commands that callers and operators have in the log. Those that wait are admitted by
+// class, and in the order of their arrival within a class.
 type admission struct {
-	limits *[operationClasses]classLimits
+	limits [operationClasses]classLimits
 
 	mu         sync.Mutex
 	inProgress int
 	waiting    [operationClasses][]chan struct{} // closed once admitted
 }
 
-func newAdmission(limits *[operationClasses]classLimits) *admission {
-	return &admission{limits: limits}
-}
+func newAdmission() *admission { return &admission{limits: admissionLimits} }
 
-// enter waits until an operation of the class may begin. leave must be called once it has ended. The error is
-// errNotAdmitted.
+// enter waits until a command of the class may be proposed. leave must be called once it is committed. After
+// an error, which is ErrOverloaded, the command must not be proposed.
 func (a *admission) enter(ctx context.Context, class operationClass) (leave func(), err error) {
 	admitted, err := a.enqueue(class)
 	if err != nil {
@@ -82,15 +78,15 @@
 	if !a.abandon(class, admitted) {
 		return a.leave, nil // admitted in the meantime
 	}
-	return nil, fmt.Errorf("%w: the %s has waited for too long", errNotAdmitted, a.limits[class].name)
+	return nil, fmt.Errorf("%w: a %s was not admitted in time", ErrOverloaded, classNames[class])
 }
 
-// enqueue adds an operation to those that wait, and returns the channel that is closed once it is admitted.
+// enqueue adds a command to those that wait, and returns the channel that is closed once it is admitted.
 func (a *admission) enqueue(class operationClass) (chan struct{}, error) {
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	if len(a.waiting[class]) >= a.limits[class].waiting {
-		return nil, fmt.Errorf("%w: %d operations of the class %s wait", errNotAdmitted, len(a.waiting[class]), a.limits[class].name)
+		return nil, fmt.Errorf("%w: %d commands of the class %s wait", ErrOverloaded, len(a.waiting[class]), classNames[class])
 	}
 	admitted := make(chan struct{})
 	a.waiting[class] = append(a.waiting[class], admitted)
@@ -109,7 +105,7 @@
 	}
 }
 
-// abandon removes an operation that waits. It reports false if it has been admitted.
+// abandon removes a command that waits. It reports false if the command has been admitted.
 func (a *admission) abandon(class operationClass, admitted chan struct{}) bool {
 	a.mu.Lock()
 	defer a.mu.Unlock()
--- a/daemon/fleet/admission_test.go
+++ b/daemon/fleet/admission_test.go
@@ -19,7 +19,7 @@
 
 // Guards against an order of admission other than by class and arrival.
 func TestAdmissionIsInTheOrderOfClasses(t *testing.T) {
-	a := &admission{limits: &[operationClasses]classLimits{{inProgress: 3, waiting: 2}, {inProgress: 2, waiting: 2}, {inProgress: 1, waiting: 2}}}
+	a := &admission{limits: [operationClasses]classLimits{{inProgress: 3, waiting: 2}, {inProgress: 2, waiting: 2}, {inProgress: 1, waiting: 2}}}
 	waiting := map[string]chan struct{}{}
 	enqueue := func(name string, class operationClass) {
 		t.Helper()
@@ -49,8 +49,8 @@
 	enqueue("submission 1", classSubmission)
 	enqueue("submission 2", classSubmission)
 	enqueue("submission 3", classSubmission)
-	if _, err := a.enqueue(classSubmission); !errors.Is(err, errNotAdmitted) {
-		t.Errorf("a submission beyond the limit of those that wait: %v, want errNotAdmitted", err)
+	if _, err := a.enqueue(classSubmission); !errors.Is(err, ErrOverloaded) {
+		t.Errorf("a submission beyond the limit of those that wait: %v, want ErrOverloaded", err)
 	}
 	admitted("submission 1")
 	enqueue("cancellation 1", classCancellation)
@@ -73,14 +73,14 @@
 
 // Guards against a caller who leaves the queue and keeps a place in it, or in the log.
 func TestAbandonedCommandLeavesTheQueue(t *testing.T) {
-	a := &admission{limits: &[operationClasses]classLimits{classSubmission: {inProgress: 1, waiting: 1, wait: time.Nanosecond}}}
+	a := &admission{limits: [operationClasses]classLimits{classSubmission: {inProgress: 1, waiting: 1, wait: time.Nanosecond}}}
 	leave, err := a.enter(context.Background(), classSubmission)
 	if err != nil {
 		t.Fatal(err)
 	}
 	for range 2 {
-		if _, err := a.enter(context.Background(), classSubmission); !errors.Is(err, errNotAdmitted) {
-			t.Fatalf("%v, want errNotAdmitted", err)
+		if _, err := a.enter(context.Background(), classSubmission); !errors.Is(err, ErrOverloaded) {
+			t.Fatalf("%v, want ErrOverloaded", err)
 		}
 	}
 	leave()
--- a/daemon/fleet/service.go
+++ b/daemon/fleet/service.go
@@ -48,8 +48,8 @@
 	defer cancel()
 	leave, err := l.admission.enter(ctx, class)
 	if err != nil {
-		l.engine.opts.Metrics.count("overload_refusals", admissionLimits[class].name, 1)
-		return state.Result{}, fmt.Errorf("%w: %w", ErrOverloaded, err)
+		l.engine.opts.Metrics.count("overload_refusals", classNames[class], 1)
+		return state.Result{}, err
 	}
 	defer leave()
 	began := bootclock.Now()
--- a/daemon/fleetd/controller.go
+++ b/daemon/fleetd/controller.go
@@ -68,7 +68,7 @@
 	node := &controllerNode{log: log, logger: d.logger, dir: directory{log: log}}
 	d.client = fleet.NewControllerClient(s.Controllers, d.transport(maxControllerConns), node.dir.MemberAddrs, d.logger)
 	node.client = d.client
-	direct := fleet.OrderCalls(adapter.WorkerClient(workers, d.logger))
+	direct := adapter.WorkerClient(workers, d.logger)
 	node.agent = agent.NewServer(direct, s.Zone, d.logger)
 	pool := agent.NewPool(agent.Options{
 		Self: s.ControlAddr, Direct: direct, Members: node.dir.MemberAddrs, MinWorkers: s.AgentWorkers, Dial: dialer(s.SourceIP).DialContext, Logger: d.logger,
