--- a/daemon/fleet/pass.go
+++ b/daemon/fleet/pass.go
@@ -32,9 +32,6 @@
 	reports []*pendingReport
 	calls   []func() // stop and pace calls, which are not recorded in the log
 	changes jobChanges
-	// endsLeft is the number of ends that wait for the next batch. Nothing new is started until all are
-	// recorded: what they free is not known yet, and each start brings a further end.
-	endsLeft int
 }
 
 func (p *passPlan) empty() bool {
@@ -108,10 +105,6 @@
 	if p.kind == fullPass {
 		l.adjustPaces(plannerInput, now, p)
 	}
-	if p.endsLeft > 0 {
-		l.withholdStarts(workflows, p)
-		return
-	}
 	plannerInput.BeforeBestEffort = p.kind == reservedPass
 	assigned, waits := dispatch.Plan(plannerInput, l.plannerState)
 	p.batch.Assign = assigned
@@ -129,13 +122,6 @@
 	}
 }
 
-// withholdStarts completes the plan of a pass that leaves ends for the next batch.
-func (l *leadership) withholdStarts(workflows *workflow.State, p *passPlan) {
-	p.changes = jobChangesOf(workflows, &p.batch)
-	l.engine.opts.Metrics.count("passes", "starts_withheld", 1)
-	l.sampledLogger.Info().Int("ends", len(p.batch.Ends)).Int("ends_left", p.endsLeft).Msg("starts wait for the record of ends")
-}
-
 // incarnationsToReconcile returns the worker processes with open attempts whose listing or orders
 // have changed. Timeouts of the others are checked every maxPassInterval only.
 func (l *leadership) incarnationsToReconcile(workflows *workflow.State, all bool) []workflow.Incarnation {
@@ -217,7 +203,6 @@
 			ended[e.Attempt] = true // including those that are left for the next batch
 			text += len(e.Checkpoint)
 			if len(p.batch.Ends) >= maxBatchEnds || (text > maxBatchText && len(p.batch.Ends) > 0) {
-				p.endsLeft++
 				continue
 			}
 			p.batch.Ends = append(p.batch.Ends, e)
