--- a/daemon/fleet/client.go
+++ b/daemon/fleet/client.go
@@ -154,8 +154,7 @@
 
 // call tries the controllers until the leader answers or ctx is done. If no leader has answered
 // within leaderTimeout, it fails after one round, so that callers do not wait until their deadline
-// while there is no leader. An overloaded leader is called again for everything but submissions: another
-// try at once would only add to its load, and the caller learns early that the job was not recorded.
+// while there is no leader.
 func call[Resp, Req any](ctx context.Context, c *Client, op string, request Req) (Resp, error) {
 	var response Resp
 	data, err := model.Encode(request)
@@ -171,10 +170,10 @@
 		}
 		last = err
 		mayHaveRun = mayHaveRun || ran
-		if errors.Is(err, ErrNoConfiguration) || (op == opSubmit && errors.Is(err, ErrOverloaded)) {
+		if errors.Is(err, ErrNoConfiguration) {
 			return response, callError(err, mayHaveRun)
 		}
-		if errors.Is(err, ErrOverloaded) || tries%c.addressCount() == 0 {
+		if tries%c.addressCount() == 0 {
 			if c.SinceContact() > leaderTimeout {
 				return response, callError(last, mayHaveRun)
 			}
@@ -231,9 +230,6 @@
 	case response.StatusCode == statusNoConfiguration:
 		c.recordSuccess(addr)
 		return nil, false, ErrNoConfiguration
-	case response.StatusCode == statusOverloaded:
-		c.recordSuccess(addr) // the leader has answered; another controller cannot help
-		return nil, false, ErrOverloaded
 	}
 	c.recordFailure(addr, "")
 	return nil, true, fmt.Errorf("%s at %s: status %d", op, addr, response.StatusCode)
--- a/daemon/fleet/engine.go
+++ b/daemon/fleet/engine.go
@@ -103,7 +103,6 @@
 	lease         leaderLease
 	wg            sync.WaitGroup
 	passRequests  chan struct{}
-	admission     *admission // of callers' and operators' commands; its lock is never held with others
 
 	// Owned by the goroutine that runs the passes.
 	lastFullCheck bootclock.Time // time of the last pass that examined every worker
@@ -139,7 +138,7 @@
 	l := &leadership{
 		engine: e, ctx: ctx, cancel: cancel, token: term, since: bootclock.Now(),
 		logger:       e.opts.Logger.With().Uint64("term", term).Logger(),
-		passRequests: make(chan struct{}, 1), admission: newAdmission(), sessions: map[workflow.Incarnation]*session{},
+		passRequests: make(chan struct{}, 1), sessions: map[workflow.Incarnation]*session{},
 		reports: map[workflow.WorkerID]*pendingReport{}, seenAt: newSeenAt(), connectionEnds: map[workflow.Incarnation]connectionEnd{}, waits: map[waitKey]*waitLog{},
 		plannerState: dispatch.NewPlannerState(),
 	}
--- a/daemon/fleet/fleet_test.go
+++ b/daemon/fleet/fleet_test.go
@@ -28,7 +28,6 @@
 	log     *replica.Replica
 	engine  *Engine
 	workers *fakeWorkers
-	client  WorkerClient  // client of the engines: workers, unless a test wraps it
 	lease   time.Duration // WorkerLease of the engines
 	stop    context.CancelFunc
 }
@@ -40,8 +39,7 @@
 	mux.Handle(rpc.ConsensusPathPrefix, log.Handler())
 	server := &http.Server{Handler: mux}
 	go func() { _ = server.Serve(listener) }()
-	workers := newFakeWorkers(t)
-	r := &rig{t: t, log: log, workers: workers, client: workers, lease: testLease}
+	r := &rig{t: t, log: log, workers: newFakeWorkers(t), lease: testLease}
 	r.startEngine()
 	t.Cleanup(func() {
 		r.stop()
@@ -61,12 +59,10 @@
 }
 
 // startEngine starts an engine on the log, as after a change of leader.
-func (r *rig) startEngine() { r.startEngineOn(r.log) }
-
-func (r *rig) startEngineOn(log replica.Log) {
+func (r *rig) startEngine() {
 	ctx, stop := context.WithCancel(context.Background())
 	r.engine = NewEngine(Options{
-		Log: log, Workers: r.client, Logger: zerolog.Nop(), LeaderLease: 200 * time.Millisecond, WorkerLease: r.lease,
+		Log: r.log, Workers: r.workers, Logger: zerolog.Nop(), LeaderLease: 200 * time.Millisecond, WorkerLease: r.lease,
 	})
 	done := make(chan struct{})
 	go func() {
--- a/daemon/fleet/rpc.go
+++ b/daemon/fleet/rpc.go
@@ -26,7 +26,6 @@
 	statusNotLeading      = http.StatusMisdirectedRequest
 	statusNoConfiguration = http.StatusPreconditionFailed
 	statusUnknownOutcome  = http.StatusGatewayTimeout
-	statusOverloaded      = http.StatusTooManyRequests
 )
 
 // maxCallBytes limits the body of a request or response; the largest one carries a routing table
@@ -123,8 +122,6 @@
 		w.WriteHeader(statusNotLeading)
 	case errors.Is(err, ErrNoConfiguration):
 		w.WriteHeader(statusNoConfiguration)
-	case errors.Is(err, ErrOverloaded):
-		w.WriteHeader(statusOverloaded)
 	default:
 		w.WriteHeader(statusUnknownOutcome)
 	}
--- a/daemon/fleet/service.go
+++ b/daemon/fleet/service.go
@@ -42,36 +42,19 @@
 // commitTimeout bounds one commit; a healthy group needs about 20 ms.
 const commitTimeout = 2 * time.Second
 
-// propose commits a command once the commands of its class and the higher ones leave it a place in the log.
-func (l *leadership) propose(ctx context.Context, class operationClass, c state.Command) (state.Result, error) {
+func (l *leadership) propose(ctx context.Context, c state.Command) (state.Result, error) {
 	ctx, cancel := context.WithTimeout(ctx, commitTimeout)
 	defer cancel()
-	leave, err := l.admission.enter(ctx, class)
-	if err != nil {
-		l.engine.opts.Metrics.count("overload_refusals", classNames[class], 1)
-		return state.Result{}, err
-	}
-	defer leave()
 	began := bootclock.Now()
 	result, err := l.engine.opts.Log.Propose(ctx, c)
 	l.engine.opts.Metrics.observe("caller_commit_ms", bootclock.Since(began))
-	return result, proposalError(err)
-}
-
-// proposalError returns what an error of Log.Propose tells a caller. After any error but
-// replica.ErrOutcomeUnknown nothing was appended.
-func proposalError(err error) error {
 	switch {
 	case err == nil:
-		return nil
-	case errors.Is(err, replica.ErrOutcomeUnknown):
-		return fmt.Errorf("%w: %w", ErrUnknownOutcome, err)
-	case errors.Is(err, replica.ErrBusy), errors.Is(err, context.DeadlineExceeded), errors.Is(err, context.Canceled):
-		return fmt.Errorf("%w: %w", ErrOverloaded, err)
-	case errors.Is(err, replica.ErrNotLeader), errors.Is(err, replica.ErrTooLarge), errors.Is(err, replica.ErrClosed):
-		return fmt.Errorf("%w: %w", ErrNotLeading, err)
-	}
-	return fmt.Errorf("%w: %w", ErrUnknownOutcome, err)
+		return result, nil
+	case errors.Is(err, replica.ErrNotLeader), errors.Is(err, replica.ErrBusy), errors.Is(err, replica.ErrTooLarge):
+		return state.Result{}, fmt.Errorf("%w: %w", ErrNotLeading, err)
+	}
+	return state.Result{}, fmt.Errorf("%w: %w", ErrUnknownOutcome, err)
 }
 
 // Submit records a workflow and returns once a majority has stored it.
@@ -83,7 +66,7 @@
 	if !e.configured() {
 		return JobResponse{}, ErrNoConfiguration
 	}
-	result, err := l.propose(ctx, classSubmission, state.Command{Workflow: &workflow.Command{Submit: &s}})
+	result, err := l.propose(ctx, state.Command{Workflow: &workflow.Command{Submit: &s}})
 	if err != nil {
 		return JobResponse{}, err
 	}
@@ -103,7 +86,7 @@
 	if !e.configured() {
 		return JobResponse{}, ErrNoConfiguration
 	}
-	result, err := l.propose(ctx, classCancellation, state.Command{Workflow: &workflow.Command{Cancel: &c}})
+	result, err := l.propose(ctx, state.Command{Workflow: &workflow.Command{Cancel: &c}})
 	if err != nil {
 		return JobResponse{}, err
 	}
@@ -159,7 +142,7 @@
 	if l == nil {
 		return state.Result{}, ErrNotLeading
 	}
-	result, err := l.propose(ctx, classConfiguration, state.Command{SubmitTicket: &state.SubmitTicket{Ticket: t}})
+	result, err := l.propose(ctx, state.Command{SubmitTicket: &state.SubmitTicket{Ticket: t}})
 	if err == nil {
 		l.requestPass()
 		l.logger.Info().Uint64("ticket", t.Number).Str("code", string(result.Code)).Uint64("revision", uint64(result.Revision)).
