--- a/review/rig/main.go
+++ b/review/rig/main.go
@@ -983,7 +983,7 @@
 	"gang-checkpoint": gangCheckpoint,
 	"gang-budget":     gangBudget,
 	"pending":         pendingJobs,
-	"flapping":        flapping,
+	"never-ran":       neverRan,
 }
 
 func (s *site) addWorkers(n int) {
@@ -1169,25 +1169,88 @@
 	return broken
 }
 
-// flapping: a worker goes down and up by turns; it is the only one with the label that a job requires.
-func flapping(s *site) []string {
-	s.shape = func(string, uint32) shape { return shape{work: 10 * time.Second, cpu: 10_000} }
+// goDark ends the worker's process without a sign, like a VM that loses power: its connections go silent.
+func (w *worker) goDark() {
+	w.link.cut(w.id)
+	w.site.mu.Lock()
+	defer w.site.mu.Unlock()
+	w.up = false
+	w.stop()
+	logf("worker %s crashes", w.id)
+	now := time.Now()
+	for _, r := range slices.Collect(maps.Values(w.running)) {
+		w.end(r, now, "lost")
+	}
+	w.ends = nil
+}
+
+// comeBack starts the next process after goDark.
+func (w *worker) comeBack() {
+	w.link.end(w.id, 0)
+	w.begin()
+}
+
+// cancel cancels a job and waits until the worker has nothing left of it.
+func (s *site) cancel(id string, w *worker) {
+	status, _ := s.send(http.MethodDelete, "http://"+s.gateways[0].addr+prefix+id, nil)
+	logf("caller: DELETE %s answered %d", id, status)
+	must(s.waitFor(3*time.Second, func() bool { return len(w.running) == 0 && len(w.ends) == 0 }), "a cancelled job runs on")
+}
+
+// neverRan: three workers crash one after the other and are back within a second. Each of them is silent when the
+// start of the same job is sent to it, so that the job never runs.
+func neverRan(s *site) []string {
+	s.shape = func(task string, _ uint32) shape {
+		if strings.HasPrefix(task, "00000000000000f") {
+			return shape{cpu: 60_000}
+		}
+		return shape{work: 5 * time.Second, cpu: 40_000}
+	}
 	s.start(nil)
-	s.addWorkers(9)
-	w := s.addWorker("i-0099", 64000, "b", "r-2")
-	s.sleep(2 * time.Second)
+	var special []*worker
+	for i := range 3 {
+		special = append(special, s.addWorker(fmt.Sprintf("i-000%d", i+1), 64000, "b", "r-0"))
+	}
+	for i := range 19 {
+		s.addWorker(fmt.Sprintf("i-01%02d", i), 64000, "a", fmt.Sprintf("r-%d", 1+i/8))
+	}
+	s.sleep(4 * time.Second)
+	for _, id := range []string{"00000000000000f1", "00000000000000f2"} {
+		s.submit(id, map[string]any{"count": 1, "cpu": 60_000, "mem-mb": 1024, "estimate-ms": 9000, "required-label": "b", "long-running": true})
+		s.sleep(300 * time.Millisecond)
+	}
+	must(len(special[0].running) == 1 && len(special[1].running) == 1, "the long-running jobs are not where they are expected")
+	s.mu.Lock()
+	fillers := map[*worker]string{}
+	for _, r := range s.runs {
+		fillers[r.worker] = strings.SplitN(r.task, ".", 2)[0]
+	}
+	s.mu.Unlock()
 	const id = "00000000000000e5"
-	s.submit(id, map[string]any{"count": 1, "cpu": 10_000, "mem-mb": 1024, "estimate-ms": 10_000, "required-label": "b"})
-	must(s.waitFor(5*time.Second, func() bool { return len(w.running) > 0 }), "the job does not start")
-	s.sleep(time.Second)
+	job := map[string]any{"count": 1, "cpu": 40_000, "mem-mb": 1024, "estimate-ms": 5000, "required-label": "b"}
 	if s.trouble {
-		for end := time.Now().Add(6500 * time.Millisecond); time.Now().Before(end); {
-			w.crash()
-			s.sleep(500 * time.Millisecond)
-			w.begin()
-			s.sleep(500 * time.Millisecond)
+		special[2].goDark()
+	}
+	s.submit(id, job)
+	s.sleep(150 * time.Millisecond)
+	for _, next := range []int{1, 0} {
+		s.cancel(fillers[special[next]], special[next])
+		if s.trouble {
+			special[next].goDark()
+			s.sleep(350 * time.Millisecond)
+			special[next+1].comeBack()
+			s.sleep(250 * time.Millisecond)
 		}
 	}
+	s.sleep(500 * time.Millisecond)
+	if s.trouble {
+		special[0].comeBack()
+	}
+	return s.failedWithoutCause(id)
+}
+
+// failedWithoutCause waits until the job has ended, and reports it if it is shown as failed and no run has failed.
+func (s *site) failedWithoutCause(id string) []string {
 	state := ""
 	for end := time.Now().Add(60 * time.Second); time.Now().Before(end) && state != "completed" && state != "failed"; {
 		s.sleep(500 * time.Millisecond)
@@ -1196,14 +1259,17 @@
 	logf("caller: the job is %s", state)
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	failed := 0
+	failed, runs := 0, 0
 	for _, r := range s.runs {
-		if r.how == "failed" {
-			failed++
+		if strings.HasPrefix(r.task, id+".") {
+			runs++
+			if r.how == "failed" {
+				failed++
+			}
 		}
 	}
 	if state == "failed" && failed == 0 {
-		return []string{fmt.Sprintf("LOST: job %s is shown as failed, and none of its %d runs has ended failed", id, len(s.runs))}
+		return []string{fmt.Sprintf("LOST: job %s is shown as failed; %d runs of it have begun, and none has ended failed", id, runs)}
 	}
 	return nil
 }
