Review case 5: pending leaves out jobs that have not begun

Cause: a job counts as begun once a task of it is assigned in the log, whether a worker has taken the start or not.

--- a/review/rig/main.go
+++ b/review/rig/main.go
@@ -1129,27 +1129,31 @@
 	return broken
 }
 
-// pendingJobs: one worker is lost for good, without a sign; a job whose only task is started there does not begin.
+// pendingJobs: a worker is cut off just before jobs are submitted; those that are started there do not begin.
 func pendingJobs(s *site) []string {
-	const workers = 22
-	const cpu = 20_000 // three jobs fill a worker
-	s.shape = func(string, uint32) shape { return shape{work: 20 * time.Second, cpu: cpu} }
+	const (
+		workers = 22
+		cpu     = 20_000 // three jobs fill a worker
+		cutTime = 6 * time.Second
+	)
+	s.shape = func(string, uint32) shape { return shape{work: 15 * time.Second, cpu: cpu} }
 	s.start(nil)
 	s.addWorkers(workers)
+	w, cutAt := s.workers[0], time.Now()
 	if s.trouble {
-		s.workers[0].link.cut(s.workers[0].id)
-		s.workers[0].stop()
+		w.link.cut(w.id)
 	}
 	accepted := map[string]time.Time{}
 	for i := range 3 * workers {
 		id := fmt.Sprintf("00000000000d%04d", i)
-		accepted[id] = s.submit(id, map[string]any{"count": 1, "cpu": cpu, "mem-mb": 1024, "estimate-ms": 20_000})
+		accepted[id] = s.submit(id, map[string]any{"count": 1, "cpu": cpu, "mem-mb": 1024, "estimate-ms": 15_000})
 	}
 	var broken []string
-	for end := time.Now().Add(9 * time.Second); time.Now().Before(end); s.sleep(200 * time.Millisecond) {
+	for time.Since(cutAt) < cutTime {
+		s.sleep(50 * time.Millisecond)
 		asked := time.Now()
 		pending, ok := s.pending()
-		if !ok {
+		if !ok || time.Since(cutAt) >= cutTime {
 			continue
 		}
 		waiting := 0
@@ -1166,6 +1170,9 @@
 			broken = append(broken, fmt.Sprintf("MIXED: at %s pending is %d, and %d jobs that were accepted over 5 s ago have not begun", stamp(asked), pending, waiting))
 		}
 	}
+	if s.trouble {
+		w.link.end(w.id, 200*time.Millisecond)
+	}
 	return broken
 }
 
