Let an empty controller ask every daemon that knows the group

Cause: an empty controller looked for its group at the seeds of its settings only, and relays do not answer that search, although they know the controllers. It never joined, and nothing said so. Running controllers announced the group to the seeds of their own start, and an empty controller ignored announcements. A controller outside its group, and a leader with too few live voters, say so in a line and in metrics.

--- a/daemon/fleet/client.go
+++ b/daemon/fleet/client.go
@@ -52,14 +52,15 @@
 	logger     zerolog.Logger
 	groupAddrs func() []string // addresses of the controllers in the local log; nil on daemons that are not controllers
 
-	mu          sync.Mutex
-	seeds       []string
-	members     []string       // controller addresses, as last received from a controller
-	leader      string         // address that last responded as the leader, or that a controller named as the leader
-	next        int            // index in addresses of the controller to try if no leader is known
-	lastContact bootclock.Time // time of the last response from a leader
-	connected   bool           // the last call to the address in leader succeeded
-	calls       inFlightCalls
+	mu            sync.Mutex
+	seeds         []string
+	members       []string       // controller addresses, as last received from another daemon
+	membersHeader string         // from which members was read
+	leader        string         // address that last responded as the leader, or that a controller named as the leader
+	next          int            // index in addresses of the controller to try if no leader is known
+	lastContact   bootclock.Time // time of the last response from a leader
+	connected     bool           // the last call to the address in leader succeeded
+	calls         inFlightCalls
 }
 
 // NewClient returns a client that starts from the seed addresses.
@@ -102,13 +103,20 @@
 	return c.leader
 }
 
-// MemberAddrs returns the controller addresses as last received from a controller.
+// MemberAddrs returns the controller addresses as last received from another daemon.
 func (c *Client) MemberAddrs() []string {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	return slices.Clone(c.members)
 }
 
+// ControllerAddrs returns the addresses at which the client looks for the leader.
+func (c *Client) ControllerAddrs() []string {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.addresses()
+}
+
 // Submit submits a workflow.
 func (c *Client) Submit(ctx context.Context, s workflow.Submission) (JobResponse, error) {
 	return call[JobResponse](ctx, c, opSubmit, s)
@@ -282,9 +290,9 @@
 	})
 }
 
-// AnnounceMembers sends the addresses of the controllers to the seeds that are not controllers.
+// AnnounceMembers sends the addresses of the controllers to the seeds that are not members of the group.
 // Without these announcements, relays whose seeds are only other relays could not find the
-// controllers after a power loss of all VMs.
+// controllers after a power loss of all VMs, and nor could an empty controller that is a seed itself.
 func (c *Client) AnnounceMembers(ctx context.Context) {
 	members := c.groupAddrs()
 	c.mu.Lock()
@@ -361,11 +369,14 @@
 	if header == "" {
 		return
 	}
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if header == c.membersHeader {
+		return // nearly every request and response repeats the same list
+	}
 	list := callableAddrs(strings.Split(header, ","))
 	if len(list) > maxMembers {
 		list = list[:maxMembers]
 	}
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	c.members = list
+	c.members, c.membersHeader = list, header
 }
--- a/daemon/fleet/metrics.go
+++ b/daemon/fleet/metrics.go
@@ -57,6 +57,11 @@
 	metrics.GetOrRegisterHistogram(name, m.registry, metrics.NewUniformSample(histogramSize)).Update(d.Milliseconds())
 }
 
+// SetGauge sets a value that may rise and fall.
+func (m *Metrics) SetGauge(name string, value int) {
+	metrics.GetOrRegisterGauge(name, m.registry).Update(int64(value))
+}
+
 // Handler serves the metrics as text, one line for each value.
 func (m *Metrics) Handler() http.Handler {
 	return http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
@@ -108,6 +113,8 @@
 		switch v := value.(type) {
 		case metrics.Counter:
 			fmt.Fprintf(w, "%s %d\n", name, v.Count())
+		case metrics.Gauge:
+			fmt.Fprintf(w, "%s %d\n", name, v.Value())
 		case metrics.Histogram:
 			s := v.Snapshot()
 			fmt.Fprintf(w, "%s_count %d\n%s_p50 %.0f\n%s_p99 %.0f\n%s_max %d\n",
--- a/daemon/fleet/rpc.go
+++ b/daemon/fleet/rpc.go
@@ -104,15 +104,23 @@
 	})
 }
 
-// RedirectHandler serves daemons that cannot lead: it answers every operation with the controller
-// addresses that the client knows. The client stores the addresses that controllers send.
-func RedirectHandler(c *Client) http.Handler {
+// LearnMembers returns a handler that stores the controller addresses that controllers send with their
+// requests, and then calls next. A controller with an empty disk may not know any other address.
+func (c *Client) LearnMembers(next http.Handler) http.Handler {
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		c.setMembers(r.Header.Get(headerMembers))
+		next.ServeHTTP(w, r)
+	})
+}
+
+// RedirectHandler serves daemons that cannot lead: it answers every operation with the controller
+// addresses that the client knows.
+func RedirectHandler(c *Client) http.Handler {
+	return c.LearnMembers(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
 		w.Header()["Date"] = nil
 		w.Header().Set(headerMembers, strings.Join(c.MemberAddrs(), ","))
 		writeError(w, c, ErrNotLeading)
-	})
+	}))
 }
 
 func writeError(w http.ResponseWriter, d Directory, err error) {
--- a/daemon/fleetd/controller.go
+++ b/daemon/fleetd/controller.go
@@ -15,6 +15,7 @@
 	"samphirepaddle.example/daemon/fleet"
 	"samphirepaddle.example/daemon/replica"
 	"samphirepaddle.example/daemon/rpc"
+	"samphirepaddle.example/daemon/settings"
 	"samphirepaddle.example/daemon/wait"
 )
 
@@ -41,18 +42,22 @@
 	engine *fleet.Engine
 	logger zerolog.Logger
 	dir    directory
+	watch  groupWatch
 	client *fleet.Client
 	agent  *agent.Server
 }
 
 func (d *Daemon) buildController(ctx context.Context, adapter Adapter) ([]net.Listener, error) {
 	s := d.settings
+	node := &controllerNode{logger: d.logger}
+	d.client = fleet.NewControllerClient(s.Controllers, d.transport(maxControllerConns), node.dir.MemberAddrs, d.logger)
+	node.client = d.client
 	options := replica.Options{
 		Gateway: model.GatewayID(s.ControlAddr), Addr: s.ControlAddr, Dir: s.DataDir,
 		Client: &http.Client{Transport: d.transport(maxControllerConns)}, Logger: d.logger, OnFatal: d.onFatal(),
-		JoinOnly: !s.MayFound, OpenMembership: true, MaxVoters: 2*max(1, s.ToleratedVMs) + 1,
+		JoinOnly: !s.MayFound, OpenMembership: true, MaxVoters: wantedVoters(s),
 		Tick: groupTick, HeartbeatTicks: heartbeatTicks, ElectionTicks: electionTicks,
-		SnapshotBytes: snapshotBytes, KeepBytes: keepBytes,
+		SnapshotBytes: snapshotBytes, KeepBytes: keepBytes, KnownControllers: d.client.MemberAddrs,
 	}
 	for _, addr := range s.Controllers {
 		options.InitialControllers = append(options.InitialControllers, replica.Controller{Gateway: model.GatewayID(addr), Addr: addr})
@@ -65,9 +70,8 @@
 	if err != nil {
 		return nil, err
 	}
-	node := &controllerNode{log: log, logger: d.logger, dir: directory{log: log}}
-	d.client = fleet.NewControllerClient(s.Controllers, d.transport(maxControllerConns), node.dir.MemberAddrs, d.logger)
-	node.client = d.client
+	node.log, node.dir.log = log, log
+	node.watch = groupWatch{wanted: wantedVoters(s), logger: d.logger, metrics: d.metrics, asked: d.client.ControllerAddrs}
 	direct := adapter.WorkerClient(workers, d.logger)
 	node.agent = agent.NewServer(direct, s.Zone, d.logger)
 	pool := agent.NewPool(agent.Options{
@@ -81,7 +85,7 @@
 	d.node = node
 	mux := http.NewServeMux()
 	mux.Handle(rpc.ConsensusPathPrefix, log.Handler())
-	mux.Handle(fleet.PathPrefix, fleet.Handler(node.engine, &node.dir, d.logger))
+	mux.Handle(fleet.PathPrefix, d.client.LearnMembers(fleet.Handler(node.engine, &node.dir, d.logger)))
 	mux.Handle("GET "+agent.StreamPath, node.agent)
 	mux.Handle("GET /metrics", d.metrics.Handler())
 	adapter.RegisterControl(mux, fleet.Control{
@@ -91,9 +95,12 @@
 	return d.listen(map[string]http.Handler{s.ControlListen: mux})
 }
 
+// wantedVoters is the number of voters with which the group tolerates the losses of the settings.
+func wantedVoters(s settings.Fleet) int { return 2*max(1, s.ToleratedVMs) + 1 }
+
 func (n *controllerNode) start(ctx context.Context) {
 	go n.engine.Run(ctx)
-	go n.dir.refreshMembers(ctx)
+	go n.watchGroup(ctx)
 	go n.announceMembers(ctx)
 }
 
@@ -135,20 +142,14 @@
 	members []string
 }
 
-// membersRefreshInterval is the time between two reads of the membership, which changes rarely.
-const membersRefreshInterval = time.Second
-
-func (d *directory) refreshMembers(ctx context.Context) {
-	for ctx.Err() == nil {
-		var addrs []string
-		for _, member := range d.log.Status().Members {
-			addrs = append(addrs, member.Addr)
-		}
-		d.mu.Lock()
-		d.members = addrs
-		d.mu.Unlock()
-		wait.For(ctx, membersRefreshInterval)
+func (d *directory) setMembers(s replica.Status) {
+	var addrs []string
+	for _, member := range s.Members {
+		addrs = append(addrs, member.Addr)
 	}
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.members = addrs
 }
 
 // LeaderAddr returns the address of the known leader.
--- a/daemon/fleetd/daemon.go
+++ b/daemon/fleetd/daemon.go
@@ -79,10 +79,8 @@
 		debug.SetGCPercent(gcPercent)
 		debug.SetMemoryLimit(int64(float64(s.MemoryMiB<<20) * memoryLimitShare))
 	}
-	d := &Daemon{settings: s, path: path, logger: logger, log: closer, metrics: fleet.NewMetrics()}
+	d := newDaemon(s, path, logger, closer)
 	d.warnSkipped(s)
-	d.metricsServer = newMetricsServer(d.metrics)
-	d.client = fleet.NewClient(s.Controllers, d.transport(maxControllerConns), logger)
 	listeners, err := d.build(ctx, adapter)
 	if err != nil {
 		logger.Error().Err(err).Msg("startup failed")
@@ -91,6 +89,13 @@
 	return d.serve(ctx, force, reload, listeners)
 }
 
+func newDaemon(s settings.Fleet, path string, logger zerolog.Logger, log io.Closer) *Daemon {
+	d := &Daemon{settings: s, path: path, logger: logger, log: log, metrics: fleet.NewMetrics()}
+	d.metricsServer = newMetricsServer(d.metrics)
+	d.client = fleet.NewClient(s.Controllers, d.transport(maxControllerConns), logger)
+	return d
+}
+
 func (d *Daemon) build(ctx context.Context, adapter Adapter) ([]net.Listener, error) {
 	switch d.settings.Role {
 	case settings.RoleController:
@@ -230,7 +235,8 @@
 }
 
 // watchSettings applies changed addresses of controllers; other settings need a restart. Without a
-// signal, it reads the settings only while no leader responds.
+// signal, gateways and relays read the settings only while no leader responds. Controllers always do,
+// because they announce the group to the present seeds.
 func (d *Daemon) watchSettings(ctx context.Context, reload <-chan struct{}) {
 	ticker := time.NewTicker(settingsInterval)
 	defer ticker.Stop()
@@ -242,7 +248,7 @@
 		case <-reload:
 			signalled = true
 		case <-ticker.C:
-			if d.client.SinceContact() < readinessTimeout {
+			if d.node == nil && d.client.SinceContact() < readinessTimeout {
 				continue
 			}
 		}
--- /dev/null
+++ b/daemon/fleetd/group.go
@@ -0,0 +1,122 @@
+package fleetd
+
+import (
+	"context"
+	"time"
+
+	"github.com/rs/zerolog"
+
+	"samphirepaddle.example/daemon/fleet"
+	"samphirepaddle.example/daemon/replica"
+	"samphirepaddle.example/daemon/wait"
+)
+
+// Timing of the group's watch.
+const (
+	groupWatchInterval = time.Second // between two reads of the status; the membership changes rarely
+	voterSilentAfter   = 2500 * time.Millisecond
+	// groupWarnInterval is how long a problem lasts until it is logged, and the time between two lines about it.
+	// A replaced controller has caught up by then.
+	groupWarnInterval = 5 * time.Second
+)
+
+// groupProblem is why the group tolerates fewer losses than its settings ask for, as far as one controller can tell.
+type groupProblem string
+
+const (
+	groupHealthy  groupProblem = ""
+	groupNotFound groupProblem = "this controller has not found its group"
+	groupNotAdded groupProblem = "this controller is not a member of its group"
+	groupTooSmall groupProblem = "the group has fewer voters that respond than the settings ask for"
+)
+
+// groupCondition is what one controller knows of its group.
+type groupCondition struct {
+	problem groupProblem
+	leads   bool
+	voters  int      // known on the leader only, like the following fields
+	live    int      // voters that respond, including the leader
+	silent  []string // addresses of the other voters
+}
+
+// conditionOf derives the condition of the group from the status of a controller. wanted is the number of
+// voters that the settings ask for.
+func conditionOf(s replica.Status, wanted int) groupCondition {
+	c := groupCondition{leads: s.Leader.Self}
+	member := false
+	for _, m := range s.Members {
+		member = member || m.ID == s.ID
+		switch {
+		case m.Learner:
+		case m.ID == s.ID || m.SilentFor < voterSilentAfter:
+			c.voters++
+			c.live++
+		default:
+			c.voters++
+			c.silent = append(c.silent, m.Addr)
+		}
+	}
+	switch {
+	case s.Group == "":
+		c.problem = groupNotFound
+	case !member:
+		c.problem = groupNotAdded
+	case c.leads && c.live < wanted:
+		c.problem = groupTooSmall
+	}
+	return c
+}
+
+// groupWatch logs problems of the group that last, and sets its metrics.
+type groupWatch struct {
+	wanted  int // voters
+	logger  zerolog.Logger
+	metrics *fleet.Metrics
+	asked   func() []string // addresses at which the controller looks for its group
+
+	problem groupProblem
+	since   time.Time // when the problem was first seen
+	warned  time.Time
+}
+
+// observe takes over the status at the time now.
+func (w *groupWatch) observe(s replica.Status, now time.Time) {
+	c := conditionOf(s, w.wanted)
+	w.setMetrics(c)
+	if c.problem != w.problem {
+		if c.problem == groupHealthy && !w.warned.IsZero() {
+			w.logger.Info().Str("problem", string(w.problem)).Msg("the problem of the controller group has ended")
+		}
+		w.problem, w.since, w.warned = c.problem, now, time.Time{}
+	}
+	if c.problem == groupHealthy || now.Sub(w.since) < groupWarnInterval || now.Sub(w.warned) < groupWarnInterval {
+		return
+	}
+	w.warned = now
+	w.logger.Warn().Int64("for_ms", now.Sub(w.since).Milliseconds()).Str("group", s.Group).Int("wanted_voters", w.wanted).
+		Int("voters", c.voters).Int("live_voters", c.live).Strs("silent", c.silent).Strs("asked", w.asked()).Msg(string(c.problem))
+}
+
+// setMetrics sets the gauges. Those of the whole group are 0 on a controller that does not lead.
+func (w *groupWatch) setMetrics(c groupCondition) {
+	member, voters, live := 1, c.voters, c.live
+	if c.problem == groupNotFound || c.problem == groupNotAdded {
+		member = 0
+	}
+	if !c.leads {
+		voters, live = 0, 0
+	}
+	w.metrics.SetGauge("group_member", member)
+	w.metrics.SetGauge("group_voters", voters)
+	w.metrics.SetGauge("group_live_voters", live)
+	w.metrics.SetGauge("group_wanted_voters", w.wanted)
+}
+
+// watchGroup follows the status of the group until ctx is done.
+func (n *controllerNode) watchGroup(ctx context.Context) {
+	for ; ctx.Err() == nil; wait.For(ctx, groupWatchInterval) {
+		status := n.log.Status()
+		n.dir.setMembers(status)
+		n.watch.observe(status, time.Now())
+	}
+}
--- a/daemon/replica/discovery.go
+++ b/daemon/replica/discovery.go
@@ -13,8 +13,9 @@
 
 // Formation of a group, and how a VM with an empty disk finds it:
 //
-//   - A directory without a group sends a discovery request to every initial controller. Each
-//     responds with its directory id and, if it has one, its group.
+//   - A directory without a group sends a discovery request to every initial controller, and to
+//     those that other daemons name (Options.KnownControllers): the initial ones may all have been
+//     replaced. Each responds with its directory id and, if it has one, its group.
 //   - If any response names a group, that group exists. A directory that is an initial member
 //     of it stores the first entry of its log; any other asks to be added as a learner.
 //   - Only one of the initial controllers creates a group: the one with the smallest gateway id
@@ -152,6 +153,11 @@
 	for _, addr := range d.memberAddrs {
 		add(addr)
 	}
+	if d.r.opts.KnownControllers != nil {
+		for _, addr := range d.r.opts.KnownControllers() {
+			add(addr)
+		}
+	}
 	if d.r.node != nil {
 		for _, member := range d.r.node.Members() {
 			add(member.Addr)
--- a/daemon/replica/options.go
+++ b/daemon/replica/options.go
@@ -31,6 +31,10 @@
 	InitialControllers []Controller // the same on every controller
 	Dir                string       // data directory
 
+	// KnownControllers returns addresses at which controllers of the group may be, in addition to the
+	// initial ones and the members in the log. It may be nil. It is called in the event loop.
+	KnownControllers func() []string
+
 	FileSystem storage.FileSystem // that of the operating system if nil
 	Client     *http.Client       // for calls to the other controllers; a default client if nil
 	Logger     zerolog.Logger     // zero value logs nothing
