Let a deregistration end no task before its worker's lease

Cause: a deregistration names the worker's id only. That of a former process, held up by a cut, was taken for the end of the next process, and its attempts were closed after 1 s of silence, without waiting for the lease. After a change of the leader they were closed without a call to the worker. Change: a deregistration stops new starts and ends nothing; the next leader has a session with a deregistered worker that may run something. The line 'deregistration' names the recorded process. TestTasksOfADeregisteredWorkerWaitForItsLease (five of five cases failed before: 'started elsewhere at 1159, the lease ends at 4016') and TestDeregisteredWorkerThatAnswersKeepsItsLease. The first replaces TestLossOfADeregisteredWorkerSurvivesAChangeOfLeader, which was wrong: it asked for a start elsewhere within 3 s, while a lease of 4 s was valid.

--- a/daemon/fleet/claims_test.go
+++ b/daemon/fleet/claims_test.go
@@ -79,7 +79,7 @@
 		"a higher sequence number":       func(b *beating) { b.foreign(beatingBorn, 1000, "nobody") },
 		"a deregistration of an earlier process": func(b *beating) {
 			b.until("the deregistration is acknowledged", func() bool { _, err := b.engine.Deregister(b.t.Context(), "a"); return err == nil })
-			time.Sleep(deregistrationGrace + 300*time.Millisecond)
+			time.Sleep(1300 * time.Millisecond)
 		},
 		"an earlier start time":         func(b *beating) { b.foreign(5, 1000, "nobody") },
 		"the address of another worker": func(b *beating) { b.addWorker("b", 1).refusesStarts = true; b.foreign(beatingBorn, 1000, "addr-b") },
--- a/daemon/fleet/pass.go
+++ b/daemon/fleet/pass.go
@@ -166,12 +166,13 @@
 }
 
 // syncSessions opens a session for each current worker process and cancels all others. A cancelled
-// session is kept while its worker process has open attempts.
+// session is kept while its worker process has open attempts. A worker that has deregistered gets a session
+// only if attempts are open on it: it may still run them.
 func (l *leadership) syncSessions(workflows *workflow.State) {
 	for _, w := range workflows.Workers {
 		s := l.sessions[w.Incarnation]
 		if s == nil {
-			if !w.Deregistered {
+			if !w.Deregistered || workflows.HasOpen(w.Incarnation) {
 				l.newSession(*w)
 			}
 			continue
--- a/daemon/fleet/reconcile.go
+++ b/daemon/fleet/reconcile.go
@@ -24,7 +24,8 @@
 )
 
 // reconcileWorker closes the open attempts of one worker process that do not run and never will,
-// and stops those that must not run.
+// and stops those that must not run. A deregistration closes none: it names the worker's id only, so that it
+// may be that of an earlier process, and a worker that got no answer to it goes on for some seconds.
 func (l *leadership) reconcileWorker(workflows *workflow.State, incarnation workflow.Incarnation, now bootclock.Time, ended map[workflow.Attempt]bool, p *passPlan) {
 	s := l.sessions[incarnation]
 	current, known := workflows.Workers[incarnation.Worker]
@@ -33,7 +34,7 @@
 		return
 	}
 	if s == nil {
-		l.closeWithoutSession(workflows, incarnation, current, now, ended, p)
+		l.closeWithoutSession(workflows, incarnation, now, ended, p)
 		return
 	}
 	lossReason := ""
@@ -43,8 +44,6 @@
 	case s.leaseExpired(now):
 		lossReason = "the worker's lease has expired"
 		p.batch.Lapsed = append(p.batch.Lapsed, workflow.Crash{Incarnation: incarnation, Attempts: l.possibleCauses(incarnation, nil, workflows, ended)})
-	case known && current.Deregistered && l.deregisteredFor(current, now) > deregistrationGrace && !s.answers(now):
-		lossReason = "the worker has deregistered"
 	case known:
 		l.recordSilence(s, current, now, p)
 	}
@@ -59,11 +58,10 @@
 	})
 }
 
-// closeWithoutSession closes the attempts of a worker process that ended before this term began. One that
-// has deregistered gets the same grace as from a leader that has a session with it.
-func (l *leadership) closeWithoutSession(workflows *workflow.State, incarnation workflow.Incarnation, w *workflow.Worker, now bootclock.Time, ended map[workflow.Attempt]bool, p *passPlan) {
-	deregistered := w != nil && w.Deregistered && l.deregisteredFor(w, now) > deregistrationGrace
-	if !deregistered && now.Sub(l.since) < l.earlierLeaseBound() {
+// closeWithoutSession closes the attempts of a worker process that is not recorded any more, once its leases
+// from earlier leaders have expired.
+func (l *leadership) closeWithoutSession(workflows *workflow.State, incarnation workflow.Incarnation, now bootclock.Time, ended map[workflow.Attempt]bool, p *passPlan) {
+	if now.Sub(l.since) < l.earlierLeaseBound() {
 		return
 	}
 	workflows.VisitOpenAttempts(incarnation, func(a workflow.OpenAttempt) {
--- a/daemon/fleet/service.go
+++ b/daemon/fleet/service.go
@@ -175,7 +175,8 @@
 	return c, nil
 }
 
-// Deregister records that a worker has ended. The caller needs to know only its id.
+// Deregister records that a worker leaves. The caller names only its id, so that the deregistration may be
+// that of an earlier process: the recorded one gets no more tasks until it reports again, and keeps what it runs.
 func (e *Engine) Deregister(ctx context.Context, id workflow.WorkerID) (ReportResult, error) {
 	l := e.currentLeadership()
 	if l == nil {
@@ -188,6 +189,8 @@
 			worker, known = *w, true
 		}
 	})
+	l.logger.Info().Str("worker", string(id)).Int64("born", int64(worker.Incarnation.StartedAt)).Bool("known", known).
+		Bool("draining", worker.Draining).Bool("repeated", worker.Deregistered).Msg("deregistration")
 	if !known || worker.Deregistered {
 		return ReportResult{}, nil
 	}
--- a/daemon/fleet/session.go
+++ b/daemon/fleet/session.go
@@ -37,12 +37,11 @@
 	stopRetryInterval    = 500 * time.Millisecond  // a stop takes at most 400 ms
 	unreachableAfter     = 2500 * time.Millisecond // time without a response; longer than the longest hold call and one failed call
 
-	minClockRate        = 0.98                    // lowest rate of a worker's clock relative to the leader's
-	leaseExpiryMargin   = 300 * time.Millisecond  // safety margin after the end of a lease
-	noCapacityPause     = 300 * time.Millisecond  // without starts after the worker refused one that did not fit
-	unavailablePause    = 1000 * time.Millisecond // without starts after the worker refused one as unavailable or could not be reached
-	notSentPause        = 100 * time.Millisecond  // without starts after one could not be sent
-	deregistrationGrace = 1000 * time.Millisecond // from a worker's deregistration until its tasks count as lost, if it does not answer
+	minClockRate      = 0.98                    // lowest rate of a worker's clock relative to the leader's
+	leaseExpiryMargin = 300 * time.Millisecond  // safety margin after the end of a lease
+	noCapacityPause   = 300 * time.Millisecond  // without starts after the worker refused one that did not fit
+	unavailablePause  = 1000 * time.Millisecond // without starts after the worker refused one as unavailable or could not be reached
+	notSentPause      = 100 * time.Millisecond  // without starts after one could not be sent
 )
 
 // order tracks the calls to a worker about one attempt.
--- a/daemon/fleet/silence_test.go
+++ b/daemon/fleet/silence_test.go
@@ -90,23 +90,76 @@
 	r.until("it gets tasks again", func() bool { return len(a.runningAttempts()) == 2 })
 }
 
-// Guards against a task that waits for a whole lease because its worker deregistered just before the
-// leader changed: the new leader has no session with the worker.
-func TestLossOfADeregisteredWorkerSurvivesAChangeOfLeader(t *testing.T) {
+// Guards against a task that runs twice: a deregistration names the worker's id only. It may be that of an earlier
+// process and arrive late, and a worker whose deregistration was not answered goes on for some seconds. It
+// guards against a task that waits for longer than the lease as well.
+func TestTasksOfADeregisteredWorkerWaitForItsLease(t *testing.T) {
+	deregister := func(r *rig, _ *fakeWorker) { r.deregister("a") }
+	drain := func(r *rig, a *fakeWorker) { r.drain(a) }
+	nothing := func(*rig, *fakeWorker) {}
+	changeLeader := func(r *rig, _ *fakeWorker) { r.changeLeader() }
+	for name, test := range map[string]struct{ before, after func(*rig, *fakeWorker) }{
+		"of an earlier process":                           {nothing, nothing},
+		"of an earlier process, and the leader changes":   {nothing, changeLeader},
+		"of a worker that drains":                         {drain, nothing},
+		"of a worker that drains, and the leader changes": {drain, changeLeader},
+		"of a worker that drains after it":                {deregister, drain},
+	} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			r := newRig(t)
+			r.lease = silentLease
+			r.changeLeader()
+			a := r.startTask()
+			b := r.addWorker("b", 1)
+			test.before(r, a)
+			var until model.Millis
+			a.withLock(func() { a.silent, until = true, a.until })
+			deregister(r, a)
+			test.after(r, a)
+			began := time.Now()
+			r.until("the task runs on the other worker", func() bool { return len(b.runningAttempts()) == 1 })
+			if now := a.clock(); now <= until {
+				t.Errorf("the task was started elsewhere at %d, the lease ends at %d", now, until)
+			}
+			if waited, bound := time.Since(began), r.engine.currentLeadership().earlierLeaseBound(); waited > bound+2*time.Second {
+				t.Errorf("the task waited for %v, the leases end after %v", waited, bound)
+			}
+		})
+	}
+}
+
+// Guards against a task that is ended on a worker that drains and answers, because the deregistration of an earlier
+// process arrived and the leader changed: the next leader made no calls to a deregistered worker.
+func TestDeregisteredWorkerThatAnswersKeepsItsLease(t *testing.T) {
 	r := newRig(t)
-	r.lease = silentLease
-	r.changeLeader()
 	a := r.startTask()
-	b := r.addWorker("b", 1)
-	a.withLock(func() { a.silent = true })
+	r.drain(a)
+	r.deregister("a")
+	r.stop()
+	var until model.Millis
+	a.withLock(func() { until = a.until })
+	r.startEngine()
+	r.until("the next leader extends the lease", func() bool {
+		extended := false
+		a.withLock(func() { extended = a.until > until })
+		return extended
+	})
+	if runs := a.runningAttempts(); len(runs) != 1 || runs[0].Number != 1 {
+		t.Errorf("the worker runs %v, want the first attempt", runs)
+	}
+}
+
+func (r *rig) drain(w *fakeWorker) {
+	r.t.Helper()
+	w.worker.Draining = true
+	r.report(w)
+}
+
+func (r *rig) deregister(id workflow.WorkerID) {
+	r.t.Helper()
 	r.until("the worker is deregistered", func() bool {
-		_, err := r.engine.Deregister(context.Background(), "a")
+		_, err := r.engine.Deregister(context.Background(), id)
 		return err == nil
 	})
-	r.changeLeader()
-	begin := time.Now()
-	r.until("the task runs on the other worker", func() bool { return len(b.runningAttempts()) == 1 })
-	if waited := time.Since(begin); waited > deregistrationGrace+2*time.Second {
-		t.Errorf("the task waited for %v", waited)
-	}
 }
