Give up no job for starts that reached no living worker

Cause: a start that was sent and not answered counted as a run of 0 ms that may have crashed its worker, although the worker had lost its power before. Three of them gave a sound job up. Change: crashed attempts carry their evidence. A start without an answer makes its task a suspect and does not count towards giving it up; two crashes under attempts that are known to have run are needed. A task with an earlier crash is started only after its worker has answered another call, so that a task that crashes its workers before they answer is still given up. Old log entries keep their effect. TestStartsThatReachNoLivingWorkerDoNotGiveUpAJob failed before: 'the job is failed, although its task never ran before'.

--- a/core/workflow/backoff.go
+++ b/core/workflow/backoff.go
@@ -32,6 +32,7 @@
 // silent shortly after they started them. Whether a silent worker has crashed is known once it answers
 // or another process does.
 type Cautions struct {
+	Silenced   map[TaskKey]bool // tasks under which a worker fell silent shortly after it started them
 	StartAlone map[TaskKey]bool // no other task may start beside them until they have survived
 	HeldBack   map[TaskKey]bool // those of StartAlone that must not start yet
 }
@@ -40,6 +41,10 @@
 func (s *State) Cautions(now model.Millis) Cautions {
 	var c Cautions
 	for key, silent := range s.silentWorkers() {
+		if c.Silenced == nil {
+			c.Silenced = map[TaskKey]bool{}
+		}
+		c.Silenced[key] = true
 		job := s.liveJobs[key.Job]
 		crashes := silent
 		if i := job.suspectIndex(key); i >= 0 {
--- a/core/workflow/crash.go
+++ b/core/workflow/crash.go
@@ -20,6 +20,9 @@
 	// in minSoleSuspicions of them.
 	minCrashes        = 3
 	minSoleSuspicions = 2
+	// minProvenCrashes is the number of crashes under attempts that are known to have run without which no
+	// task is given up.
+	minProvenCrashes = 2
 	// soundRunTime is the run time after which an attempt shows that its task does not crash workers.
 	soundRunTime = model.Millis(10_000)
 	// suspicionExpiry is the time without a crash after which a task is no longer suspect. It is much
@@ -42,8 +45,23 @@
 	Attempt Attempt      `cbor:"1,keyasint"`
 	RanMs   model.Millis `cbor:"2,keyasint,omitempty"` // for how long the attempt ran at least
 	Unseen  bool         `cbor:"3,keyasint,omitempty"` // an earlier leader started it, and its run time is not known
+
+	Evidence CrashEvidence `cbor:"4,keyasint,omitempty"`
 }
 
+// CrashEvidence is what shows that an attempt ran in a worker process before that ended.
+type CrashEvidence uint8
+
+const (
+	// EvidenceRan is that the worker accepted the start or listed the attempt, or that it answered just
+	// before the start was sent and not after.
+	EvidenceRan CrashEvidence = iota
+	// EvidenceNone is that the start was sent and not answered. The process may have ended before.
+	EvidenceNone
+	// EvidenceUnknown is that an earlier leader may have sent the start, and may have got an answer.
+	EvidenceUnknown
+)
+
 // JustStarted reports whether the attempt is suspect of a crash. Most of those whose run time is not known
 // are older than CrashWindow, so that their crash counts but makes no suspects of them: suspects start
 // alone, and 400 of them on 48 workers took 9 s (simulated).
@@ -56,14 +74,36 @@
 	Index      int      `cbor:"3,keyasint,omitempty"`
 	Crashed    []uint32 `cbor:"4,keyasint,omitempty"` // numbers of the attempts whose worker crashed
 	Suspicions int      `cbor:"5,keyasint,omitempty"` // crashes within CrashWindow of the start; all common ones count as one at most
-	Sole       int      `cbor:"6,keyasint,omitempty"` // suspicions without another suspect of the same standing
+	Sole       int      `cbor:"6,keyasint,omitempty"` // suspicions by EvidenceRan without another suspect of the same standing
 
 	LastCrashAt model.Millis `cbor:"7,keyasint,omitempty"` // when the latest crash was recorded
+
+	Unproven int `cbor:"8,keyasint,omitempty"` // those of Crashed with EvidenceNone
+	Unknown  int `cbor:"9,keyasint,omitempty"` // those of Crashed with EvidenceUnknown
+}
+
+// countedCrashes returns the number of crashes that count against the task. A start that was sent to a
+// worker that may have ended before counts only as a reason for caution.
+func (s *Suspect) countedCrashes() int { return len(s.Crashed) - s.Unproven }
+
+// addCrash counts the crash of a worker under an attempt of the task.
+func (s *Suspect) addCrash(now model.Millis, a CrashedAttempt) {
+	s.Crashed = append(s.Crashed, a.Attempt.Number)
+	s.LastCrashAt = now
+	switch a.Evidence {
+	case EvidenceNone:
+		s.Unproven++
+	case EvidenceUnknown:
+		s.Unknown++
+	}
 }
 
 // givenUp reports whether the task is the cause of the crashes by the limits.
 func (s *Suspect) givenUp() bool {
-	crashes := len(s.Crashed)
+	crashes := s.countedCrashes()
+	if crashes-s.Unknown < minProvenCrashes {
+		return false
+	}
 	return crashes >= maxCrashes || (crashes >= minCrashes && s.Sole >= minSoleSuspicions)
 }
 
@@ -89,6 +129,9 @@
 	return i >= 0 && j.Suspects[i].Suspicions > 0
 }
 
+// HasCrashes reports whether workers have crashed under the task, or may have.
+func (j *Job) HasCrashes(key TaskKey) bool { return j.suspectIndex(key) >= 0 }
+
 // IsWeakSuspect reports whether the task is suspect for one crash only, or for common crashes.
 func (j *Job) IsWeakSuspect(key TaskKey) bool {
 	i := j.suspectIndex(key)
@@ -175,15 +218,20 @@
 	}
 	s.addSuspects(now, attempts)
 	var recent []*Suspect
+	evidence := map[*Suspect]CrashEvidence{}
 	for _, a := range attempts {
 		if suspect := s.suspectOf(a); suspect != nil && a.JustStarted() {
 			recent = append(recent, suspect)
+			evidence[suspect] = a.Evidence
 		}
 	}
 	for _, suspect := range recent {
 		suspect.Suspicions++
 	}
 	sole := soleSuspect(recent)
+	if sole != nil && evidence[sole] != EvidenceRan {
+		sole = nil // it may not have run
+	}
 	explained := sole != nil && sole.Suspicions > 1
 	if sole != nil && !common {
 		sole.Sole++
@@ -195,8 +243,7 @@
 	}
 	for _, a := range attempts {
 		if suspect := s.suspectOf(a); suspect != nil && (!explained || a.JustStarted()) {
-			suspect.Crashed = append(suspect.Crashed, a.Attempt.Number)
-			suspect.LastCrashAt = now
+			suspect.addCrash(now, a)
 		}
 	}
 	for _, a := range attempts {
@@ -297,5 +344,5 @@
 	case !job.Suspects[i].givenUp():
 		return
 	}
-	s.endJob(job, PhaseFailed, now, fmt.Sprintf("%d workers crashed under task %s", len(job.Suspects[i].Crashed), key))
+	s.endJob(job, PhaseFailed, now, fmt.Sprintf("%d workers crashed under task %s", job.Suspects[i].countedCrashes(), key))
 }
--- a/core/workflow/crash_test.go
+++ b/core/workflow/crash_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"slices"
 	"testing"
 
 	"samphirepaddle.example/core/model"
@@ -309,3 +310,48 @@
 		}
 	}
 }
+
+// Guards against a job that is given up for crashes of workers to which its task was only sent, or of which nothing
+// shows that it ran there, and against a task that crashes its workers and escapes the limits beside such crashes.
+func TestOnlyProvenCrashesGiveATaskUp(t *testing.T) {
+	const ran, none, unknown = EvidenceRan, EvidenceNone, EvidenceUnknown
+	for name, c := range map[string]struct {
+		evidence []CrashEvidence // of one attempt after the other
+		want     JobStatus
+	}{
+		"never ran":                              {slices.Repeat([]CrashEvidence{none}, 2*maxCrashes), StatusRunning},
+		"started by earlier leaders only":        {slices.Repeat([]CrashEvidence{unknown}, 2*maxCrashes), StatusRunning},
+		"two runs, and starts without answer":    {[]CrashEvidence{none, ran, none, none, ran, none, none}, StatusRunning},
+		"one run, and others by earlier leaders": {[]CrashEvidence{unknown, unknown, unknown, unknown, ran}, StatusRunning},
+		"two runs, one by an earlier leader":     {[]CrashEvidence{unknown, ran, ran}, StatusFailed},
+		"three runs":                             {[]CrashEvidence{none, ran, none, ran, ran}, StatusFailed},
+	} {
+		r := newCrashRig(t)
+		submit(t, r.state, "a", StepSpec{Count: 1})
+		for _, evidence := range c.evidence {
+			attempts := r.start(key("a", 0, 0))
+			attempts.Attempts[0].Evidence, attempts.Attempts[0].Unseen = evidence, evidence == unknown
+			r.apply(Batch{Crashes: []Crash{attempts}, Lost: lossesOf(attempts)})
+			r.restart()
+		}
+		if got, _ := r.state.StatusOf("a"); got != c.want {
+			t.Errorf("%s: the job is %s, want %s", name, got, c.want)
+		}
+	}
+}
+
+// Guards against a task that crashes its workers late and is never counted, because a start that may not have
+// reached the worker explains each crash.
+func TestStartWithoutAnswerExplainsNoCrash(t *testing.T) {
+	r := newCrashRig(t)
+	submit(t, r.state, "late", StepSpec{Count: 1})
+	submit(t, r.state, "sound", StepSpec{Count: 1})
+	for range maxCrashes {
+		c := r.start(key("late", 0, 0), key("sound", 0, 0))
+		r.wantStatus("late", StatusRunning)
+		c.Attempts[0].RanMs, c.Attempts[1].Evidence = CrashWindow, EvidenceNone
+		r.apply(Batch{Crashes: []Crash{c}, Lost: lossesOf(c)})
+	}
+	r.wantStatus("late", StatusFailed)
+	r.wantStatus("sound", StatusRunning)
+}
--- a/daemon/fleet/crash.go
+++ b/daemon/fleet/crash.go
@@ -71,10 +71,10 @@
 			return
 		}
 		if s == nil {
-			attempts = append(attempts, workflow.CrashedAttempt{Attempt: a.Attempt, Unseen: true})
+			attempts = append(attempts, workflow.CrashedAttempt{Attempt: a.Attempt, Unseen: true, Evidence: workflow.EvidenceUnknown})
 		} else if o := s.orders[a.Attempt]; o == nil || (o.phase != startPlanned && o.phase != startImpossible) {
 			ran, known := s.ranFor(a.Attempt)
-			attempts = append(attempts, workflow.CrashedAttempt{Attempt: a.Attempt, RanMs: ran, Unseen: !known})
+			attempts = append(attempts, workflow.CrashedAttempt{Attempt: a.Attempt, RanMs: ran, Unseen: !known, Evidence: s.evidenceOf(a.Attempt)})
 		}
 	})
 	slices.SortFunc(attempts, func(a, b workflow.CrashedAttempt) int { return a.Attempt.Task.Compare(b.Attempt.Task) })
@@ -99,6 +99,20 @@
 	return max(0, model.Millis(s.aliveAt.Sub(o.answeredAt).Milliseconds())), true
 }
 
+// evidenceOf returns what shows that an attempt ran in the worker process. The last answer before a start proves
+// little, because it may be older than a second: only a call that was answered just before does. A list since then
+// without the attempt contradicts it.
+func (s *session) evidenceOf(a workflow.Attempt) workflow.CrashEvidence {
+	o := s.orders[a]
+	switch {
+	case o == nil, o.phase == startInherited:
+		return workflow.EvidenceUnknown
+	case o.phase == startAnswered, o.probedAt != 0 && s.fullListSentAt < o.probedAt:
+		return workflow.EvidenceRan
+	}
+	return workflow.EvidenceNone
+}
+
 // survives reports whether the worker has listed the attempt after it ran for long enough that it is
 // not going to crash the worker by its start.
 func (s *session) survives(a workflow.Attempt) bool {
@@ -132,12 +146,15 @@
 }
 
 func (l *leadership) logCrash(workflows *workflow.State, crash workflow.Crash) {
-	recent := []string{}
+	recent, unproven := []string{}, []string{}
 	failed := map[workflow.JobID]string{}
 	for _, a := range crash.Attempts {
 		if a.JustStarted() {
 			recent = append(recent, a.Attempt.Task.String())
 		}
+		if a.Evidence != workflow.EvidenceRan {
+			unproven = append(unproven, a.Attempt.Task.String())
+		}
 		if job := workflows.Jobs[a.Attempt.Task.Job]; job != nil && job.Phase == workflow.PhaseFailed {
 			failed[job.ID] = job.Reason
 		}
@@ -145,7 +162,7 @@
 	l.engine.opts.Metrics.count("workers", "crashed", 1)
 	l.engine.opts.Metrics.count("jobs", "given_up", len(failed))
 	l.logger.Warn().Str("worker", string(crash.Incarnation.Worker)).Int64("born", int64(crash.Incarnation.StartedAt)).
-		Int("attempts", len(crash.Attempts)).Strs("recent", recent).Bool("common", crash.Common).Msg("worker crashed")
+		Int("attempts", len(crash.Attempts)).Strs("recent", recent).Strs("unproven", unproven).Bool("common", crash.Common).Msg("worker crashed")
 	for job, reason := range failed {
 		l.logger.Warn().Str("job", string(job)).Str("detail", reason).Msg("job failed")
 	}
--- a/daemon/fleet/crash_test.go
+++ b/daemon/fleet/crash_test.go
@@ -330,3 +330,28 @@
 		t.Errorf("the job is %s after its workers were silent", status)
 	}
 }
+
+// Guards against a job that is given up although its task never ran: the VMs to which it was to start had just lost
+// their power.
+func TestStartsThatReachNoLivingWorkerDoNotGiveUpAJob(t *testing.T) {
+	r := newRig(t)
+	r.submit("j", oneTask)
+	for i := range refusingWorkers {
+		w := r.workers.add(fmt.Sprintf("w%d", i), 1)
+		w.withLock(func() { w.powerLossAt = 2 })
+		r.report(w)
+		r.until("the worker and the start get no answer", func() bool {
+			ignored := 0
+			w.withLock(func() { ignored = w.ignored })
+			return ignored >= 2
+		})
+		next := r.workers.add(fmt.Sprintf("next%d", i), 1)
+		r.workers.move(next, w.worker.Addr)
+		r.until("the crash is recorded", func() bool { return r.crashed(w) })
+	}
+	sound := r.addWorker("sound", 1)
+	r.until("the task runs or the job has failed", func() bool { return len(sound.runningAttempts()) == 1 || r.status("j") == workflow.StatusFailed })
+	if status := r.status("j"); status != workflow.StatusRunning {
+		t.Errorf("the job is %s, although its task never ran before", status)
+	}
+}
--- a/daemon/fleet/engine.go
+++ b/daemon/fleet/engine.go
@@ -114,6 +114,7 @@
 	forgotten     uint64                    // value of LiveRemovals when the model last forgot ended jobs
 	described     []dispatch.Worker         // workers of the last pass
 	startAlone    map[workflow.TaskKey]bool // tasks whose attempts isolate their workers in this pass
+	silenced      map[workflow.TaskKey]bool // tasks under which a worker fell silent, in this pass
 
 	mu             sync.Mutex // guards the fields below and those of the sessions
 	sessions       map[workflow.Incarnation]*session
--- a/daemon/fleet/fakeworker_test.go
+++ b/daemon/fleet/fakeworker_test.go
@@ -31,8 +31,10 @@
 	holds         int                         // number of hold calls
 	overlap       int                         // starts of a task while another attempt of it was running
 	silent        bool                        // responds to no calls
+	powerLossAt   int                         // if not zero, the call at which the VM loses its power, counted from the next one
 	refusesStarts bool                        // refuses the connections of start calls
 	refused       int                         // number of refused starts
+	ignored       int                         // number of calls without an answer because the VM had no power
 	panics        bool                        // the next start panics after it was executed
 	delayStart    func(workflow.Attempt) bool // selects starts that get no response and are executed by runDelayed
 	delayed       []StartCall                 // to be executed by runDelayed
@@ -130,8 +132,23 @@
 	w.ends = append(w.ends, EndedAttempt{Number: w.last, Attempt: a, Kind: kind, Checkpoint: "saved"})
 }
 
-func (f *fakeWorkers) Start(_ context.Context, to Endpoint, call StartCall) (model.Millis, error) {
+// lockAnswering is like lockReachable, but waits for the end of ctx if the worker's VM has no power.
+func (f *fakeWorkers) lockAnswering(ctx context.Context, to Endpoint) (*fakeWorker, error) {
 	w, err := f.lockReachable(to)
+	if err != nil || w.powerLossAt == 0 {
+		return w, err
+	}
+	if w.powerLossAt--; w.powerLossAt > 0 {
+		return w, nil
+	}
+	w.powerLossAt, w.ignored = 1, w.ignored+1
+	w.mu.Unlock()
+	<-ctx.Done()
+	return nil, errSilent
+}
+
+func (f *fakeWorkers) Start(ctx context.Context, to Endpoint, call StartCall) (model.Millis, error) {
+	w, err := f.lockAnswering(ctx, to)
 	if err != nil {
 		return 0, err
 	}
@@ -203,8 +220,8 @@
 	return w.clock(), nil
 }
 
-func (f *fakeWorkers) Hold(_ context.Context, to Endpoint, call HoldCall) (Listing, error) {
-	w, err := f.lockReachable(to)
+func (f *fakeWorkers) Hold(ctx context.Context, to Endpoint, call HoldCall) (Listing, error) {
+	w, err := f.lockAnswering(ctx, to)
 	if err != nil {
 		return Listing{}, err
 	}
--- a/daemon/fleet/orders.go
+++ b/daemon/fleet/orders.go
@@ -3,31 +3,34 @@
 import (
 	"context"
 	"errors"
+	"fmt"
 
 	"samphirepaddle.example/core/dispatch"
+	"samphirepaddle.example/core/model"
 	"samphirepaddle.example/core/workflow"
 	"samphirepaddle.example/daemon/bootclock"
 )
 
 // sendStart sends the start call for an assigned attempt; l.mu must be held. The lease in the call
 // begins now, before the last check of the leader lease, so that a call that is sent late carries
-// an expired lease.
-func (l *leadership) sendStart(s *session, a workflow.Attempt, payload, checkpoint string) {
+// an expired lease. With mayCrash, the worker must answer another call just before: if it crashes before it
+// answers the start, the crash counts against the task.
+func (l *leadership) sendStart(s *session, a workflow.Attempt, payload, checkpoint string, mayCrash bool) {
 	o := s.orderOf(a)
 	now := bootclock.Now()
 	if s.replaced || !s.tokenAccepted || s.silence.recorded || !l.lease.valid(now) {
 		o.phase = startImpossible // nothing was sent
 		return
 	}
-	o.phase = startSent
+	if !mayCrash {
+		o.phase = startSent
+	}
 	call := StartCall{Attempt: a, Payload: payload, Checkpoint: checkpoint, LeaseUntil: s.extendLease(now), Token: l.token}
 	to := s.endpoint()
 	l.wg.Add(1)
 	go func() {
 		defer l.wg.Done()
-		ctx, cancel := context.WithTimeout(l.ctx, orderTimeout)
-		defer cancel()
-		clock, err := l.engine.opts.Workers.Start(ctx, to, call)
+		clock, err := l.callStart(s, o, to, call, mayCrash)
 		l.mu.Lock()
 		defer l.mu.Unlock()
 		answered := bootclock.Now()
@@ -40,6 +43,42 @@
 	}()
 }
 
+// callStart makes the start call. With mayCrash, it is made only once the worker has answered another call.
+func (l *leadership) callStart(s *session, o *order, to Endpoint, call StartCall, mayCrash bool) (model.Millis, error) {
+	if mayCrash {
+		if err := l.probeBeforeStart(s, o, to); err != nil {
+			return 0, err
+		}
+	}
+	ctx, cancel := context.WithTimeout(l.ctx, orderTimeout)
+	defer cancel()
+	return l.engine.opts.Workers.Start(ctx, to, call)
+}
+
+// probeBeforeStart returns nil if the worker process answers and the start may be sent. After an error it must
+// not be sent.
+func (l *leadership) probeBeforeStart(s *session, o *order, to Endpoint) error {
+	ctx, cancel := context.WithTimeout(l.ctx, probeTimeout)
+	defer cancel()
+	listing, err := l.engine.opts.Workers.Hold(ctx, to, HoldCall{Token: l.token})
+	switch {
+	case errors.Is(err, ErrFenced), errors.Is(err, ErrWrongWorker):
+		return err
+	case err != nil:
+		return fmt.Errorf("%w: no answer before the start: %w", ErrUnreachable, err)
+	case listing.StartedAt != 0 && to.Incarnation.StartedAt != 0 && listing.StartedAt != to.Incarnation.StartedAt:
+		return fmt.Errorf("%w: the worker has started again", ErrNotSent)
+	}
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	now := bootclock.Now()
+	if s.replaced || s.closed || s.addr != to.Addr || s.silence.recorded || !l.lease.valid(now) {
+		return fmt.Errorf("%w: the leader must not call the worker any more", ErrNotSent)
+	}
+	o.phase, o.probedAt = startSent, now
+	return nil
+}
+
 // handleStartResult records the result of a start call; l.mu must be held.
 func (l *leadership) handleStartResult(s *session, a workflow.Attempt, o *order, now bootclock.Time, err error) {
 	o.answeredAt = now
--- a/daemon/fleet/pass.go
+++ b/daemon/fleet/pass.go
@@ -302,7 +302,8 @@
 				s.changed = true
 				continue
 			}
-			l.sendStart(s, a.Attempt, payload, task.Checkpoint)
+			mayCrash := l.silenced[a.Attempt.Task] || st.Workflows.Jobs[a.Attempt.Task.Job].HasCrashes(a.Attempt.Task)
+			l.sendStart(s, a.Attempt, payload, task.Checkpoint, mayCrash)
 		}
 	})
 }
@@ -313,7 +314,7 @@
 	wall := model.Millis(time.Now().UnixMilli())
 	latest := l.clock.read(wall, st.Now, now)
 	p := &dispatch.Snapshot{Now: latest, Cautions: workflows.Cautions(latest)}
-	l.startAlone = p.Cautions.StartAlone
+	l.startAlone, l.silenced = p.Cautions.StartAlone, p.Cautions.Silenced
 	p.Workers = l.describeWorkers(workflows, now)
 	workflows.VisitLiveJobs(func(job *workflow.Job) {
 		job.VisitDueRuns(min(latest, wall+maxClockError), func(occurrence int, run *workflow.Run) {
--- a/daemon/fleet/session.go
+++ b/daemon/fleet/session.go
@@ -47,6 +47,7 @@
 // order tracks the calls to a worker about one attempt.
 type order struct {
 	phase          startPhase
+	probedAt       bootclock.Time // when the worker answered the call that preceded the start; zero if there was none
 	answeredAt     bootclock.Time // when the start call returned
 	stopSentAt     bootclock.Time
 	stopAnsweredAt bootclock.Time // when a stop was first answered
--- a/daemon/fleet/silence_test.go
+++ b/daemon/fleet/silence_test.go
@@ -56,7 +56,7 @@
 	s := &session{leadership: l, incarnation: incarnation, tokenAccepted: true, clock: 1, orders: map[workflow.Attempt]*order{}, silence: silence{recorded: true}}
 	l.sessions[incarnation] = s
 	attempt := workflow.Attempt{Number: 1}
-	l.sendStart(s, attempt, "", "")
+	l.sendStart(s, attempt, "", "", false)
 	if _, call, _ := s.prepareHold(); call.LeaseUntil != 0 || s.leaseUntil != 0 || s.orders[attempt].phase != startImpossible {
 		t.Errorf("a call has the lease %d, %d is the latest that was sent, and the start is in phase %d", call.LeaseUntil, s.leaseUntil, s.orders[attempt].phase)
 	}
