Start all members of a gang from one checkpoint

Cause: a checkpoint was kept with the task that reported it. Change: it is kept for all members of the gang; one reported with an end takes precedence over the last one listed by a worker that is lost. Evidence: each start carried the last value of its own member.

--- a/core/workflow/apply.go
+++ b/core/workflow/apply.go
@@ -193,7 +193,7 @@
 	task.Phase = TaskWaiting
 	task.WaitingAt = now
 	if e.Checkpoint != "" {
-		task.Checkpoint = e.Checkpoint
+		job.keepCheckpoint(a, e)
 	}
 	if job.Ended() {
 		s.dropDetails(job)
@@ -202,6 +202,41 @@
 	s.recordOutcome(now, job, a.Task, e.Kind)
 }
 
+// keepCheckpoint keeps the checkpoint of an attempt that has ended. That of one member of a gang is valid for
+// all, and all must start from the same. One that a worker reports with an end takes precedence over the last one
+// listed by a worker that is lost, because the others go on until the gang breaks.
+func (j *Job) keepCheckpoint(a Attempt, e End) {
+	tasks := j.Runs[a.Task.Occurrence].Steps[a.Task.Step].Tasks
+	if !j.Steps[a.Task.Step].Gang {
+		tasks[a.Task.Index].Checkpoint = e.Checkpoint
+		return
+	}
+	lost := e.Number == 0
+	for i, member := range tasks {
+		if lost && i != a.Task.Index && member.Attempt == a.Number && member.Phase != TaskOpen {
+			return // another member of this start has ended before
+		}
+	}
+	for i := range tasks {
+		tasks[i].Checkpoint = e.Checkpoint
+	}
+}
+
+// checkpointOf returns the checkpoint from which a task starts. The members of a gang have the same, unless they
+// were stored by a version that kept one each.
+func (j *Job) checkpointOf(key TaskKey) string {
+	tasks := j.Runs[key.Occurrence].Steps[key.Step].Tasks
+	if !j.Steps[key.Step].Gang {
+		return tasks[key.Index].Checkpoint
+	}
+	for _, member := range tasks {
+		if member.Checkpoint != "" {
+			return member.Checkpoint
+		}
+	}
+	return ""
+}
+
 // recordLateOutcome records that an attempt has done its task although the attempt was already
 // closed. A task that ran to its end must not run again: a later attempt that is open is closed,
 // and its worker stops it as one that should not run.
--- a/core/workflow/queries.go
+++ b/core/workflow/queries.go
@@ -222,5 +222,7 @@
 	if job.Ended() {
 		return "", Task{}, false
 	}
-	return job.Payload, *t, true
+	task = *t
+	task.Checkpoint = job.checkpointOf(a.Task)
+	return job.Payload, task, true
 }
