--- a/daemon/fleetd/controller.go
+++ b/daemon/fleetd/controller.go
@@ -52,20 +52,11 @@
 	node := &controllerNode{logger: d.logger}
 	d.client = fleet.NewControllerClient(s.Controllers, d.transport(maxControllerConns), node.dir.MemberAddrs, d.logger)
 	node.client = d.client
-	options := replica.Options{
-		Gateway: model.GatewayID(s.ControlAddr), Addr: s.ControlAddr, Dir: s.DataDir,
-		Client: &http.Client{Transport: d.transport(maxControllerConns)}, Logger: d.logger, OnFatal: d.onFatal(),
-		JoinOnly: !s.MayFound, OpenMembership: true, MaxVoters: wantedVoters(s),
-		Tick: groupTick, HeartbeatTicks: heartbeatTicks, ElectionTicks: electionTicks,
-		SnapshotBytes: snapshotBytes, KeepBytes: keepBytes, KnownControllers: d.client.MemberAddrs,
-	}
-	for _, addr := range s.Controllers {
-		options.InitialControllers = append(options.InitialControllers, replica.Controller{Gateway: model.GatewayID(addr), Addr: addr})
-	}
 	workers, err := d.workerTransport()
 	if err != nil {
 		return nil, err
 	}
+	options := d.replicaOptions()
 	log, err := openWhenRoom(ctx, d.logger, roomRetryInterval, func() (*replica.Replica, error) { return replica.Open(options) })
 	if err != nil {
 		return nil, err
@@ -95,6 +86,22 @@
 	return d.listen(map[string]http.Handler{s.ControlListen: mux})
 }
 
+// replicaOptions returns the settings of the log. The client must exist already.
+func (d *Daemon) replicaOptions() replica.Options {
+	s := d.settings
+	options := replica.Options{
+		Gateway: model.GatewayID(s.ControlAddr), Addr: s.ControlAddr, Dir: s.DataDir,
+		Client: &http.Client{Transport: d.transport(maxControllerConns)}, Logger: d.logger, OnFatal: d.onFatal(),
+		JoinOnly: !s.MayFound, OpenMembership: true, MaxVoters: wantedVoters(s),
+		Tick: groupTick, HeartbeatTicks: heartbeatTicks, ElectionTicks: electionTicks,
+		SnapshotBytes: snapshotBytes, KeepBytes: keepBytes, KnownControllers: d.client.MemberAddrs,
+	}
+	for _, addr := range s.Controllers {
+		options.InitialControllers = append(options.InitialControllers, replica.Controller{Gateway: model.GatewayID(addr), Addr: addr})
+	}
+	return options
+}
+
 // wantedVoters is the number of voters with which the group tolerates the losses of the settings.
 func wantedVoters(s settings.Fleet) int { return 2*max(1, s.ToleratedVMs) + 1 }
 
