Log what each daemon knows of its group while it has no leader

Cause: the watch of the group knew three problems, and 'no leader' was none of them. Change: a controller logs the loss of its leader with the membership in force, its log entry, and since when each member has been silent, then after 5, 10, 20 s and so on; every daemon logs its seeds and controllers after 5 s without a leader. No decision changes. The row 'follower' of the test now names a leader, because a member without one has a problem; a row for that was added. Measured: the tests of core/consensus, daemon/replica, daemon/fleet and daemon/fleetd pass.

--- a/core/consensus/node.go
+++ b/core/consensus/node.go
@@ -294,6 +294,7 @@
 	LogBytes      int    // size of the entries in memory, including overhead
 	SnapshotIndex uint64 // index of the newest snapshot
 	Members       Membership
+	MembersIndex  uint64                // of the entry that holds Members
 	ChangePending bool                  // Members is not committed yet
 	Progress      map[MemberID]Progress // leader only
 }
@@ -303,7 +304,7 @@
 	s := Status{
 		ID: n.id, Role: n.role, Term: n.hardState.Term, Leader: n.leader,
 		CommitIndex: n.log.commit, LastIndex: n.log.lastIndex(), LogBytes: n.log.bytes,
-		SnapshotIndex: n.snapshot.Index, Members: n.members(),
+		SnapshotIndex: n.snapshot.Index, Members: n.members(), MembersIndex: n.memberships[len(n.memberships)-1].index,
 		ChangePending: n.memberships[len(n.memberships)-1].index > n.log.commit,
 	}
 	if n.role == RoleLeader {
--- a/daemon/fleet/client.go
+++ b/daemon/fleet/client.go
@@ -83,14 +83,20 @@
 	c.seeds = callableAddrs(seeds)
 }
 
-// SinceContact returns the time since the last response from a leader.
+// SinceContact returns the time since the last response from a leader. It is longer than any timeout if
+// none has ever responded.
 func (c *Client) SinceContact() time.Duration {
+	if age, ok := c.ContactAge(); ok {
+		return age
+	}
+	return time.Duration(1<<62 - 1)
+}
+
+// ContactAge returns the time since the last response from a leader, and false if none has ever responded.
+func (c *Client) ContactAge() (time.Duration, bool) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if c.lastContact == 0 {
-		return time.Duration(1<<62 - 1)
-	}
-	return bootclock.Since(c.lastContact)
+	return bootclock.Since(c.lastContact), c.lastContact != 0
 }
 
 // LeaderAddr returns the address of the leader that answered last, or an empty string.
@@ -117,6 +123,13 @@
 	return c.addresses()
 }
 
+// DescribeControllers adds to a line where the client looks for the leader.
+func (c *Client) DescribeControllers(line *zerolog.Event) *zerolog.Event {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return line.Strs("seeds", c.seeds).Strs("controllers", c.members).Str("asks", c.leader)
+}
+
 // Submit submits a workflow.
 func (c *Client) Submit(ctx context.Context, s workflow.Submission) (JobResponse, error) {
 	return call[JobResponse](ctx, c, opSubmit, s)
--- a/daemon/fleetd/daemon.go
+++ b/daemon/fleetd/daemon.go
@@ -217,6 +217,7 @@
 // pollLeader pings the leader if it has not responded within contactInterval, so that readiness is
 // known without callers' requests.
 func (d *Daemon) pollLeader(ctx context.Context) {
+	watch := contactWatch{logger: d.logger, metrics: d.metrics}
 	for ctx.Err() == nil {
 		if d.client.SinceContact() >= contactInterval {
 			call, cancel := context.WithTimeout(ctx, contactTimeout)
@@ -224,6 +225,7 @@
 			_ = d.client.Ping(call)
 			cancel()
 		}
+		watch.observe(d.client, time.Now())
 		wait.For(ctx, contactInterval)
 	}
 }
--- a/daemon/fleetd/group.go
+++ b/daemon/fleetd/group.go
@@ -15,9 +15,9 @@
 const (
 	groupWatchInterval = time.Second // between two reads of the status; the membership changes rarely
 	voterSilentAfter   = 2500 * time.Millisecond
-	// groupWarnInterval is how long a problem lasts until it is logged, and the time between two lines about it.
-	// A replaced controller has caught up by then.
-	groupWarnInterval = 5 * time.Second
+	// groupWarnAfter is how long a problem lasts until it is logged. A replaced controller has caught up, and
+	// a lost leader has a successor by then.
+	groupWarnAfter = 5 * time.Second
 )
 
 // groupProblem is why the group tolerates fewer losses than its settings ask for, as far as one controller can tell.
@@ -27,6 +27,7 @@
 	groupHealthy  groupProblem = ""
 	groupNotFound groupProblem = "this controller has not found its group"
 	groupNotAdded groupProblem = "this controller is not a member of its group"
+	groupNoLeader groupProblem = "this controller knows no leader of its group"
 	groupTooSmall groupProblem = "the group has fewer voters that respond than the settings ask for"
 )
 
@@ -61,6 +62,8 @@
 		c.problem = groupNotFound
 	case !member:
 		c.problem = groupNotAdded
+	case s.Leader.ID == "":
+		c.problem = groupNoLeader
 	case c.leads && c.live < wanted:
 		c.problem = groupTooSmall
 	}
@@ -75,30 +78,52 @@
 	asked   func() []string // addresses at which the controller looks for its group
 
 	problem groupProblem
-	since   time.Time // when the problem was first seen
-	warned  time.Time
+	backoff warnBackoff
 }
 
 // observe takes over the status at the time now.
 func (w *groupWatch) observe(s replica.Status, now time.Time) {
 	c := conditionOf(s, w.wanted)
-	w.setMetrics(c)
+	w.setMetrics(c, s)
 	if c.problem != w.problem {
-		if c.problem == groupHealthy && !w.warned.IsZero() {
-			w.logger.Info().Str("problem", string(w.problem)).Msg("the problem of the controller group has ended")
-		}
-		w.problem, w.since, w.warned = c.problem, now, time.Time{}
+		w.enter(c.problem, s, now)
 	}
-	if c.problem == groupHealthy || now.Sub(w.since) < groupWarnInterval || now.Sub(w.warned) < groupWarnInterval {
+	if c.problem == groupHealthy || !w.backoff.due(now) {
 		return
 	}
-	w.warned = now
-	w.logger.Warn().Int64("for_ms", now.Sub(w.since).Milliseconds()).Str("group", s.Group).Int("wanted_voters", w.wanted).
+	describeGroup(w.logger.Warn(), s).Int64("for_ms", now.Sub(w.backoff.since).Milliseconds()).Int("wanted_voters", w.wanted).
 		Int("voters", c.voters).Int("live_voters", c.live).Strs("silent", c.silent).Strs("asked", w.asked()).Msg(string(c.problem))
 }
 
+// enter records another problem, or the end of one.
+func (w *groupWatch) enter(problem groupProblem, s replica.Status, now time.Time) {
+	switch {
+	case problem == groupHealthy && w.backoff.lines > 0:
+		describeGroup(w.logger.Info(), s).Str("problem", string(w.problem)).Msg("the problem of the controller group has ended")
+	case problem == groupNoLeader:
+		describeGroup(w.logger.Info(), s).Msg("the leader is lost")
+	}
+	w.problem, w.backoff = problem, warnBackoff{first: groupWarnAfter}
+	w.backoff.begin(now)
+}
+
+// describeGroup adds to a line what the controller knows of its group: the membership in force, the log entry
+// that holds it, and since when each other member has been silent.
+func describeGroup(line *zerolog.Event, s replica.Status) *zerolog.Event {
+	members := zerolog.Arr()
+	for _, m := range s.Members {
+		d := zerolog.Dict().Str("addr", m.Addr).Bool("voter", !m.Learner)
+		if m.ID != s.ID {
+			d = d.Int64("silent_ms", m.SinceMessage.Milliseconds())
+		}
+		members = members.Dict(d)
+	}
+	return line.Str("group", s.Group).Uint64("term", s.Term).Uint64("members_index", s.MembersIndex).
+		Bool("members_pending", s.ChangePending).Uint64("commit", s.CommitIndex).Uint64("last", s.LastIndex).Array("members", members)
+}
+
 // setMetrics sets the gauges. Those of the whole group are 0 on a controller that does not lead.
-func (w *groupWatch) setMetrics(c groupCondition) {
+func (w *groupWatch) setMetrics(c groupCondition, s replica.Status) {
 	member, voters, live := 1, c.voters, c.live
 	if c.problem == groupNotFound || c.problem == groupNotAdded {
 		member = 0
@@ -106,7 +131,12 @@
 	if !c.leads {
 		voters, live = 0, 0
 	}
+	leaderKnown := 0
+	if member == 1 && s.Leader.ID != "" {
+		leaderKnown = 1
+	}
 	w.metrics.SetGauge("group_member", member)
+	w.metrics.SetGauge("group_leader_known", leaderKnown)
 	w.metrics.SetGauge("group_voters", voters)
 	w.metrics.SetGauge("group_live_voters", live)
 	w.metrics.SetGauge("group_wanted_voters", w.wanted)
--- a/daemon/fleetd/group_test.go
+++ b/daemon/fleetd/group_test.go
@@ -218,7 +218,7 @@
 	self := replica.MemberStatus{Member: consensus.Member{ID: "a", Addr: "a:1"}}
 	live, silent := replica.MemberStatus{Member: consensus.Member{ID: "b", Addr: "b:1"}}, replica.MemberStatus{Member: consensus.Member{ID: "c", Addr: "c:1"}, SilentFor: 3 * time.Second}
 	learner := replica.MemberStatus{Member: consensus.Member{ID: "d", Addr: "d:1", Learner: true}}
-	leader := replica.Leader{Self: true}
+	leader, other := replica.Leader{ID: "a", Self: true}, replica.Leader{ID: "b"}
 	for name, test := range map[string]struct {
 		status replica.Status
 		want   groupProblem
@@ -227,9 +227,10 @@
 		"not added":        {replica.Status{ID: "a", Group: "g", Members: []replica.MemberStatus{live}}, groupNotAdded},
 		"two voters":       {replica.Status{ID: "a", Group: "g", Leader: leader, Members: []replica.MemberStatus{self, live, learner}}, groupTooSmall},
 		"a silent voter":   {replica.Status{ID: "a", Group: "g", Leader: leader, Members: []replica.MemberStatus{self, live, silent}}, groupTooSmall},
-		"follower":         {replica.Status{ID: "a", Group: "g", Members: []replica.MemberStatus{self, live}}, groupHealthy},
+		"follower":         {replica.Status{ID: "a", Group: "g", Leader: other, Members: []replica.MemberStatus{self, live}}, groupHealthy},
+		"no leader":        {replica.Status{ID: "a", Group: "g", Members: []replica.MemberStatus{self, live}}, groupNoLeader},
 		"three voters":     {replica.Status{ID: "a", Group: "g", Leader: leader, Members: []replica.MemberStatus{self, live, {}}}, groupHealthy},
-		"learner of three": {replica.Status{ID: "d", Group: "g", Members: []replica.MemberStatus{self, live, learner}}, groupHealthy},
+		"learner of three": {replica.Status{ID: "d", Group: "g", Leader: other, Members: []replica.MemberStatus{self, live, learner}}, groupHealthy},
 	} {
 		var log bytes.Buffer
 		w := groupWatch{wanted: 3, logger: zerolog.New(&log), metrics: fleet.NewMetrics(), asked: func() []string { return []string{"s:1"} }}
--- a/daemon/replica/discovery.go
+++ b/daemon/replica/discovery.go
@@ -71,8 +71,9 @@
 	directories  map[model.GatewayID]consensus.MemberID // the latest that responded without a group
 	responses    map[model.GatewayID]receivedResponse
 	withoutGroup map[model.GatewayID]consensus.MemberID // directories that sent a request without a group
-	senderAddrs  map[consensus.MemberID]string          // addresses that messages came from
-	memberAddrs  []string                               // addresses of the group's members, from the last response
+	senders      map[consensus.MemberID]sender          // of messages
+	startedAt    time.Time
+	memberAddrs  []string // addresses of the group's members, from the last response
 }
 
 // receivedResponse is a response without a group and when it was received.
@@ -90,8 +91,9 @@
 	d.directories = map[model.GatewayID]consensus.MemberID{}
 	d.responses = map[model.GatewayID]receivedResponse{}
 	d.withoutGroup = map[model.GatewayID]consensus.MemberID{}
-	d.senderAddrs = map[consensus.MemberID]string{}
-	d.leaderKnownAt = time.Now()
+	d.senders = map[consensus.MemberID]sender{}
+	d.startedAt = time.Now()
+	d.leaderKnownAt = d.startedAt
 }
 
 // tick sends requests while the directory has no group, is not a member yet, has another address
@@ -342,20 +344,34 @@
 		Msg("data directory entered group")
 }
 
-// recordSenderAddr records the address that a member sends from, for responses to members that
-// the local membership does not contain yet.
-func (d *discovery) recordSenderAddr(id consensus.MemberID, addr string) {
-	if len(d.senderAddrs) >= maxSenderAddrs {
-		d.senderAddrs = map[consensus.MemberID]string{}
+// sender is the origin of the last message of a member.
+type sender struct {
+	addr string
+	at   time.Time
+}
+
+// recordSender records the address that a member sends from, for responses to members that the local
+// membership does not contain yet.
+func (d *discovery) recordSender(id consensus.MemberID, addr string) {
+	if len(d.senders) >= maxSenders {
+		d.senders = map[consensus.MemberID]sender{}
+	}
+	d.senders[id] = sender{addr, time.Now()}
+}
+
+// sinceMessage returns the time since the last message of the member, or since the start of the process.
+func (d *discovery) sinceMessage(id consensus.MemberID) time.Duration {
+	if s, ok := d.senders[id]; ok {
+		return time.Since(s.at)
 	}
-	d.senderAddrs[id] = addr
+	return time.Since(d.startedAt)
 }
 
 // addrOf returns the address of a member, or an empty string. The address that the member sends
 // from takes precedence, because it is newer than the one in the membership.
 func (r *Replica) addrOf(id consensus.MemberID) string {
-	if addr, ok := r.discovery.senderAddrs[id]; ok {
-		return addr
+	if s, ok := r.discovery.senders[id]; ok {
+		return s.addr
 	}
 	member, _ := r.node.Members().Find(id)
 	return member.Addr
--- a/daemon/replica/members.go
+++ b/daemon/replica/members.go
@@ -18,7 +18,8 @@
 	Term          uint64             `json:"term"`
 	Leader        Leader             `json:"leader"`
 	Members       []MemberStatus     `json:"members"`
-	ChangePending bool               `json:"changing"` // Members is not committed yet, so a repair is not complete
+	MembersIndex  uint64             `json:"members_index"` // of the log entry that holds Members
+	ChangePending bool               `json:"changing"`      // Members is not committed yet, so a repair is not complete
 	CommitIndex   uint64             `json:"commit"`
 	AppliedIndex  uint64             `json:"applied"`
 	LastIndex     uint64             `json:"last"`       // last entry of the log
@@ -33,6 +34,9 @@
 	Leader     bool          `json:"leader"`
 	MatchIndex uint64        `json:"match"`      // last entry known to be durable on the member
 	SilentFor  time.Duration `json:"silent_for"` // time since its last message
+	// SinceMessage is the time since a message of the member reached this process, whichever its role,
+	// or the age of the process if none has. Followers that know a leader exchange no messages.
+	SinceMessage time.Duration `json:"since_message"`
 }
 
 // identity returns the directory's id and group. It may be called from any goroutine.
@@ -66,13 +70,14 @@
 	}
 	node := r.node.Status()
 	s.Term, s.CommitIndex, s.LastIndex = node.Term, node.CommitIndex, node.LastIndex
-	s.ChangePending = node.ChangePending
+	s.MembersIndex, s.ChangePending = node.MembersIndex, node.ChangePending
 	s.LogBytes, s.SnapshotIndex = node.LogBytes, node.SnapshotIndex
 	for _, member := range node.Members {
 		p := node.Progress[member.ID]
 		s.Members = append(s.Members, MemberStatus{
 			Member: member, Leader: member.ID == node.Leader,
 			MatchIndex: p.MatchIndex, SilentFor: time.Duration(p.TicksSinceMessage) * r.opts.Tick,
+			SinceMessage: r.discovery.sinceMessage(member.ID),
 		})
 	}
 	return s
--- a/daemon/replica/options.go
+++ b/daemon/replica/options.go
@@ -88,7 +88,7 @@
 	maxQueuedMessages   = 256      // in one send queue
 	maxQueuedBytes      = 8 << 20
 	maxInflight         = 8  // unacknowledged messages with entries to one member
-	maxSenderAddrs      = 64 // recorded addresses of senders
+	maxSenders          = 64 // recorded addresses of senders
 )
 
 func (o *Options) validateAndSetDefaults() error {
--- a/daemon/replica/transport.go
+++ b/daemon/replica/transport.go
@@ -288,7 +288,7 @@
 	if r.node == nil || b.Group != r.store.Identity().Group {
 		return
 	}
-	r.discovery.recordSenderAddr(b.From, b.Addr)
+	r.discovery.recordSender(b.From, b.Addr)
 	for _, m := range b.Messages {
 		if m.From == b.From {
 			r.node.Step(m)
