Announce the controllers by an operation with sender, group and version

Cause: an announcement was a ping without a body. The receiver failed to decode it, answered 400 and warned; it logged neither the sender nor the list, which were in a header. Change: announcements have an operation with a typed body; lists carry the group, the term and the log index that they are from. A daemon logs a list, its sender and whether it is a member itself when the list changes. A ping without a body, which earlier builds send, is no error, and the headers that those builds read are still sent.

--- a/daemon/fleet/addrs_test.go
+++ b/daemon/fleet/addrs_test.go
@@ -28,7 +28,7 @@
 	for _, odd := range []string{"", " ", "a b:1", "%zz:1", "a:99999", "a:0", "a:-1", "a:1/path", "user@a:1", "[::1:5"} {
 		for name, use := range map[string]func(*Client){
 			"seed":       func(c *Client) { c.SetSeeds([]string{odd, good}) },
-			"controller": func(c *Client) { c.setMembers(odd + "," + good) },
+			"controller": func(c *Client) { c.offer(ControllerList{Addrs: []string{odd, good}}, "") },
 			"leader":     func(c *Client) { c.recordFailure("", odd); c.SetSeeds([]string{good}) },
 		} {
 			c := NewClient(nil, http.DefaultTransport, zerolog.Nop())
--- a/daemon/fleet/client.go
+++ b/daemon/fleet/client.go
@@ -12,7 +12,6 @@
 	"net/url"
 	"slices"
 	"strconv"
-	"strings"
 	"sync"
 	"time"
 
@@ -48,19 +47,19 @@
 // that controllers return. It retries until the context ends, because every operation is
 // idempotent.
 type Client struct {
-	http       *http.Client
-	logger     zerolog.Logger
-	groupAddrs func() []string // addresses of the controllers in the local log; nil on daemons that are not controllers
-
-	mu            sync.Mutex
-	seeds         []string
-	members       []string       // controller addresses, as last received from another daemon
-	membersHeader string         // from which members was read
-	leader        string         // address that last responded as the leader, or that a controller named as the leader
-	next          int            // index in addresses of the controller to try if no leader is known
-	lastContact   bootclock.Time // time of the last response from a leader
-	connected     bool           // the last call to the address in leader succeeded
-	calls         inFlightCalls
+	http   *http.Client
+	logger zerolog.Logger
+	self   string                // address of this daemon on a controller, otherwise empty
+	group  func() ControllerList // the members in the local log of a controller; nil on other daemons
+
+	mu          sync.Mutex
+	seeds       []string
+	known       knownControllers
+	leader      string         // address that last responded as the leader, or that a controller named as the leader
+	next        int            // index in addresses of the controller to try if no leader is known
+	lastContact bootclock.Time // time of the last response from a leader
+	connected   bool           // the last call to the address in leader succeeded
+	calls       inFlightCalls
 }
 
 // NewClient returns a client that starts from the seed addresses.
@@ -68,11 +67,11 @@
 	return &Client{http: &http.Client{Transport: transport}, seeds: callableAddrs(seeds), logger: logger, calls: inFlightCalls{}}
 }
 
-// NewControllerClient returns the client of a controller. It sends the addresses of the controllers
-// with every call.
-func NewControllerClient(seeds []string, transport http.RoundTripper, groupAddrs func() []string, logger zerolog.Logger) *Client {
+// NewControllerClient returns the client of the controller with the address self. group returns
+// the members in its log. Every call carries them, or a newer list that the client has received.
+func NewControllerClient(self string, seeds []string, transport http.RoundTripper, group func() ControllerList, logger zerolog.Logger) *Client {
 	c := NewClient(seeds, transport, logger)
-	c.groupAddrs = groupAddrs
+	c.self, c.group = self, group
 	return c
 }
 
@@ -109,13 +108,24 @@
 	return c.leader
 }
 
-// MemberAddrs returns the controller addresses as last received from another daemon.
-func (c *Client) MemberAddrs() []string {
+// KnownControllers returns the newest list of controllers that was received from another daemon.
+func (c *Client) KnownControllers() ControllerList {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	return slices.Clone(c.members)
+	return c.known.list
 }
 
+// members returns the list in the local log, if there is one, or the received one; c.mu must be held.
+func (c *Client) members() ControllerList {
+	if c.group != nil {
+		return c.group()
+	}
+	return c.known.list
+}
+
+// MemberAddrs returns the addresses in the newest list of controllers that was received from another daemon.
+func (c *Client) MemberAddrs() []string { return slices.Clone(c.KnownControllers().Addrs) }
+
 // ControllerAddrs returns the addresses at which the client looks for the leader.
 func (c *Client) ControllerAddrs() []string {
 	c.mu.Lock()
@@ -127,7 +137,11 @@
 func (c *Client) DescribeControllers(line *zerolog.Event) *zerolog.Event {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	return line.Strs("seeds", c.seeds).Strs("controllers", c.members).Str("asks", c.leader)
+	line = line.Strs("seeds", c.seeds).Str("asks", c.leader)
+	if len(c.known.list.Addrs) == 0 {
+		return line
+	}
+	return c.known.describe(line).Int64("confirmed_ms_ago", bootclock.Since(c.known.confirmed).Milliseconds())
 }
 
 // Submit submits a workflow.
@@ -227,9 +241,7 @@
 		return nil, false, err
 	}
 	request.GetBody = nil // prevents automatic retries by the transport
-	if c.groupAddrs != nil {
-		request.Header.Set(headerMembers, strings.Join(c.groupAddrs(), ","))
-	}
+	c.setGroupHeader(request.Header)
 	response, err := c.http.Do(request)
 	if err != nil {
 		c.recordFailure(addr, "")
@@ -237,7 +249,7 @@
 	}
 	defer response.Body.Close()
 	body, err = io.ReadAll(io.LimitReader(response.Body, maxCallBytes))
-	c.setMembers(response.Header.Get(headerMembers))
+	c.learn(response.Header, addr)
 	switch {
 	case err != nil:
 		c.recordFailure(addr, "")
@@ -278,11 +290,7 @@
 // addresses returns the seeds followed by the other known controllers; c.mu must be held.
 func (c *Client) addresses() []string {
 	all := slices.Clone(c.seeds)
-	members := c.members
-	if c.groupAddrs != nil {
-		members = append(c.groupAddrs(), members...)
-	}
-	for _, addr := range members {
+	for _, addr := range slices.Concat(c.members().Addrs, c.known.list.Addrs) {
 		if !slices.Contains(all, addr) {
 			all = append(all, addr)
 		}
@@ -303,39 +311,6 @@
 	})
 }
 
-// AnnounceMembers sends the addresses of the controllers to the seeds that are not members of the group.
-// Without these announcements, relays whose seeds are only other relays could not find the
-// controllers after a power loss of all VMs, and nor could an empty controller that is a seed itself.
-func (c *Client) AnnounceMembers(ctx context.Context) {
-	members := c.groupAddrs()
-	c.mu.Lock()
-	seeds := slices.Clone(c.seeds)
-	c.mu.Unlock()
-	for _, addr := range seeds {
-		if slices.Contains(members, addr) {
-			continue
-		}
-		if err := c.announceMembersTo(ctx, addr, members); err != nil {
-			c.logger.Debug().Err(err).Str("seed", addr).Msg("could not send the controllers' addresses to a seed")
-		}
-	}
-}
-
-func (c *Client) announceMembersTo(ctx context.Context, addr string, members []string) error {
-	ctx, cancel := context.WithTimeout(ctx, callTimeout)
-	defer cancel()
-	request, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+addr+PathPrefix+opPing, http.NoBody)
-	if err != nil {
-		return err
-	}
-	request.Header.Set(headerMembers, strings.Join(members, ","))
-	response, err := c.http.Do(request)
-	if err != nil {
-		return err
-	}
-	return response.Body.Close()
-}
-
 func (c *Client) addressCount() int {
 	c.mu.Lock()
 	defer c.mu.Unlock()
@@ -377,19 +352,3 @@
 		c.leader = leader
 	}
 }
-
-func (c *Client) setMembers(header string) {
-	if header == "" {
-		return
-	}
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	if header == c.membersHeader {
-		return // nearly every request and response repeats the same list
-	}
-	list := callableAddrs(strings.Split(header, ","))
-	if len(list) > maxMembers {
-		list = list[:maxMembers]
-	}
-	c.members, c.membersHeader = list, header
-}
--- /dev/null
+++ b/daemon/fleet/controllers.go
@@ -0,0 +1,82 @@
+package fleet
+
+import (
+	"fmt"
+	"net/http"
+	"strings"
+
+	"samphirepaddle.example/daemon/bootclock"
+)
+
+// Headers that carry a list of controllers.
+const (
+	headerMembers    = "Samphire-Members"    // addresses of the controllers, separated by commas
+	headerMembership = "Samphire-Membership" // group, term and index of the list; see ControllerList
+	headerSender     = "Samphire-Sender"     // address of the controller that sends a request
+)
+
+// ControllerList names the controllers of a group, with the state of the log that it is from.
+type ControllerList struct {
+	Group string   `cbor:"1,keyasint"` // empty in lists of earlier builds, which have no version
+	Term  uint64   `cbor:"2,keyasint"` // of the controller that the list is from
+	Index uint64   `cbor:"3,keyasint"` // of the log entry with the membership
+	Addrs []string `cbor:"4,keyasint"`
+}
+
+// headerValues are the values of the headers that carry a list.
+type headerValues struct{ members, membership string }
+
+func headerValuesOf(h http.Header) headerValues {
+	return headerValues{h.Get(headerMembers), h.Get(headerMembership)}
+}
+
+func (l ControllerList) headerValues() headerValues {
+	v := headerValues{members: strings.Join(l.Addrs, ",")}
+	if l.Group != "" {
+		v.membership = fmt.Sprintf("%s %d %d", l.Group, l.Term, l.Index)
+	}
+	return v
+}
+
+// setHeader adds the list to a request or response.
+func (l ControllerList) setHeader(h http.Header) {
+	v := l.headerValues()
+	h.Set(headerMembers, v.members)
+	if v.membership != "" {
+		h.Set(headerMembership, v.membership)
+	}
+}
+
+// list returns the list that the values carry. One whose version cannot be read has none.
+func (v headerValues) list() ControllerList {
+	var l ControllerList
+	if _, err := fmt.Sscanf(v.membership, "%s %d %d", &l.Group, &l.Term, &l.Index); err != nil {
+		l = ControllerList{}
+	}
+	if v.members != "" {
+		l.Addrs = strings.Split(v.members, ",")
+	}
+	return l
+}
+
+// usable returns the list with the addresses that can be called, at most maxMembers.
+func (l ControllerList) usable() ControllerList {
+	l.Addrs = callableAddrs(l.Addrs)
+	if len(l.Addrs) > maxMembers {
+		l.Addrs = l.Addrs[:maxMembers]
+	}
+	return l
+}
+
+// knownControllers is the newest list that a daemon has received.
+type knownControllers struct {
+	list      ControllerList
+	values    headerValues   // with which the list was received
+	from      string         // address of the daemon that sent it first
+	confirmed bootclock.Time // when the list was received last
+}
+
+// offer takes over another list that was received from a daemon.
+func (k *knownControllers) offer(l ControllerList, from string) {
+	k.list, k.values, k.from, k.confirmed = l.usable(), l.headerValues(), from, bootclock.Now()
+}
--- /dev/null
+++ b/daemon/fleet/controllers_test.go
@@ -0,0 +1,53 @@
+package fleet
+
+import (
+	"bytes"
+	"context"
+	"net/http"
+	"net/http/httptest"
+	"slices"
+	"strings"
+	"testing"
+
+	"github.com/rs/zerolog"
+)
+
+// Guards against a version that cannot be read and hides the addresses beside it.
+func TestListWithOddVersionNamesItsControllers(t *testing.T) {
+	for _, version := range []string{"", "g", "g 1", "g x y", "g -1 2", "  ", strings.Repeat("9", 99)} {
+		got := headerValues{members: "a:1,b:2", membership: version}.list()
+		if !slices.Equal(got.Addrs, []string{"a:1", "b:2"}) || got.Group != "" || got.Term != 0 || got.Index != 0 {
+			t.Errorf("version %q gives %+v", version, got)
+		}
+	}
+}
+
+// Guards against warnings on healthy starts, which hide who named which controllers.
+func TestAnnouncementIsLoggedWithItsSenderAndVersion(t *testing.T) {
+	r := newRig(t)
+	var log bytes.Buffer
+	logger := zerolog.New(&log)
+	receiver := NewControllerClient("receiver:1", nil, http.DefaultTransport, func() ControllerList { return ControllerList{} }, logger)
+	mux := http.NewServeMux()
+	mux.Handle("POST "+PathAnnounce, receiver.AnnouncementHandler())
+	mux.Handle(PathPrefix, receiver.LearnMembers(Handler(r.engine, emptyDirectory{}, logger)))
+	server := httptest.NewServer(mux)
+	defer server.Close()
+	list := ControllerList{Group: "g", Term: 2, Index: 7, Addrs: []string{"sender:1", "other:1"}}
+	sender := NewControllerClient("sender:1", []string{server.Listener.Addr().String()}, &http.Transport{}, func() ControllerList { return list }, zerolog.Nop())
+	for range 3 {
+		sender.AnnounceMembers(context.Background())
+	}
+	earlier, err := http.Post(server.URL+PathPrefix+opPing, "", http.NoBody) // as builds before announcements had an operation
+	if err != nil {
+		t.Fatal(err)
+	}
+	earlier.Body.Close()
+	got := log.String()
+	if strings.Count(got, "\n") != 1 || !strings.Contains(got, `"group":"g","term":2,"members_index":7,"from":"sender:1","is_member":false`) {
+		t.Errorf("the log is not the line of the sender and its list:\n%s", got)
+	}
+	if !slices.Equal(receiver.MemberAddrs(), list.Addrs) {
+		t.Errorf("the receiver knows %v", receiver.MemberAddrs())
+	}
+}
--- a/daemon/fleet/fleet_test.go
+++ b/daemon/fleet/fleet_test.go
@@ -398,8 +398,8 @@
 // emptyDirectory knows no controllers.
 type emptyDirectory struct{}
 
-func (emptyDirectory) LeaderAddr() string    { return "" }
-func (emptyDirectory) MemberAddrs() []string { return nil }
+func (emptyDirectory) LeaderAddr() string               { return "" }
+func (emptyDirectory) KnownControllers() ControllerList { return ControllerList{} }
 
 // Guards against daemons whose seeds are only relays, which have only each other as seeds: after a
 // power loss of all VMs none of them finds the controllers, although these have a leader.
@@ -415,7 +415,7 @@
 	defer relay.Close()
 	seeds := []string{relay.Listener.Addr().String()}
 	relayClient = NewClient(seeds, &http.Transport{}, zerolog.Nop())
-	member := NewControllerClient(seeds, &http.Transport{}, func() []string { return []string{leaderAddr} }, zerolog.Nop())
+	member := NewControllerClient(leaderAddr, seeds, &http.Transport{}, func() ControllerList { return ControllerList{Addrs: []string{leaderAddr}} }, zerolog.Nop())
 	member.AnnounceMembers(context.Background())
 	gateway := NewClient(seeds, &http.Transport{}, zerolog.Nop())
 	for name, client := range map[string]*Client{"a relay": relayClient, "a gateway": gateway, "a controller": member} {
--- a/daemon/fleet/rpc.go
+++ b/daemon/fleet/rpc.go
@@ -5,7 +5,6 @@
 	"errors"
 	"io"
 	"net/http"
-	"strings"
 
 	"github.com/rs/zerolog"
 
@@ -15,11 +14,8 @@
 // PathPrefix is the path prefix under which controllers serve other daemons.
 const PathPrefix = "/fleet/v1/"
 
-// Headers of requests and responses.
-const (
-	headerLeader  = "Samphire-Leader"  // peer address of the leader, with statusNotLeading
-	headerMembers = "Samphire-Members" // peer addresses of the controllers, separated by commas
-)
+// headerLeader carries the peer address of the leader, with statusNotLeading.
+const headerLeader = "Samphire-Leader"
 
 // Statuses of the responses.
 const (
@@ -47,7 +43,7 @@
 // Directory provides the addresses of the controllers.
 type Directory interface {
 	LeaderAddr() string // empty if none is known
-	MemberAddrs() []string
+	KnownControllers() ControllerList
 }
 
 // Handler serves the operations of the engine to other daemons.
@@ -75,14 +71,14 @@
 func registerOperation[Req, Resp any](mux *http.ServeMux, d Directory, logger zerolog.Logger, op string, f func(context.Context, Req) (Resp, error)) {
 	mux.HandleFunc("POST "+PathPrefix+op, func(w http.ResponseWriter, r *http.Request) {
 		w.Header()["Date"] = nil
-		w.Header().Set(headerMembers, strings.Join(d.MemberAddrs(), ","))
+		d.KnownControllers().setHeader(w.Header())
 		body, err := io.ReadAll(http.MaxBytesReader(w, r.Body, maxCallBytes))
 		if err != nil {
 			w.WriteHeader(http.StatusBadRequest)
 			return
 		}
 		var request Req
-		if err := model.Decode(body, &request); err != nil {
+		if err := decodeRequest(op, body, &request); err != nil {
 			logger.Warn().Err(err).Str("operation", op).Msg("could not decode a request from another daemon")
 			w.WriteHeader(http.StatusBadRequest)
 			return
@@ -104,23 +100,25 @@
 	})
 }
 
-// LearnMembers returns a handler that stores the controller addresses that controllers send with their
-// requests, and then calls next. A controller with an empty disk may not know any other address.
-func (c *Client) LearnMembers(next http.Handler) http.Handler {
-	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
-		c.setMembers(r.Header.Get(headerMembers))
-		next.ServeHTTP(w, r)
-	})
-}
-
-// RedirectHandler serves daemons that cannot lead: it answers every operation with the controller
-// addresses that the client knows.
+// RedirectHandler serves daemons that cannot lead: it answers every operation with the controllers that the
+// client knows.
 func RedirectHandler(c *Client) http.Handler {
-	return c.LearnMembers(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+	mux := http.NewServeMux()
+	mux.Handle("POST "+PathAnnounce, c.AnnouncementHandler())
+	mux.Handle(PathPrefix, c.LearnMembers(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
 		w.Header()["Date"] = nil
-		w.Header().Set(headerMembers, strings.Join(c.MemberAddrs(), ","))
+		c.KnownControllers().setHeader(w.Header())
 		writeError(w, c, ErrNotLeading)
-	}))
+	})))
+	return mux
+}
+
+// decodeRequest decodes the body of a request. Earlier builds announce the controllers by a ping without a body.
+func decodeRequest(op string, body []byte, request any) error {
+	if op == opPing && len(body) == 0 {
+		return nil
+	}
+	return model.Decode(body, request)
 }
 
 func writeError(w http.ResponseWriter, d Directory, err error) {
--- a/daemon/fleetd/controller.go
+++ b/daemon/fleetd/controller.go
@@ -50,7 +50,7 @@
 func (d *Daemon) buildController(ctx context.Context, adapter Adapter) ([]net.Listener, error) {
 	s := d.settings
 	node := &controllerNode{logger: d.logger}
-	d.client = fleet.NewControllerClient(s.Controllers, d.transport(maxControllerConns), node.dir.MemberAddrs, d.logger)
+	d.client = fleet.NewControllerClient(s.ControlAddr, s.Controllers, d.transport(maxControllerConns), node.dir.Members, d.logger)
 	node.client = d.client
 	workers, err := d.workerTransport()
 	if err != nil {
@@ -76,6 +76,7 @@
 	d.node = node
 	mux := http.NewServeMux()
 	mux.Handle(rpc.ConsensusPathPrefix, log.Handler())
+	mux.Handle("POST "+fleet.PathAnnounce, d.client.AnnouncementHandler())
 	mux.Handle(fleet.PathPrefix, d.client.LearnMembers(fleet.Handler(node.engine, &node.dir, d.logger)))
 	mux.Handle("GET "+agent.StreamPath, node.agent)
 	mux.Handle("GET /metrics", d.metrics.Handler())
@@ -146,25 +147,31 @@
 	log *replica.Replica
 
 	mu      sync.Mutex
-	members []string
+	members fleet.ControllerList
 }
 
 func (d *directory) setMembers(s replica.Status) {
-	var addrs []string
+	list := fleet.ControllerList{Group: s.Group, Term: s.Term, Index: s.MembersIndex}
 	for _, member := range s.Members {
-		addrs = append(addrs, member.Addr)
+		list.Addrs = append(list.Addrs, member.Addr)
 	}
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	d.members = addrs
+	d.members = list
 }
 
 // LeaderAddr returns the address of the known leader.
 func (d *directory) LeaderAddr() string { return d.log.Leader().PeerAddr }
 
-// MemberAddrs returns the addresses of the group's members.
-func (d *directory) MemberAddrs() []string {
+// Members returns the members in the local log.
+func (d *directory) Members() fleet.ControllerList {
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	return d.members
 }
+
+// MemberAddrs returns the addresses of the members in the local log.
+func (d *directory) MemberAddrs() []string { return d.Members().Addrs }
+
+// KnownControllers returns the members in the local log.
+func (d *directory) KnownControllers() fleet.ControllerList { return d.Members() }
