Keep the newest list of controllers, whoever sends an older one

What callers would see: requests refused after a loss of the leader, because a daemon asks only controllers of the past. Cause: a daemon took any list that it was sent. Change: lists of one group are ordered by the term of the controller that they are from, then by the log index of the membership. A list without a version, as earlier builds send it, is taken over only if the known one was not confirmed for 10 s. Evidence: TestOlderListOfControllersDoesNotReplaceANewerOne; without the comparison four of its nine cases fail, as they must on the code before, which compared nothing.

--- a/daemon/fleet/announce.go
+++ b/daemon/fleet/announce.go
@@ -27,7 +27,7 @@
 // nothing.
 func (c *Client) AnnounceMembers(ctx context.Context) {
 	c.mu.Lock()
-	list, seeds := c.members(), slices.Clone(c.seeds)
+	list, seeds := c.newest(), slices.Clone(c.seeds)
 	c.mu.Unlock()
 	if len(list.Addrs) == 0 {
 		return
@@ -101,7 +101,7 @@
 	h.Set(headerSender, c.self)
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.members().setHeader(h)
+	c.newest().setHeader(h)
 }
 
 // learn takes over the list of controllers in a header that was received from a daemon. Nearly every request
@@ -125,15 +125,16 @@
 	return true
 }
 
-// offer takes over a list.
+// offer takes over a list unless a newer one is known.
 func (c *Client) offer(l ControllerList, from string) {
 	if len(l.Addrs) == 0 || c.confirm(l.headerValues()) {
 		return
 	}
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.known.offer(l, from)
-	c.known.describe(c.logger.Info()).Bool("is_member", c.self != "" && slices.Contains(l.Addrs, c.self)).Msg("controllers learned")
+	if c.known.offer(l, from) {
+		c.known.describe(c.logger.Info()).Bool("is_member", c.self != "" && slices.Contains(l.Addrs, c.self)).Msg("controllers learned")
+	}
 }
 
 // describe adds the list and its origin to a line.
--- a/daemon/fleet/client.go
+++ b/daemon/fleet/client.go
@@ -115,12 +115,12 @@
 	return c.known.list
 }
 
-// members returns the list in the local log, if there is one, or the received one; c.mu must be held.
-func (c *Client) members() ControllerList {
-	if c.group != nil {
-		return c.group()
+// newest returns the newer of the list in the local log and the received one; c.mu must be held.
+func (c *Client) newest() ControllerList {
+	if c.group == nil {
+		return c.known.list
 	}
-	return c.known.list
+	return c.group().Newer(c.known.list)
 }
 
 // MemberAddrs returns the addresses in the newest list of controllers that was received from another daemon.
@@ -290,7 +290,7 @@
 // addresses returns the seeds followed by the other known controllers; c.mu must be held.
 func (c *Client) addresses() []string {
 	all := slices.Clone(c.seeds)
-	for _, addr := range slices.Concat(c.members().Addrs, c.known.list.Addrs) {
+	for _, addr := range c.newest().Addrs {
 		if !slices.Contains(all, addr) {
 			all = append(all, addr)
 		}
--- a/daemon/fleet/controllers.go
+++ b/daemon/fleet/controllers.go
@@ -1,9 +1,11 @@
 package fleet
 
 import (
+	"cmp"
 	"fmt"
 	"net/http"
 	"strings"
+	"time"
 
 	"samphirepaddle.example/daemon/bootclock"
 )
@@ -15,7 +17,12 @@
 	headerSender     = "Samphire-Sender"     // address of the controller that sends a request
 )
 
-// ControllerList names the controllers of a group, with the state of the log that it is from.
+// confirmationTimeout is how long after its last confirmation a list yields to one without a version, which
+// earlier builds send.
+const confirmationTimeout = 10 * time.Second
+
+// ControllerList names the controllers of a group. Lists of one group are ordered by Term, then by Index: a
+// controller that was removed, or cut off for a while, goes on to name the members that it knew.
 type ControllerList struct {
 	Group string   `cbor:"1,keyasint"` // empty in lists of earlier builds, which have no version
 	Term  uint64   `cbor:"2,keyasint"` // of the controller that the list is from
@@ -23,6 +30,19 @@
 	Addrs []string `cbor:"4,keyasint"`
 }
 
+// Newer returns the newer of two lists. An empty list is older than any other; of lists that have no order
+// it returns l.
+func (l ControllerList) Newer(other ControllerList) ControllerList {
+	if len(other.Addrs) > 0 && (len(l.Addrs) == 0 || l.isOlderThan(other)) {
+		return other
+	}
+	return l
+}
+
+func (l ControllerList) isOlderThan(other ControllerList) bool {
+	return l.Group == other.Group && cmp.Or(cmp.Compare(l.Term, other.Term), cmp.Compare(l.Index, other.Index)) < 0
+}
+
 // headerValues are the values of the headers that carry a list.
 type headerValues struct{ members, membership string }
 
@@ -76,7 +96,13 @@
 	confirmed bootclock.Time // when the list was received last
 }
 
-// offer takes over another list that was received from a daemon.
-func (k *knownControllers) offer(l ControllerList, from string) {
+// offer takes over another list that was received from a daemon unless it is older. It reports whether it has
+// done so.
+func (k *knownControllers) offer(l ControllerList, from string) bool {
+	withoutVersion := l.Group == "" && k.list.Group != ""
+	if l.isOlderThan(k.list) || (withoutVersion && bootclock.Since(k.confirmed) < confirmationTimeout) {
+		return false
+	}
 	k.list, k.values, k.from, k.confirmed = l.usable(), l.headerValues(), from, bootclock.Now()
+	return true
 }
--- a/daemon/fleet/controllers_test.go
+++ b/daemon/fleet/controllers_test.go
@@ -10,8 +10,51 @@
 	"testing"
 
 	"github.com/rs/zerolog"
+
+	"samphirepaddle.example/daemon/bootclock"
 )
 
+// Guards against a daemon that asks controllers of the past for the leader, because one that was removed or
+// cut off has sent its list last.
+func TestOlderListOfControllersDoesNotReplaceANewerOne(t *testing.T) {
+	known := ControllerList{Group: "g", Term: 4, Index: 90, Addrs: []string{"new:1"}}
+	for name, test := range map[string]struct {
+		list ControllerList
+		age  bootclock.Time // of the last confirmation of the known list
+		want bool           // the list is taken over
+	}{
+		"lower index":                    {list: ControllerList{Group: "g", Term: 4, Index: 80}},
+		"uncommitted of an earlier term": {list: ControllerList{Group: "g", Term: 3, Index: 100}},
+		"higher index":                   {list: ControllerList{Group: "g", Term: 4, Index: 91}, want: true},
+		"higher term":                    {list: ControllerList{Group: "g", Term: 5, Index: 90}, want: true},
+		"another group":                  {list: ControllerList{Group: "h", Term: 1, Index: 1}, want: true},
+		"no version":                     {list: ControllerList{}},
+		"no version, long unconfirmed":   {list: ControllerList{}, age: bootclock.Time(2 * confirmationTimeout), want: true},
+		"lower index, long unconfirmed":  {list: ControllerList{Group: "g", Term: 4, Index: 80}, age: bootclock.Time(2 * confirmationTimeout)},
+		"same version, other addresses":  {list: ControllerList{Group: "g", Term: 4, Index: 90}, want: true},
+	} {
+		t.Run(name, func(t *testing.T) {
+			c := NewClient(nil, http.DefaultTransport, zerolog.Nop())
+			received := func(l ControllerList) {
+				h := http.Header{}
+				l.setHeader(h)
+				c.learn(h, "sender:1")
+			}
+			received(known)
+			c.known.confirmed -= test.age
+			test.list.Addrs = []string{"old:1"}
+			received(test.list)
+			want := known.Addrs
+			if test.want {
+				want = test.list.Addrs
+			}
+			if got := c.MemberAddrs(); !slices.Equal(got, want) {
+				t.Errorf("the controllers are %v, want %v", got, want)
+			}
+		})
+	}
+}
+
 // Guards against a version that cannot be read and hides the addresses beside it.
 func TestListWithOddVersionNamesItsControllers(t *testing.T) {
 	for _, version := range []string{"", "g", "g 1", "g x y", "g -1 2", "  ", strings.Repeat("9", 99)} {
