Let a controller outside its group name the members that it knows

What callers would see: requests refused although the group has a leader, at daemons whose seeds are controllers that have not joined yet. Two parts of a controller know controllers from different sources: its client learned the members from relays and announcements, but its responses and announcements named the members in its own log only, which is empty outside the group. Change: a controller names the newer of the two lists, in responses, calls and announcements. Evidence: TestControllerOutsideItsGroupNamesTheMembers fails on ('timed out waiting until the relay knows the members') and passes now.

--- a/daemon/fleetd/controller.go
+++ b/daemon/fleetd/controller.go
@@ -51,7 +51,7 @@
 	s := d.settings
 	node := &controllerNode{logger: d.logger}
 	d.client = fleet.NewControllerClient(s.ControlAddr, s.Controllers, d.transport(maxControllerConns), node.dir.Members, d.logger)
-	node.client = d.client
+	node.client, node.dir.client = d.client, d.client
 	workers, err := d.workerTransport()
 	if err != nil {
 		return nil, err
@@ -144,7 +144,8 @@
 
 // directory provides the addresses of the controllers to other daemons.
 type directory struct {
-	log *replica.Replica
+	log    *replica.Replica
+	client *fleet.Client
 
 	mu      sync.Mutex
 	members fleet.ControllerList
@@ -173,5 +174,8 @@
 // MemberAddrs returns the addresses of the members in the local log.
 func (d *directory) MemberAddrs() []string { return d.Members().Addrs }
 
-// KnownControllers returns the members in the local log.
-func (d *directory) KnownControllers() fleet.ControllerList { return d.Members() }
+// KnownControllers returns the members in the local log, or the list that another daemon has sent if it is
+// newer: a controller may be outside its group, or have been removed while it was cut off.
+func (d *directory) KnownControllers() fleet.ControllerList {
+	return d.Members().Newer(d.client.KnownControllers())
+}
--- a/daemon/fleetd/group_test.go
+++ b/daemon/fleetd/group_test.go
@@ -213,6 +213,23 @@
 	}
 }
 
+// Guards against a daemon that finds no leader after a loss, because the only controller that it can ask is outside its
+// group and keeps to itself whom it knows.
+func TestControllerOutsideItsGroupNamesTheMembers(t *testing.T) {
+	g := newTestGroup(t)
+	addrs := g.core[0].daemon.node.dir.MemberAddrs()
+	g.core[1].kill()
+	g.core[2].kill()
+	outside := newVM(t, true)
+	outside.start(false, g.relays...)
+	waitUntil(t, "the controller outside the group knows the members", func() bool {
+		return slices.Equal(outside.daemon.client.MemberAddrs(), addrs)
+	})
+	relay := newVM(t, false)
+	relay.start(false, outside)
+	waitUntil(t, "the relay knows the members", func() bool { return slices.Equal(relay.daemon.client.MemberAddrs(), addrs) })
+}
+
 // Guards against a controller that never joins, or a group that has lost a voter, and says so nowhere.
 func TestLastingProblemOfTheGroupIsLogged(t *testing.T) {
 	self := replica.MemberStatus{Member: consensus.Member{ID: "a", Addr: "a:1"}}
