Tell a caller that its request was not run if it got no connection

What callers saw: while no leader responds, requests that were never sent are answered 504 (may have run), after which a request that must not run twice cannot be tried again. Cause: the client of the leader took a call for sent unless its error was one of dialing. If the deadline of the request ends first, the transport returns the error of the context. Calls to workers already looked at whether there was a connection. Change: both use one function that observes the connection.

--- a/daemon/fleet/client.go
+++ b/daemon/fleet/client.go
@@ -7,7 +7,6 @@
 	"errors"
 	"fmt"
 	"io"
-	"net"
 	"net/http"
 	"net/url"
 	"slices"
@@ -242,10 +241,10 @@
 	}
 	request.GetBody = nil // prevents automatic retries by the transport
 	c.setGroupHeader(request.Header)
-	response, err := c.http.Do(request)
+	response, connected, err := DoTracked(c.http, request)
 	if err != nil {
 		c.recordFailure(addr, "")
-		return nil, !dialFailed(err), fmt.Errorf("%s at %s: %w", op, addr, err)
+		return nil, connected, fmt.Errorf("%s at %s: %w", op, addr, err)
 	}
 	defer response.Body.Close()
 	body, err = io.ReadAll(io.LimitReader(response.Body, maxCallBytes))
@@ -268,12 +267,6 @@
 	return nil, true, fmt.Errorf("%s at %s: status %d", op, addr, response.StatusCode)
 }
 
-// dialFailed reports whether the connection could not be opened, so that nothing was sent.
-func dialFailed(err error) bool {
-	var op *net.OpError
-	return errors.As(err, &op) && op.Op == "dial"
-}
-
 func (c *Client) nextAddr() string {
 	c.mu.Lock()
 	defer c.mu.Unlock()
