Report a leader as lost only if one was known

Cause: a controller that starts knows no leader until the first election, and wrote 'the leader is lost'.

--- a/daemon/fleetd/group.go
+++ b/daemon/fleetd/group.go
@@ -77,14 +77,19 @@
 	metrics *fleet.Metrics
 	asked   func() []string // addresses at which the controller looks for its group
 
-	problem groupProblem
-	backoff warnBackoff
+	hadLeader bool // a leader was known when the status was last read
+	problem   groupProblem
+	backoff   warnBackoff
 }
 
 // observe takes over the status at the time now.
 func (w *groupWatch) observe(s replica.Status, now time.Time) {
 	c := conditionOf(s, w.wanted)
 	w.setMetrics(c, s)
+	if w.hadLeader && s.Leader.ID == "" {
+		describeGroup(w.logger.Info(), s).Msg("the leader is lost")
+	}
+	w.hadLeader = s.Leader.ID != ""
 	if c.problem != w.problem {
 		w.enter(c.problem, s, now)
 	}
@@ -97,11 +102,8 @@
 
 // enter records another problem, or the end of one.
 func (w *groupWatch) enter(problem groupProblem, s replica.Status, now time.Time) {
-	switch {
-	case problem == groupHealthy && w.backoff.lines > 0:
+	if problem == groupHealthy && w.backoff.lines > 0 {
 		describeGroup(w.logger.Info(), s).Str("problem", string(w.problem)).Msg("the problem of the controller group has ended")
-	case problem == groupNoLeader:
-		describeGroup(w.logger.Info(), s).Msg("the leader is lost")
 	}
 	w.problem, w.backoff = problem, warnBackoff{first: groupWarnAfter}
 	w.backoff.begin(now)
