Replace a controller as soon as it announces its shutdown

After a graceful shutdown of a voter, its successor, a learner that had caught up, became a voter only when the old one had been silent for four election timeouts. If another voter lost its disk before, one of three voters was left, and the group had no leader for good: callers got 503 until an operator acted.

Cause: with MaxVoters, another voter is needed only in place of a silent one, and the leader could not know that a voter does not come back.

Node.Leave sets a flag on all responses of the node to the leader. The leader promotes a live learner of another VM that has caught up, and then removes the leaving voter, with the same checks as for a silent one (live quorum, one change at a time, an entry of the term committed). Without such a learner the membership stays. Its heartbeats tell the leaving voter when it may end: the removal is committed, or no live learner exists. A flag, and no message of its own, because it is repeated until the process ends, reaches a new leader as well, ends with the first response of the restarted process, and older versions ignore the unknown field. When the process is gone, the voter becomes silent as before.

The random schedules of TestInvariants and TestReplacedVotersReturn include departures.

--- a/core/consensus/disk.go
+++ b/core/consensus/disk.go
@@ -25,7 +25,7 @@
 	if m.Term == 0 {
 		m.Term = n.hardState.Term
 	}
-	n.out.Messages = append(n.out.Messages, m)
+	n.out.Messages = append(n.out.Messages, n.markLeaving(m))
 }
 
 // sendWhenDurable queues a message that is sent once the current term and vote and the
--- a/core/consensus/election.go
+++ b/core/consensus/election.go
@@ -12,6 +12,7 @@
 	n.votes = nil
 	n.peers = nil
 	n.transferTo = ""
+	n.removed = ""
 	n.uncommitted = 0
 	n.failReads()
 	n.resetElectionTimer()
@@ -163,6 +164,7 @@
 	n.ticksElapsed = 0
 	n.reprobeStalledPeers()
 	n.sendHeartbeat()
+	n.notifyRemoved()
 	n.repairMembership()
 }
 
@@ -198,7 +200,8 @@
 	return nil
 }
 
-// bestSuccessor returns the live voter with the highest match index, or an empty id.
+// bestSuccessor returns the live voter with the highest match index, or an empty id. It prefers voters
+// that are not leaving.
 func (n *Node) bestSuccessor() MemberID {
 	best := MemberID("")
 	for _, member := range n.members() {
@@ -206,7 +209,8 @@
 		if member.Learner || member.ID == n.id || p.ticksSinceMessage >= n.opts.ElectionTicks {
 			continue
 		}
-		if best == "" || p.match > n.peers[best].match {
+		b := n.peers[best]
+		if b == nil || b.leaving && !p.leaving || b.leaving == p.leaving && p.match > b.match {
 			best = member.ID
 		}
 	}
--- a/core/consensus/harness_test.go
+++ b/core/consensus/harness_test.go
@@ -59,6 +59,7 @@
 	isolated           map[MemberID]bool // nodes that can neither send nor receive messages
 	installedSnapshots int
 	network            []Message           // messages in transit
+	departures         []Departure         // that leaders have reported
 	committed          []Entry             // by index-1, as first applied by any node
 	leaders            map[uint64]MemberID // by term
 	reads              map[uint64]simRead  // reads in progress, by id
@@ -202,6 +203,7 @@
 	for _, e := range out.Committed {
 		s.apply(n, e)
 	}
+	s.departures = append(s.departures, out.Departures...)
 	for _, read := range out.Reads {
 		s.servedReads++
 		if minIndex := s.reads[read.ID].minIndex; read.Index < minIndex {
--- a/core/consensus/membership.go
+++ b/core/consensus/membership.go
@@ -47,7 +47,14 @@
 	if members.IsVoter(id) && members.Voters() == 1 {
 		return ErrLastVoter
 	}
-	return n.change(members.Without(id))
+	leaving := n.peers[id] != nil && n.peers[id].leaving
+	if err := n.change(members.Without(id)); err != nil {
+		return err
+	}
+	if leaving {
+		n.removed = id
+	}
+	return nil
 }
 
 // change appends a new membership, which takes effect immediately. It differs from the current
@@ -120,8 +127,8 @@
 // changes are committed.
 //
 // With MaxVoters, a learner of another VM takes the place of a voter that is silent, whose disk may
-// be intact. The learner is promoted first, and the silent voter is removed when that is committed.
-// If the removal came first and another voter lost its disk at this moment, the group would never
+// be intact, or that is leaving (see Leave). The learner is promoted first, and that voter is removed
+// when this is committed. If the removal came first and another voter lost its disk at this moment, the group would never
 // have a quorum again: the leader would need the vote of the lost disk, and the silent voter would
 // no longer count when it returns.
 func (n *Node) repairMembership() {
@@ -138,15 +145,15 @@
 	}
 }
 
-// removeSurplusVoter removes the silent voter whose place a promoted learner has taken. It reports
-// whether it made a change. If the silent voter has returned meanwhile, all voters stay until one
-// is silent.
+// removeSurplusVoter removes the silent or leaving voter whose place a promoted learner has taken. It
+// reports whether it made a change. If that voter has returned meanwhile, all voters stay until one
+// is silent or leaving.
 func (n *Node) removeSurplusVoter() bool {
 	if !n.aboveMaxVoters(n.members()) {
 		return false
 	}
-	silent, ok := n.silentVoter()
-	return ok && n.Remove(silent.ID) == nil
+	voter, ok := n.replaceableVoter()
+	return ok && n.Remove(voter.ID) == nil
 }
 
 // promoteOrReplace promotes the learner, or removes the member of the same gateway that it is to
@@ -164,14 +171,14 @@
 }
 
 // needsVoter reports whether a learner is to be promoted. When the maximum number of voters is
-// reached, another voter is needed only in place of a silent one.
+// reached, another voter is needed only in place of a silent or leaving one.
 func (n *Node) needsVoter() bool {
 	voters := n.members().Voters()
 	if n.opts.MaxVoters == 0 || voters < n.opts.MaxVoters {
 		return true
 	}
-	_, silent := n.silentVoter()
-	return silent && voters == n.opts.MaxVoters
+	_, ok := n.replaceableVoter()
+	return ok && voters == n.opts.MaxVoters
 }
 
 func (n *Node) aboveMaxVoters(members Membership) bool {
@@ -193,13 +200,13 @@
 	return Member{}, false
 }
 
-// silentVoter returns the voter, other than this node, that may be replaced and whose last message
-// is the oldest.
-func (n *Node) silentVoter() (Member, bool) {
+// replaceableVoter returns the voter, other than this node, that is silent or leaving and whose last
+// message is the oldest.
+func (n *Node) replaceableVoter() (Member, bool) {
 	var longest Member
 	found := false
 	for _, member := range n.members() {
-		if member.Learner || member.ID == n.id || !n.isSilent(member.ID) {
+		if member.Learner || member.ID == n.id || !n.isSilent(member.ID) && !n.peers[member.ID].leaving {
 			continue
 		}
 		if !found || n.peers[member.ID].ticksSinceMessage > n.peers[longest.ID].ticksSinceMessage {
@@ -215,9 +222,9 @@
 	return n.peers[id].ticksSinceMessage < n.opts.ElectionTicks
 }
 
-// caughtUp reports whether the learner is alive and close enough to the commit index to be
+// caughtUp reports whether the learner is alive, stays, and is close enough to the commit index to be
 // promoted.
 func (n *Node) caughtUp(id MemberID) bool {
 	p := n.peers[id]
-	return p.mode == modeReplicate && p.match+maxPromotionLag >= n.log.commit && n.alive(id)
+	return p.mode == modeReplicate && p.match+maxPromotionLag >= n.log.commit && n.alive(id) && !p.leaving
 }
--- a/core/consensus/node.go
+++ b/core/consensus/node.go
@@ -73,6 +73,10 @@
 	uncommitted   int                    // size of the entries of this term that are not committed, in bytes
 	transferTo    MemberID
 	transferTicks int
+	removed       MemberID // leader only; a departed member that is told when its removal is committed
+
+	leaving    bool // Leave was called
+	leaveKnown bool // the leader knows it, and waits for no learner to take the place of this node
 
 	memberships []indexedMembership // of the snapshot and of later entries; the last one is in force
 	reads       reads
--- a/core/consensus/progress.go
+++ b/core/consensus/progress.go
@@ -19,6 +19,7 @@
 	ticksSinceMessage    int      // since the last message from the member
 	ticksWithoutProgress int      // since the last acknowledgement or the start of a probe or snapshot
 	round                uint64   // latest read round whose heartbeat the member responded to
+	leaving              bool     // the last response of the member says that its process is shutting down
 
 	snapshot Snapshot // modeSnapshot: the snapshot that is being sent
 	offset   uint64   // modeSnapshot: offset of the chunk that is being sent
--- a/core/consensus/property_test.go
+++ b/core/consensus/property_test.go
@@ -9,7 +9,7 @@
 
 // Guards against two leaders in one term, mismatched logs, lost or reordered commits and stale
 // reads, while messages are dropped, duplicated and reordered, processes restart from their
-// durable state, disks are lost and the membership changes.
+// durable state, with and without an announced shutdown, disks are lost and the membership changes.
 func TestInvariants(t *testing.T) {
 	var commits, reads, lost, terms, changes, installs int
 	rapid.Check(t, func(t *rapid.T) {
@@ -66,6 +66,7 @@
 		{factor(2), func(s *sim, n *simNode, pick int) { s.remove(n, s.nodes[pick%len(s.nodes)]) }},
 		{factor(4), func(s *sim, n *simNode, pick int) { s.isolated[n.member.ID] = !s.isolated[n.member.ID] }},
 		{factor(10), func(s *sim, n *simNode, pick int) { clear(s.isolated) }},
+		{factor(4), func(s *sim, n *simNode, pick int) { s.leave(n) }},
 	}
 }
 
@@ -151,6 +152,9 @@
 func (s *sim) recoverAndCheck(t *rapid.T) {
 	clear(s.isolated)
 	for _, n := range s.nodes {
+		if n.node != nil && n.node.Leaving() {
+			s.crash(n, allParts) // the announced shutdown ends
+		}
 		if n.node == nil {
 			s.start(n)
 		}
--- a/core/consensus/replication.go
+++ b/core/consensus/replication.go
@@ -85,13 +85,18 @@
 		if member.ID == n.id {
 			continue
 		}
-		n.send(Message{
-			Kind: MsgHeartbeat, To: member.ID, Round: n.reads.round,
-			Commit: min(n.log.commit, n.peers[member.ID].match),
-		})
+		n.sendHeartbeatTo(member.ID)
 	}
 }
 
+func (n *Node) sendHeartbeatTo(id MemberID) {
+	p := n.peers[id]
+	n.send(Message{
+		Kind: MsgHeartbeat, To: id, Round: n.reads.round, Commit: min(n.log.commit, p.match),
+		Leaving: p.leaving && !n.replacing(),
+	})
+}
+
 // recordLeaderContact follows the leader of the current term and resets the election timer.
 func (n *Node) recordLeaderContact(leader MemberID) {
 	if n.role != RoleFollower {
@@ -104,6 +109,7 @@
 
 func (n *Node) handleHeartbeat(m Message) {
 	n.recordLeaderContact(m.From)
+	n.leaveKnown = n.leaveKnown || n.leaving && m.Leaving
 	n.log.commit = max(n.log.commit, min(m.Commit, n.log.lastIndex()))
 	n.sendWhenDurable(Message{Kind: MsgHeartbeatResponse, To: m.From, Round: m.Round}, 0)
 }
@@ -168,6 +174,7 @@
 	case MsgSnapshotResponse:
 		n.handleSnapshotResponse(m, p)
 	}
+	n.recordDeparture(m.From, m.Leaving)
 }
 
 func (n *Node) handleAppendResponse(m Message, p *progress) {
--- a/core/consensus/returning_test.go
+++ b/core/consensus/returning_test.go
@@ -11,10 +11,10 @@
 )
 
 // Guards against two leaders in one term, lost commits, stale reads and a group that makes no
-// progress, when voters are replaced by learners while they are silent and later return as learners
-// with their old log, term and membership.
+// progress, when voters are replaced by learners while they are silent or leaving and later return as
+// learners with their old log, term and membership.
 func TestReplacedVotersReturn(t *testing.T) {
-	returned, changes := 0, 0
+	returned, changes, taken := 0, 0, 0
 	rapid.Check(t, func(t *rapid.T) {
 		s := newBoundedSim(t.Fatalf, 3, rapid.SampledFrom([]int{1, 1, 2, 3}).Draw(t, "learners"))
 		source := rand.New(rand.NewPCG(rapid.Uint64().Draw(t, "seed"), rapid.Uint64().Draw(t, "stream")))
@@ -26,10 +26,15 @@
 		s.recoverAndCheck(t)
 		r, c := s.countReturns()
 		returned, changes = returned+r, changes+c
+		for _, d := range s.departures {
+			if d.Successor != "" {
+				taken++
+			}
+		}
 	})
-	t.Logf("%d memberships, %d returns of a replaced voter", changes, returned)
-	if returned == 0 {
-		t.Error("the schedules must exercise voters that are replaced and return")
+	t.Logf("%d memberships, %d returns of a replaced voter, %d departures with a successor", changes, returned, taken)
+	if returned == 0 || taken == 0 {
+		t.Error("the schedules must exercise voters that are replaced and return, and departures with a successor")
 	}
 }
 
--- a/core/consensus/types.go
+++ b/core/consensus/types.go
@@ -184,6 +184,11 @@
 	TransferRequested bool    `cbor:"12,keyasint,omitempty"` // MsgVote: the leader requested the election to transfer the leadership
 	Chunk             *Chunk  `cbor:"13,keyasint,omitempty"`
 	Offset            uint64  `cbor:"14,keyasint,omitempty"` // MsgSnapshotResponse: offset of the next expected byte
+
+	// Leaving says in a response to the leader that the process of the sender is shutting down. In
+	// MsgHeartbeat, it says that the leader knows this of the receiver and no longer waits for a
+	// learner to take its place. Earlier versions ignore it.
+	Leaving bool `cbor:"15,keyasint,omitempty"`
 }
 
 // ReadState is a confirmed read, which may be served once entry Index is applied.
@@ -210,4 +215,12 @@
 	Committed       []Entry     // to be applied in this order
 	Reads           []ReadState // confirmed reads
 	FailedReads     []uint64    // reads that ended because the leader changed
+	Departures      []Departure // voters that have announced their shutdown; leader only
+}
+
+// Departure is a voter whose process shuts down, and the learner that is to take its place once it has
+// caught up.
+type Departure struct {
+	ID        MemberID
+	Successor MemberID // empty if there is no live learner
 }
