Test that earlier versions decode an announced departure

Controllers are updated one by one, so a new voter announces its shutdown to a leader of an earlier version. The decoder skips unknown fields; the test decodes the message without the field, and with it.

--- a/core/consensus/departure_test.go
+++ b/core/consensus/departure_test.go
@@ -3,6 +3,8 @@
 import (
 	"fmt"
 	"testing"
+
+	"samphirepaddle.example/core/model"
 )
 
 // leave lets the node announce that its process ends.
@@ -193,3 +195,25 @@
 		t.Errorf("the late announcement left %+v", members)
 	}
 }
+
+// Guards against a message that earlier versions refuse, while the controllers are updated one by one,
+// and against an announcement that is lost between versions that know it.
+func TestEncodedDeparture(t *testing.T) {
+	data, err := model.Encode(Message{Kind: MsgHeartbeatResponse, From: "a", To: "b", Term: 7, Leaving: true})
+	if err != nil {
+		t.Fatal(err)
+	}
+	var m Message
+	if err := model.Decode(data, &m); err != nil || !m.Leaving {
+		t.Errorf("decoded %+v, %v", m, err)
+	}
+	var earlier struct {
+		Kind MessageKind `cbor:"1,keyasint"`
+		From MemberID    `cbor:"2,keyasint"`
+		To   MemberID    `cbor:"3,keyasint"`
+		Term uint64      `cbor:"4,keyasint"`
+	}
+	if err := model.Decode(data, &earlier); err != nil || earlier.Kind != MsgHeartbeatResponse || earlier.Term != 7 {
+		t.Errorf("an earlier version decodes %+v, %v", earlier, err)
+	}
+}
