Let a controller announce its shutdown to its group

A controller that is shut down as planned work transfers the leadership if it leads, and then announces its end (Replica.Leave), before its servers drain. The leader logs one line with the learner that takes over, or that the membership stays. The caller's view: after a planned replacement the group tolerates the next loss at once, and not only 2.4 s after the last message of the old controller.

--- a/daemon/fleetd/controller.go
+++ b/daemon/fleetd/controller.go
@@ -122,20 +122,17 @@
 	}
 }
 
-// transferTimeout bounds the leadership transfer before the process ends.
+// transferTimeout bounds the leadership transfer and the announcement of the shutdown to the group.
 const transferTimeout = 1500 * time.Millisecond
 
-// transferLeadership stops all activity as the leader and transfers the leadership.
-func (n *controllerNode) transferLeadership(force context.Context) {
+// leave stops all activity as the leader, transfers the leadership and announces the shutdown.
+func (n *controllerNode) leave(force context.Context) {
 	n.agent.Drain()
 	n.engine.Resign()
-	if !n.log.Leader().Self {
-		return
-	}
 	ctx, cancel := context.WithTimeout(force, transferTimeout)
 	defer cancel()
-	if err := n.log.TransferLeadership(ctx); err != nil {
-		n.logger.Warn().Err(err).Msg("leadership transfer failed; the other controllers will elect a leader")
+	if err := n.log.Leave(ctx); err != nil {
+		n.logger.Warn().Err(err).Msg("the group may not know of the shutdown; it elects a leader or replaces this controller after a timeout")
 	}
 }
 
--- a/daemon/fleetd/daemon.go
+++ b/daemon/fleetd/daemon.go
@@ -188,7 +188,7 @@
 	d.logger.Info().Msg("stopping")
 	d.draining.set()
 	if d.node != nil {
-		d.node.transferLeadership(force)
+		d.node.leave(force)
 	} else {
 		wait.For(force, time.Duration(d.settings.DrainMs)*time.Millisecond)
 	}
--- a/daemon/fleetd/group_test.go
+++ b/daemon/fleetd/group_test.go
@@ -38,7 +38,8 @@
 	dir    string // of the settings file, and of the log on a VM with a disk
 	disk   bool
 	daemon *Daemon
-	stop   func()
+	stop   func() // ends the daemon at once
+	term   func() // shuts the daemon down gracefully
 }
 
 func newVM(t *testing.T, disk bool) *vm {
@@ -58,7 +59,8 @@
 	v.t.Helper()
 	s := v.writeSettings(mayFound, seeds...)
 	d := newDaemon(s, v.settingsPath(), zerolog.Nop(), nil)
-	ctx, stop := context.WithCancel(context.Background())
+	force, stop := context.WithCancel(context.Background())
+	ctx, term := context.WithCancel(force)
 	listeners, err := d.build(ctx, noPlatform{})
 	if err != nil {
 		v.t.Fatal(err)
@@ -66,9 +68,9 @@
 	ended := make(chan struct{})
 	go func() {
 		defer close(ended)
-		_ = d.serve(ctx, ctx, nil, listeners) // the daemon is stopped with an ended context, which it returns
+		_ = d.serve(ctx, force, nil, listeners) // the daemon is stopped with an ended context, which it returns
 	}()
-	v.daemon, v.stop = d, func() { stop(); <-ended }
+	v.daemon, v.stop, v.term = d, func() { stop(); <-ended }, func() { term(); <-ended; stop() }
 }
 
 func (v *vm) settingsPath() string { return filepath.Join(v.dir, "settings.json") }
@@ -103,6 +105,14 @@
 	}
 }
 
+// shutDown ends the daemon as planned work does, and returns how long it took.
+func (v *vm) shutDown() time.Duration {
+	began := time.Now()
+	v.term()
+	v.daemon, v.stop = nil, nil
+	return time.Since(began)
+}
+
 func (v *vm) loseDisk() {
 	v.t.Helper()
 	if err := os.RemoveAll(filepath.Join(v.dir, "data")); err != nil {
--- a/daemon/replica/discovery.go
+++ b/daemon/replica/discovery.go
@@ -119,6 +119,9 @@
 	if d.r.node.Leader() != "" {
 		d.leaderKnownAt = now
 	}
+	if d.r.node.Leaving() {
+		return false // a replaced controller would be added again just before its process ends
+	}
 	own, ok := d.r.node.Members().Find(d.r.store.Identity().ID)
 	return !ok || own.Addr != d.r.opts.Addr || now.Sub(d.leaderKnownAt) > noLeaderTimeout
 }
--- a/daemon/replica/replica.go
+++ b/daemon/replica/replica.go
@@ -222,6 +222,7 @@
 	for _, id := range out.FailedReads {
 		r.endRead(id, readOutcome{err: ErrNotLeader})
 	}
+	r.logDepartures(out.Departures)
 	r.publishLeader()
 }
 
