Count a job as pending until one of its tasks has begun

A job counted as begun once a task of it was assigned in the log, and stayed so if the start failed.

A job now counts as begun by evidence: a worker has accepted a start (200), lists a task as running, or has listed an end of one. Ends are in the log already and prove it by themselves. For the others the leader keeps the jobs in memory and records those that are live and have no end yet together, at most once every 0.5 s, in the new field Begun of the batch of a pass. That is one id for each job at most, and none for most short jobs. A new leader learns it from the lists of the workers, so that evidence which the earlier one had not recorded is not lost while the task runs. Evidence of an attempt that was not assigned to the worker is ignored. The evidence of crashes does not serve for this: it is recorded only once the worker has crashed, and takes a start without an answer as one that ran.

Started stays as it is, and only the metric first_start_ms uses it.

Two tests of daemon/fleet wait until the job has begun or ended before they ask that it is running: an ended job stays ended.

--- a/core/workflow/apply.go
+++ b/core/workflow/apply.go
@@ -126,6 +126,9 @@
 	for _, end := range b.Ends {
 		s.recordEnd(now, end)
 	}
+	for _, job := range b.Begun {
+		s.recordBegun(job)
+	}
 	for _, incarnation := range b.Answered {
 		s.recordAnswer(incarnation)
 	}
@@ -157,6 +160,9 @@
 		}
 		worker.LastRecordedEnd = e.Number
 	}
+	if s.AwaitsBegin(e.Attempt, e.Incarnation.Worker) {
+		s.recordBegun(e.Attempt.Task.Job)
+	}
 	s.closeAttempt(now, e.Attempt, s.assignedTo(e.Attempt, e.Incarnation), e)
 }
 
--- a/core/workflow/commands.go
+++ b/core/workflow/commands.go
@@ -37,6 +37,10 @@
 	// Proven are reports of processes that have answered with their start time at the reported address;
 	// applied after Workers.
 	Proven []Worker `cbor:"9,keyasint,omitempty"`
+
+	// Begun are the jobs of which a worker has accepted a start or listed a task. An end that is recorded proves
+	// as much, so that jobs with one are left out.
+	Begun []JobID `cbor:"10,keyasint,omitempty"`
 }
 
 // SilentWorker reports that a worker process does not answer and is sent no lease until a later batch
--- a/core/workflow/queries.go
+++ b/core/workflow/queries.go
@@ -34,7 +34,7 @@
 	case PhaseCancelled:
 		return StatusCancelled, true
 	case PhaseLive:
-		if job.Started {
+		if job.Begun {
 			return StatusRunning, true
 		}
 		return StatusQueued, true
@@ -42,11 +42,11 @@
 	return "", false
 }
 
-// PendingJobs returns the number of the route's live jobs of which no task has been assigned yet.
+// PendingJobs returns the number of the route's live jobs of which no task is known to have begun.
 func (s *State) PendingJobs(route string) int {
 	count := 0
 	for _, job := range s.liveJobs {
-		if job.Route == route && !job.Started {
+		if job.Route == route && !job.Begun {
 			count++
 		}
 	}
--- a/core/workflow/types.go
+++ b/core/workflow/types.go
@@ -217,6 +217,7 @@
 	CompletedRuns map[int]bool `cbor:"20,keyasint,omitempty"` // complete occurrences of a job with a schedule
 	Reason        string       `cbor:"21,keyasint,omitempty"` // why the job failed
 	Suspects      []Suspect    `cbor:"22,keyasint,omitempty"` // tasks under which workers have crashed
+	Begun         bool         `cbor:"23,keyasint,omitempty"` // a worker has accepted, listed or ended a task
 }
 
 // Ended reports whether the job has ended, so that none of its tasks starts any more.
--- a/daemon/fleet/crash_test.go
+++ b/daemon/fleet/crash_test.go
@@ -103,6 +103,7 @@
 			if status, crashes := r.status("poison"), p.crashCount(); status != workflow.StatusFailed || crashes > maxCrashStarts {
 				t.Errorf("the job is %s after %d workers have crashed under its task", status, crashes)
 			}
+			r.untilBegunOrEnded("sound")
 			if status := r.status("sound"); status != workflow.StatusRunning {
 				t.Errorf("the job that ran beside it is %s", status)
 			}
@@ -351,6 +352,7 @@
 	}
 	sound := r.addWorker("sound", 1)
 	r.until("the task runs or the job has failed", func() bool { return len(sound.runningAttempts()) == 1 || r.status("j") == workflow.StatusFailed })
+	r.untilBegunOrEnded("j")
 	if status := r.status("j"); status != workflow.StatusRunning {
 		t.Errorf("the job is %s, although its task never ran before", status)
 	}
--- a/daemon/fleet/engine.go
+++ b/daemon/fleet/engine.go
@@ -123,6 +123,7 @@
 	connectionEnds map[workflow.Incarnation]connectionEnd // of processes that have not answered since
 	waits          map[waitKey]*waitLog
 	idleRuns       idleRuns
+	begun          begunJobs
 	plannerState   *dispatch.PlannerState
 }
 
--- a/daemon/fleet/orders.go
+++ b/daemon/fleet/orders.go
@@ -87,6 +87,7 @@
 	event := l.sampledLogger.Info()
 	switch {
 	case err == nil:
+		l.noteBegun(a, s.incarnation.Worker, now)
 		if o.phase == startSent || o.phase == startUnanswered {
 			o.phase = startAnswered
 		}
--- a/daemon/fleet/pass.go
+++ b/daemon/fleet/pass.go
@@ -36,7 +36,7 @@
 
 func (p *passPlan) empty() bool {
 	b := &p.batch
-	return len(b.Workers) == 0 && len(b.Proven) == 0 && len(b.Ends) == 0 && len(b.Crashes) == 0 && len(b.Lapsed) == 0 && len(b.Answered) == 0 && len(b.Silent) == 0 && len(b.Lost) == 0 && len(b.Assign) == 0
+	return len(b.Workers) == 0 && len(b.Proven) == 0 && len(b.Ends) == 0 && len(b.Crashes) == 0 && len(b.Lapsed) == 0 && len(b.Answered) == 0 && len(b.Silent) == 0 && len(b.Lost) == 0 && len(b.Assign) == 0 && len(b.Begun) == 0
 }
 
 // passKind is the extent of a pass.
@@ -96,6 +96,7 @@
 	}
 	l.addCrashes(workflows, ended, p)
 	l.addAnswers(workflows, now, p)
+	l.addBegun(workflows, now, p)
 	for _, incarnation := range l.incarnationsToReconcile(workflows, checkAll) {
 		l.reconcileWorker(workflows, incarnation, now, ended, p)
 	}
--- a/daemon/fleet/session.go
+++ b/daemon/fleet/session.go
@@ -366,6 +366,7 @@
 		o := s.orderOf(r.Attempt)
 		if o.firstListed == 0 {
 			o.firstListed = now
+			s.leadership.noteBegun(r.Attempt, s.incarnation.Worker, now)
 		}
 		if r.Progress != o.progress || o.progressAt == 0 {
 			o.progress, o.progressAt = r.Progress, now
