Let a relay of the test cluster go silent for good

GoSilent accepts connections and drops their bytes, also after Heal.

TestSilentRelayNeitherServesNorCloses: passes, 21 runs.

--- a/test/cluster/relay.go
+++ b/test/cluster/relay.go
@@ -1,6 +1,7 @@
 package cluster
 
 import (
+	"io"
 	"maps"
 	"net"
 	"sync"
@@ -17,6 +18,7 @@
 	allSources Impairment            // applies to every source
 	conns      map[*relayedConn]bool
 	closed     bool
+	silent     bool                 // set for good by GoSilent
 	byteCounts map[string]ByteCount // by source IP address
 }
 
@@ -95,6 +97,23 @@
 	}
 }
 
+// GoSilent accepts connections and drops their bytes from now on, also after Heal, like a VM that has
+// lost power for good: connections to it end by the deadlines of its peers only.
+func (r *Relay) GoSilent() {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.silent = true
+	for c := range r.conns {
+		c.blackholed = true
+	}
+}
+
+func (r *Relay) isSilent() bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.silent
+}
+
 // CutAll drops the traffic of every connection, in both directions.
 func (r *Relay) CutAll() {
 	r.mu.Lock()
@@ -146,12 +165,20 @@
 
 func (r *Relay) serve(client net.Conn) {
 	source, _, _ := net.SplitHostPort(client.RemoteAddr().String())
+	c := &relayedConn{source: source, client: client, backend: client}
+	if r.isSilent() {
+		if r.add(c) {
+			_, _ = io.Copy(io.Discard, client) // ends when either side closes the connection
+		}
+		r.remove(c)
+		return
+	}
 	backend, err := net.Dial("tcp", r.target)
 	if err != nil {
 		_ = client.Close()
 		return
 	}
-	c := &relayedConn{source: source, client: client, backend: backend}
+	c.backend = backend
 	if !r.add(c) {
 		c.close()
 		return
@@ -169,6 +196,7 @@
 	if r.closed {
 		return false
 	}
+	c.blackholed = r.silent
 	r.conns[c] = true
 	return true
 }
