Replace controllers and exchange seeds in the soak

The soak had neither replaced controllers nor exchanged seeds, and lost disks at most as often in a run as the group tolerates at once, so that a successor that never joins went unnoticed.

The draws of the present faults and load are unchanged: the series has a stream of its own, and the 24 kinds of faults keep order and weight.

--- a/test/cmd/soak/main.go
+++ b/test/cmd/soak/main.go
@@ -28,6 +28,7 @@
 	without     string
 	controllers int
 	gateways    int
+	series      bool
 }
 
 func main() {
@@ -41,6 +42,7 @@
 	app.Flag("without", "Name of a safeguard to remove from the source first. The run must then report a violation.").StringVar(&s.without)
 	app.Flag("controllers", "Number of controllers, 3 or 5. With 0, the seed decides.").Default("0").IntVar(&s.controllers)
 	app.Flag("gateways", "Number of gateways.").Default("3").IntVar(&s.gateways)
+	app.Flag("series", "Also replace controllers and exchange the seeds, with pauses in which the controllers catch up.").BoolVar(&s.series)
 	kingpin.MustParse(app.Parse(os.Args[1:]))
 	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt)
 	defer stop()
@@ -73,6 +75,7 @@
 		if removal, err = soak.FindRemoval(s.without); err != nil {
 			return err
 		}
+		s.series = s.series || removal.Series
 	}
 	binary, err := soak.Build(s.root, dir, removal)
 	if err != nil {
@@ -180,7 +183,7 @@
 		return soak.Report{}, err
 	}
 	report, err := soak.Run(ctx, soak.Options{
-		Binary: binary, Dir: runDir, Seed: seed, Faults: s.faults, Controllers: controllers, Gateways: s.gateways,
+		Binary: binary, Dir: runDir, Seed: seed, Faults: s.faults, Controllers: controllers, Gateways: s.gateways, Series: s.series,
 	})
 	if err == nil && len(report.Violations) == 0 {
 		err = os.RemoveAll(runDir)
--- a/test/soak/build.go
+++ b/test/soak/build.go
@@ -17,6 +17,7 @@
 	Name    string
 	Promise string // violated without the safeguard
 	Edits   []Edit
+	Series  bool // only runs with a series report it
 }
 
 // Edit replaces a text that occurs exactly once in a file of the repository.
@@ -63,6 +64,11 @@
 			{"core/consensus/election.go", "return responding >= n.members().Quorum()", "return responding > 0"},
 		},
 	},
+	{
+		// An empty controller then asks the seeds of its settings only.
+		Name: "known-controllers", Promise: "recover", Series: true,
+		Edits: []Edit{{"daemon/fleetd/controller.go", "KnownControllers: d.client.MemberAddrs,", ""}},
+	},
 }
 
 // Build compiles the daemon of the repository at root into dir. If without is not nil, the
--- a/test/soak/faults.go
+++ b/test/soak/faults.go
@@ -36,7 +36,7 @@
 	group   sync.WaitGroup
 
 	mu          sync.Mutex
-	wipedDisks  int // number of data directories removed
+	lostDisks   int // data directories removed and controllers replaced, which count together
 	tornEntries int
 }
 
@@ -45,96 +45,105 @@
 type faultKind struct {
 	name    string
 	weight  int
+	target  faultTarget
 	prepare func(f *faults, duration time.Duration) func(context.Context)
 }
 
+// faultTarget tells what a fault affects.
+type faultTarget int
+
+const (
+	core faultTarget = iota // controllers, relays or the connections to them
+	edge                    // gateways or workers
+)
+
 var faultKinds = []faultKind{
-	{"kill a controller", 3, func(f *faults, d time.Duration) func(context.Context) {
-		return f.stopAndRestart(f.anyNode(f.system.Controllers), syscall.SIGKILL, d, nil)
+	{"kill a controller", 3, core, func(f *faults, d time.Duration) func(context.Context) {
+		return f.stopAndRestart(f.anyNode(f.system.Controllers()), syscall.SIGKILL, d, nil)
 	}},
-	{"kill the leader", 3, func(f *faults, d time.Duration) func(context.Context) {
+	{"kill the leader", 3, core, func(f *faults, d time.Duration) func(context.Context) {
 		return f.stopAndRestart(f.leader(), syscall.SIGKILL, d, nil)
 	}},
-	{"stop a controller", 2, func(f *faults, d time.Duration) func(context.Context) {
-		return f.stopAndRestart(f.anyNode(f.system.Controllers), syscall.SIGTERM, d/4, nil)
+	{"stop a controller", 2, core, func(f *faults, d time.Duration) func(context.Context) {
+		return f.stopAndRestart(f.anyNode(f.system.Controllers()), syscall.SIGTERM, d/4, nil)
 	}},
-	{"kill all controllers", 1, func(f *faults, _ time.Duration) func(context.Context) { return f.killAll() }},
-	{"freeze a controller", 2, func(f *faults, d time.Duration) func(context.Context) {
-		return f.freeze(f.anyNode(f.system.Controllers), d)
+	{"kill all controllers", 1, core, func(f *faults, _ time.Duration) func(context.Context) { return f.killAll() }},
+	{"freeze a controller", 2, core, func(f *faults, d time.Duration) func(context.Context) {
+		return f.freeze(f.anyNode(f.system.Controllers()), d)
 	}},
-	{"freeze the leader", 3, func(f *faults, d time.Duration) func(context.Context) { return f.freeze(f.leader(), 2*d) }},
-	{"lose a disk", 2, func(f *faults, d time.Duration) func(context.Context) { return f.loseDisk(d) }},
-	{"append a torn log entry", 2, func(f *faults, d time.Duration) func(context.Context) {
-		return f.stopAndRestart(f.anyNode(f.system.Controllers), syscall.SIGKILL, d/4, f.appendTornEntry)
+	{"freeze the leader", 3, core, func(f *faults, d time.Duration) func(context.Context) { return f.freeze(f.leader(), 2*d) }},
+	{"lose a disk", 2, core, func(f *faults, d time.Duration) func(context.Context) { return f.loseDisk(d) }},
+	{"append a torn log entry", 2, core, func(f *faults, d time.Duration) func(context.Context) {
+		return f.stopAndRestart(f.anyNode(f.system.Controllers()), syscall.SIGKILL, d/4, f.appendTornEntry)
 	}},
-	{"cut the leader off", 4, func(f *faults, d time.Duration) func(context.Context) {
+	{"cut the leader off", 4, core, func(f *faults, d time.Duration) func(context.Context) {
 		// Long enough to elect a new leader and to exceed the bound on stale reads.
 		return f.cut(f.leader(), f.rng.IntN(3), longestFault+d)
 	}},
-	{"cut a controller off", 2, func(f *faults, d time.Duration) func(context.Context) {
-		return f.cut(f.anyNode(f.system.Controllers), f.rng.IntN(3), d)
+	{"cut a controller off", 2, core, func(f *faults, d time.Duration) func(context.Context) {
+		return f.cut(f.anyNode(f.system.Controllers()), f.rng.IntN(3), d)
 	}},
-	{"delay links", 2, func(f *faults, d time.Duration) func(context.Context) {
+	{"delay links", 2, core, func(f *faults, d time.Duration) func(context.Context) {
 		return f.delay(f.anyNode(f.system.nodes()), f.randomDuration(0, longestDelay), d)
 	}},
-	{"reset connections", 2, func(f *faults, _ time.Duration) func(context.Context) {
+	{"reset connections", 2, core, func(f *faults, _ time.Duration) func(context.Context) {
 		return f.forEachRelay((*cluster.Relay).Reset)
 	}},
-	{"blackhole connections", 2, func(f *faults, _ time.Duration) func(context.Context) {
+	{"blackhole connections", 2, core, func(f *faults, _ time.Duration) func(context.Context) {
 		return f.forEachRelay((*cluster.Relay).BlackholeConnections)
 	}},
-	{"kill a gateway", 2, func(f *faults, d time.Duration) func(context.Context) {
+	{"kill a gateway", 2, edge, func(f *faults, d time.Duration) func(context.Context) {
 		return f.stopAndRestart(f.anyNode(f.system.Gateways), syscall.SIGKILL, d, nil)
 	}},
-	{"stop a gateway", 2, func(f *faults, d time.Duration) func(context.Context) {
+	{"stop a gateway", 2, edge, func(f *faults, d time.Duration) func(context.Context) {
 		return f.stopAndRestart(f.anyNode(f.system.Gateways), syscall.SIGTERM, d/4, nil)
 	}},
-	{"freeze a gateway", 1, func(f *faults, d time.Duration) func(context.Context) {
+	{"freeze a gateway", 1, edge, func(f *faults, d time.Duration) func(context.Context) {
 		return f.freeze(f.anyNode(f.system.Gateways), d)
 	}},
-	{"crash a worker", 2, func(f *faults, _ time.Duration) func(context.Context) {
+	{"crash a worker", 2, edge, func(f *faults, _ time.Duration) func(context.Context) {
 		w := f.workers.anyWorker(f.rng)
 		return func(context.Context) { w.Crash() }
 	}},
-	{"make a worker unresponsive", 3, func(f *faults, d time.Duration) func(context.Context) {
+	{"make a worker unresponsive", 3, edge, func(f *faults, d time.Duration) func(context.Context) {
 		return f.impairWorker(standin.Fault{Unresponsive: true}, 2*d)
 	}},
-	{"delay starts", 5, func(f *faults, d time.Duration) func(context.Context) {
+	{"delay starts", 5, edge, func(f *faults, d time.Duration) func(context.Context) {
 		return f.impairWorker(standin.Fault{StartDelay: f.randomDuration(shortestFault, longestStartDelay)}, d)
 	}},
-	{"kill the leader while starts are delayed", 4, func(f *faults, d time.Duration) func(context.Context) {
+	{"kill the leader while starts are delayed", 4, core, func(f *faults, d time.Duration) func(context.Context) {
 		return f.delayStartsAcrossLeaders(d)
 	}},
-	{"failing worker", 1, func(f *faults, d time.Duration) func(context.Context) {
+	{"failing worker", 1, edge, func(f *faults, d time.Duration) func(context.Context) {
 		return f.impairWorker(standin.Fault{FailAll: true}, d)
 	}},
-	{"stalled worker", 1, func(f *faults, d time.Duration) func(context.Context) {
+	{"stalled worker", 1, edge, func(f *faults, d time.Duration) func(context.Context) {
 		return f.impairWorker(standin.Fault{Stall: true}, d)
 	}},
-	{"refusing worker", 1, func(f *faults, d time.Duration) func(context.Context) {
+	{"refusing worker", 1, edge, func(f *faults, d time.Duration) func(context.Context) {
 		return f.impairWorker(standin.Fault{RefuseStarts: true}, d)
 	}},
-	{"replace a worker", 1, func(f *faults, _ time.Duration) func(context.Context) {
+	{"replace a worker", 1, edge, func(f *faults, _ time.Duration) func(context.Context) {
 		return func(ctx context.Context) { f.workers.replace(ctx) }
 	}},
 }
 
-// run injects faults until ctx is done and then waits until each of them has ended.
-func (f *faults) run(ctx context.Context) {
+// run injects faults of the given kinds until ctx is done and then waits until each of them has ended.
+func (f *faults) run(ctx context.Context, kinds []faultKind) {
 	total := 0
-	for _, k := range faultKinds {
+	for _, k := range kinds {
 		total += k.weight
 	}
 	for ctx.Err() == nil {
 		n := f.rng.IntN(total)
 		i := 0
-		for n >= faultKinds[i].weight {
-			n -= faultKinds[i].weight
+		for n >= kinds[i].weight {
+			n -= kinds[i].weight
 			i++
 		}
 		duration := f.randomDuration(shortestFault, longestFault)
-		inject := faultKinds[i].prepare(f, duration)
-		f.log(fmt.Sprintf("%s, %v", faultKinds[i].name, duration.Round(time.Millisecond)))
+		inject := kinds[i].prepare(f, duration)
+		f.log(fmt.Sprintf("%s, %v", kinds[i].name, duration.Round(time.Millisecond)))
 		f.group.Go(func() { inject(ctx) })
 		wait.For(ctx, time.Duration(f.rng.ExpFloat64()*float64(meanFaultPause)))
 	}
@@ -152,7 +161,7 @@
 	if n := f.system.leader(); n != nil {
 		return n
 	}
-	return f.anyNode(f.system.Controllers)
+	return f.anyNode(f.system.Controllers())
 }
 
 // stopAndRestart ends a process with a signal and starts it again after a time. If whileStopped
@@ -182,7 +191,7 @@
 func (f *faults) killAll() func(context.Context) {
 	return func(ctx context.Context) {
 		var held []*Node
-		for _, n := range f.system.Controllers {
+		for _, n := range f.system.Controllers() {
 			if n.faultLock.TryLock() {
 				held = append(held, n)
 				n.Signal(syscall.SIGKILL)
@@ -209,27 +218,37 @@
 	}
 }
 
-// loseDisk kills a controller and removes its data, unless this run has already removed as many
-// disks as the group tolerates at once. Disks count for the whole run, because the test cannot
-// tell when a controller has caught up: catching up needs a leader, whose election other faults
-// may prevent.
+// loseDisk kills a controller and removes its data, unless the group tolerates no further loss.
 func (f *faults) loseDisk(duration time.Duration) func(context.Context) {
-	n := f.anyNode(f.system.Controllers)
+	n := f.anyNode(f.system.Controllers())
 	return func(ctx context.Context) {
 		f.stopAndRestart(n, syscall.SIGKILL, duration/2, func(n *Node) {
-			f.mu.Lock()
-			defer f.mu.Unlock()
-			if f.wipedDisks >= len(f.system.Controllers)/2 {
-				return
-			}
-			f.wipedDisks++
-			if err := os.RemoveAll(n.DataDir); err != nil {
-				f.log(err.Error())
+			if f.countLoss() {
+				f.removeData(n)
 			}
 		})(ctx)
 	}
 }
 
+// countLoss counts the loss of a disk and reports whether the group tolerates it. Without a series,
+// disks count for the whole run, because the test cannot tell when a controller has caught up:
+// catching up needs a leader, whose election other faults may prevent.
+func (f *faults) countLoss() bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if f.lostDisks >= f.system.tolerance {
+		return false
+	}
+	f.lostDisks++
+	return true
+}
+
+func (f *faults) removeData(n *Node) {
+	if err := os.RemoveAll(n.DataDir); err != nil {
+		f.log(err.Error())
+	}
+}
+
 // appendTornEntry appends garbage to the newest segment of a log, like an entry that a power loss
 // left incomplete.
 func (f *faults) appendTornEntry(n *Node) {
--- a/test/soak/load.go
+++ b/test/soak/load.go
@@ -4,6 +4,7 @@
 	"context"
 	"fmt"
 	"math/rand/v2"
+	"slices"
 	"strings"
 	"sync"
 	"time"
@@ -84,13 +85,14 @@
 
 // load sends requests to the daemons until its context is done.
 type load struct {
-	checker     *Checker
-	gateways    []string
-	controllers []string
-	group       sync.WaitGroup
-	mu          sync.Mutex
-	longRunning []string // IDs of accepted long-running jobs, cancelled at the end of the run
-	version     uint64   // version of the last configuration sent
+	checker      *Checker
+	gateways     []string
+	controlAddrs func() []string // addresses that serve operators now
+	group        sync.WaitGroup
+	watchCtx     context.Context // ends the reads of the configuration
+	mu           sync.Mutex
+	longRunning  []string // IDs of accepted long-running jobs, cancelled at the end of the run
+	version      uint64   // version of the last configuration sent
 }
 
 func (l *load) start(ctx context.Context, seed uint64) {
@@ -99,11 +101,17 @@
 		l.group.Go(func() { l.runCaller(ctx, i, rng) })
 	}
 	l.group.Go(func() { l.runOperator(ctx, rand.New(rand.NewPCG(seed, 1000))) })
-	for _, addr := range l.controllers {
-		l.group.Go(func() { l.watchConfiguration(ctx, addr) })
+	l.watchCtx = ctx
+	for _, addr := range l.controlAddrs() {
+		l.watch(addr)
 	}
 }
 
+// watch reads the configuration at an address while it serves operators.
+func (l *load) watch(addr string) {
+	l.group.Go(func() { l.watchConfiguration(l.watchCtx, addr) })
+}
+
 // runCaller runs one caller until ctx is done. The caller stays with a gateway until a request
 // fails there.
 func (l *load) runCaller(ctx context.Context, number int, rng *rand.Rand) {
@@ -203,16 +211,17 @@
 func (l *load) runOperator(ctx context.Context, rng *rand.Rand) {
 	operator := standin.NewCaller("", nil)
 	for ctx.Err() == nil {
-		l.configure(ctx, operator, l.controllers[rng.IntN(len(l.controllers))])
+		addrs := l.controlAddrs()
+		l.configure(ctx, operator, addrs[rng.IntN(len(addrs))])
 		wait.For(ctx, time.Duration(rng.ExpFloat64()*float64(configPause)))
 	}
 }
 
-// watchConfiguration periodically reads the configuration from one controller. Reads do not wait
+// watchConfiguration periodically reads the configuration from one daemon until it is replaced. Reads do not wait
 // for earlier ones, because a frozen controller may respond to several of them when it resumes.
 func (l *load) watchConfiguration(ctx context.Context, controller string) {
 	operator := standin.NewCaller("", nil)
-	for ctx.Err() == nil {
+	for ctx.Err() == nil && slices.Contains(l.controlAddrs(), controller) {
 		l.group.Go(func() { l.readConfiguration(ctx, operator, controller) })
 		wait.For(ctx, readPause)
 	}
--- a/test/soak/run.go
+++ b/test/soak/run.go
@@ -8,6 +8,7 @@
 	"math/rand/v2"
 	"os"
 	"path/filepath"
+	"slices"
 	"sync"
 	"time"
 
@@ -23,6 +24,7 @@
 	Faults      time.Duration // how long faults are injected
 	Controllers int           // 3 or 5
 	Gateways    int
+	Series      bool // also replace controllers and exchange the seeds, in bursts of faults
 }
 
 // ControllersOf returns the default number of controllers for a seed: 3 or 5.
@@ -47,7 +49,11 @@
 // Run runs the load and the faults of one seed and reports the violations.
 func Run(parent context.Context, o Options) (Report, error) {
 	startedAt := time.Now()
-	system, err := newSystem(o.Binary, o.Dir, o.Controllers, o.Gateways)
+	relays := 0
+	if o.Series {
+		relays = relaysOf(o.Seed)
+	}
+	system, err := newSystem(o.Binary, o.Dir, o.Controllers, o.Gateways, relays)
 	if err != nil {
 		return Report{}, err
 	}
@@ -66,9 +72,10 @@
 	defer traceLog.close()
 	checker := NewChecker(traceLog.write)
 	r := &runner{options: o, system: system, checker: checker, faultLog: faultLog}
-	r.workers = newWorkers(ctx, checker, addresses(system.Controllers))
+	controlAddrs := func() []string { return addresses(system.controlNodes()) }
+	r.workers = newWorkers(ctx, checker, addresses(slices.Concat(system.Relays, system.Controllers())))
 	defer r.workers.close()
-	r.load = &load{checker: checker, gateways: addresses(system.Gateways), controllers: addresses(system.Controllers)}
+	r.load = &load{checker: checker, gateways: addresses(system.Gateways), controlAddrs: controlAddrs}
 	if err := r.startSystem(ctx); err != nil {
 		return Report{}, err
 	}
@@ -97,7 +104,7 @@
 		return err
 	}
 	operator := standin.NewCaller("", nil)
-	if !eventually(ctx, func() bool { return r.load.configure(ctx, operator, r.load.controllers[0]) }) {
+	if !eventually(ctx, func() bool { return r.load.configure(ctx, operator, r.load.controlAddrs()[0]) }) {
 		return errors.New("the daemons did not accept the first configuration in time")
 	}
 	// The first three controllers form the group. It tolerates losses only once the other
@@ -114,9 +121,13 @@
 	f := &faults{
 		system: r.system, workers: r.workers, rng: rand.New(rand.NewPCG(r.options.Seed, 7)), log: r.faultLog.write,
 	}
-	faultCtx, stopFaults := context.WithTimeout(ctx, r.options.Faults)
-	defer stopFaults()
-	f.run(faultCtx)
+	if r.options.Series {
+		r.runSeries(ctx, f)
+	} else {
+		faultCtx, stopFaults := context.WithTimeout(ctx, r.options.Faults)
+		defer stopFaults()
+		f.run(faultCtx, faultKinds)
+	}
 	r.workers.setAll(standin.Fault{})
 	if err := r.system.heal(); err != nil {
 		r.fail("recover", "a daemon failed to start after the faults: %v", err)
@@ -128,6 +139,15 @@
 	r.load.group.Wait()
 }
 
+// runSeries injects the faults in bursts, with a stable core after each of them.
+func (r *runner) runSeries(ctx context.Context, f *faults) {
+	s := &series{
+		faults: f, load: r.load, rng: rand.New(rand.NewPCG(r.options.Seed, 8)), operator: standin.NewCaller("", nil),
+		fail: r.fail, rounds: max(1, int(r.options.Faults/burstTime)),
+	}
+	s.run(ctx)
+}
+
 // settle checks that the system recovers: gateways accept jobs, all accepted jobs end,
 // cancellations take effect and controllers return the latest configuration.
 func (r *runner) settle(ctx context.Context) {
@@ -192,10 +212,10 @@
 	}
 }
 
-// checkConfiguration reads the configuration from every controller once more and checks it.
+// checkConfiguration reads the configuration from every daemon that serves operators once more and checks it.
 func (r *runner) checkConfiguration(ctx context.Context) {
 	operator := standin.NewCaller("", nil)
-	for _, addr := range r.load.controllers {
+	for _, addr := range r.load.controlAddrs() {
 		read := func() bool {
 			requestCtx, cancel := context.WithTimeout(ctx, requestTimeout)
 			defer cancel()
--- a/test/soak/system.go
+++ b/test/soak/system.go
@@ -7,112 +7,107 @@
 package soak
 
 import (
-	"encoding/json"
 	"errors"
-	"fmt"
 	"net/http"
-	"os"
-	"path/filepath"
+	"slices"
 	"strings"
 	"sync"
 	"time"
-
-	"samphirepaddle.example/test/cluster"
 )
 
-// Node is one daemon and the relay through which it is reached.
-type Node struct {
-	*cluster.Process
-	Name    string
-	IP      string // source address of the connections that it opens
-	Listen  string
-	Relay   *cluster.Relay // in front of Listen; the other processes connect to its address
-	DataDir string         // empty for a gateway
-
-	faultLock    sync.Mutex // held while a fault stops or freezes the process
-	settings     map[string]any
-	settingsPath string
-}
-
-// System is the set of daemons of one run.
+// System is the set of daemons of one run. Controllers may be replaced while the daemons run.
 type System struct {
-	Controllers []*Node
-	Gateways    []*Node
-	dir         string
+	Gateways []*Node
+	Relays   []*Node // daemons of role relay, which serve control without a disk
+	binary   string
+	dir      string
+
+	mu          sync.Mutex
+	controllers []*Node  // without those that were replaced
+	all         []*Node  // every daemon that was ever created
+	seeds       []string // addresses that the settings name for finding the controllers
+	tolerance   int      // number of controllers whose simultaneous loss is tolerated
 }
 
-// Settings of the daemons. Three controllers tolerate the loss of one, five of two.
-const (
-	firstHostByte = 31 // last byte of the first daemon's loopback address
-	workerLeaseMs = 3000
-	memoryMiB     = 256
-	drainMs       = 300 // short, because there is no load balancer that must notice the drain
-)
-
 // newSystem writes the settings of the daemons and creates their relays, without starting the
-// daemons.
-func newSystem(binary, dir string, controllers, gateways int) (*System, error) {
-	s := &System{dir: dir}
-	for i := range controllers + gateways {
-		n, err := newNode(binary, dir, i, i < controllers)
-		if err != nil {
-			s.close()
-			return nil, err
-		}
-		if i < controllers {
-			s.Controllers = append(s.Controllers, n)
-		} else {
-			s.Gateways = append(s.Gateways, n)
+// daemons. Three controllers tolerate the loss of one, five of two.
+func newSystem(binary, dir string, controllers, gateways, relays int) (*System, error) {
+	s := &System{binary: binary, dir: dir, tolerance: controllers / 2}
+	for i := range controllers + gateways + relays {
+		role := roleController
+		switch {
+		case i >= controllers+gateways:
+			role = roleRelay
+		case i >= controllers:
+			role = roleGateway
 		}
-	}
-	var initialControllers []string
-	for _, n := range s.Controllers[:3] {
-		initialControllers = append(initialControllers, n.Relay.Addr())
-	}
-	for _, n := range append(append([]*Node{}, s.Controllers...), s.Gateways...) {
-		n.settings["controllers"] = initialControllers
-		n.settings["tolerated_vms"] = controllers / 2
-		if err := n.writeSettings(); err != nil {
+		if err := s.addNode(role); err != nil {
 			s.close()
 			return nil, err
 		}
 	}
+	if err := s.setSeeds(addresses(s.controllers[:3])); err != nil {
+		s.close()
+		return nil, err
+	}
 	return s, nil
 }
 
-func newNode(binary, dir string, i int, controller bool) (*Node, error) {
-	ip := fmt.Sprintf("127.0.0.%d", firstHostByte+i)
-	ports, err := cluster.FreePorts(ip, 2)
+// addNode creates a daemon of a role, without writing its settings.
+func (s *System) addNode(role string) error {
+	n, err := newNode(s.binary, s.dir, len(s.all), role)
 	if err != nil {
-		return nil, err
-	}
-	n := &Node{Name: fmt.Sprintf("vm-%d", i+1), IP: ip, Listen: ports[0]}
-	if n.Relay, err = cluster.NewRelay(ip+":0", n.Listen); err != nil {
-		return nil, err
+		return err
 	}
-	n.settings = map[string]any{
-		"id": n.Name, "zone": fmt.Sprintf("zone-%d", i%3), "source_ip": ip, "memory_mib": memoryMiB, "drain_ms": drainMs,
+	n.settings["tolerated_vms"] = s.tolerance
+	s.all = append(s.all, n)
+	switch role {
+	case roleController:
+		n.settings["may_found"] = true
+		s.controllers = append(s.controllers, n)
+	case roleRelay:
+		s.Relays = append(s.Relays, n)
+	default:
+		s.Gateways = append(s.Gateways, n)
 	}
-	if controller {
-		n.DataDir = filepath.Join(dir, n.Name+"-data")
-		n.settings["role"], n.settings["data_dir"], n.settings["may_found"] = "controller", n.DataDir, true
-		n.settings["control_listen"], n.settings["control_addr"] = n.Listen, n.Relay.Addr()
-		n.settings["worker_lease_ms"] = workerLeaseMs
-		n.settings["agent_workers"] = 1 // every call passes through another controller
-	} else {
-		n.settings["role"], n.settings["callers_listen"], n.settings["ready_listen"] = "gateway", n.Listen, ports[1]
+	return nil
+}
+
+// setSeeds writes the seeds to the settings of every daemon that was not replaced.
+func (s *System) setSeeds(seeds []string) error {
+	nodes := s.nodes()
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.seeds = seeds
+	for _, n := range nodes {
+		n.settings["controllers"] = seeds
+		if err := n.writeSettings(); err != nil {
+			return err
+		}
 	}
-	n.settingsPath = filepath.Join(dir, n.Name+".json")
-	n.Process = cluster.NewProcess(binary, []string{"fleet", "--settings", n.settingsPath}, filepath.Join(dir, n.Name+".log"))
-	return n, nil
+	return nil
 }
 
-func (n *Node) writeSettings() error {
-	data, err := json.MarshalIndent(n.settings, "", "  ")
+// replaceController puts a new controller with an empty disk and the present seeds in the place of
+// old, without starting it.
+func (s *System) replaceController(old *Node) (*Node, error) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	n, err := newNode(s.binary, s.dir, len(s.all), roleController)
 	if err != nil {
-		return err
+		return nil, err
 	}
-	return os.WriteFile(n.settingsPath, data, 0o600)
+	s.all = append(s.all, n)
+	n.settings["tolerated_vms"], n.settings["controllers"], n.settings["may_found"] = s.tolerance, s.seeds, false
+	s.controllers[slices.Index(s.controllers, old)] = n
+	return n, n.writeSettings()
+}
+
+// Controllers returns the controllers that were not replaced.
+func (s *System) Controllers() []*Node {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return slices.Clone(s.controllers)
 }
 
 func (s *System) start() error {
@@ -124,12 +119,22 @@
 	return nil
 }
 
-func (s *System) nodes() []*Node { return append(append([]*Node{}, s.Controllers...), s.Gateways...) }
+// nodes returns the daemons that were not replaced.
+func (s *System) nodes() []*Node { return slices.Concat(s.Controllers(), s.Gateways, s.Relays) }
+
+// controlNodes returns the daemons that serve workers and operators.
+func (s *System) controlNodes() []*Node { return slices.Concat(s.Controllers(), s.Relays) }
+
+func (s *System) allNodes() []*Node {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return slices.Clone(s.all)
+}
 
 // disableFounding makes a controller that restarts without its data join the existing group
 // instead of founding a new one.
 func (s *System) disableFounding() error {
-	for _, n := range s.Controllers {
+	for _, n := range s.Controllers() {
 		n.settings["may_found"] = false
 		if err := n.writeSettings(); err != nil {
 			return err
@@ -156,7 +161,7 @@
 }
 
 func (s *System) close() {
-	for _, n := range s.nodes() {
+	for _, n := range s.allNodes() {
 		n.Resume()
 		n.Kill()
 		n.Relay.Close()
@@ -166,7 +171,7 @@
 // leader returns the controller that is leader, or nil. It bypasses the relays.
 func (s *System) leader() *Node {
 	client := http.Client{Timeout: 100 * time.Millisecond}
-	for _, n := range s.Controllers {
+	for _, n := range s.Controllers() {
 		response, err := client.Post("http://"+n.Listen+"/fleet/v1/ping", "application/cbor", strings.NewReader("\xa0"))
 		if err != nil {
 			continue
@@ -191,7 +196,7 @@
 // that faults killed write none.
 func (s *System) crashLines() []string {
 	var found []string
-	for _, n := range s.nodes() {
+	for _, n := range s.allNodes() {
 		for line := range strings.Lines(n.Log()) {
 			if strings.Contains(line, "panic:") || strings.Contains(line, "fatal error:") || strings.Contains(line, "DATA RACE") {
 				found = append(found, n.Name+": "+strings.TrimSpace(line))
