Let later messages to a controller overtake a call that gets no response

Cause: all entries to one controller wait for one call, for up to 3 s, and its connection may be silent or wait for a retransmission while others work. Change: after 200 ms the next batch goes out in another call, at most four at a time for one queue. Consensus already copes with messages that are lost, repeated or late.

--- a/daemon/replica/transport.go
+++ b/daemon/replica/transport.go
@@ -27,6 +27,12 @@
 	controlTimeout   = 500 * time.Millisecond // for a call with heartbeats, votes and responses
 	entriesTimeout   = 3 * time.Second        // for a call with entries or snapshot data
 	queueIdleTimeout = time.Minute            // after which an unused queue is removed
+
+	// overtakeDelay is the time after which later messages no longer wait for a call. A connection may go
+	// silent or lose packets while another one works, and a group that commits nothing until the call
+	// times out can neither replace a member nor elect a leader that may act.
+	overtakeDelay = 200 * time.Millisecond
+	maxCalls      = 4 // in progress in one send queue
 )
 
 // queueKey identifies a send queue. Messages with entries or snapshot data have a queue of their
@@ -55,6 +61,7 @@
 	discovery *batch // batch with a discovery request or response; a later one replaces it
 	bytes     int
 	ready     chan struct{}
+	calls     chan struct{} // holds an element for each call in progress
 }
 
 func (t *transport) init(r *Replica) {
@@ -98,6 +105,7 @@
 			key:    key,
 			client: rpc.NewConsensusProtobufClient("http://"+key.addr, t.r.opts.Client),
 			ready:  make(chan struct{}, 1),
+			calls:  make(chan struct{}, maxCalls),
 		}
 		t.queues[key] = q
 		t.r.goroutines.Add(1)
@@ -176,11 +184,42 @@
 	return messages, discovery
 }
 
-// sendBatch makes one call. It reports whether there was something to send.
+// sendBatch makes one call and waits until it ends, or until the next one may overtake it. It reports
+// whether there was something to send.
 func (t *transport) sendBatch(q *sendQueue) bool {
+	select {
+	case q.calls <- struct{}{}:
+	case <-t.ctx.Done():
+		return false
+	}
+	data, found := t.encodeBatch(q)
+	if data == nil {
+		<-q.calls
+		return found
+	}
+	ended := make(chan struct{})
+	t.r.goroutines.Add(1)
+	go func() {
+		defer t.r.goroutines.Done()
+		defer close(ended)
+		t.call(q, data)
+		<-q.calls
+	}()
+	overtake := time.NewTimer(overtakeDelay)
+	defer overtake.Stop()
+	select {
+	case <-ended:
+	case <-overtake.C:
+	}
+	return true
+}
+
+// encodeBatch takes a batch from the queue, and reports whether there was one. data is nil if it cannot be
+// encoded.
+func (t *transport) encodeBatch(q *sendQueue) (data []byte, found bool) {
 	messages, discovery := t.takeBatch(q)
 	if len(messages) == 0 && discovery == nil {
-		return false
+		return nil, false
 	}
 	b := batch{Addr: t.r.opts.Addr, Messages: t.loadChunks(messages)}
 	identity := t.r.identity()
@@ -191,22 +230,25 @@
 	data, err := model.Encode(b)
 	if err != nil {
 		t.r.opts.Logger.Error().Err(err).Msg("cannot encode batch of messages")
-		return true
+		return nil, true
 	}
+	return data, true
+}
+
+// call sends a batch. Messages of a failed call are lost; consensus sends again what is still needed.
+func (t *transport) call(q *sendQueue, data []byte) {
 	timeout := controlTimeout
 	if q.key.entries {
 		timeout = entriesTimeout
 	}
 	ctx, cancel := context.WithTimeout(withoutUserAgent(t.ctx), timeout)
 	defer cancel()
-	// Messages of a failed call are lost; consensus sends again what is still needed.
 	if _, err := q.client.Step(ctx, &rpc.StepRequest{Messages: data}); err != nil && t.ctx.Err() == nil {
 		t.r.opts.Logger.Debug().Err(err).Str("peer", q.key.addr).Msg("call to another controller failed")
 	}
 	t.mu.Lock()
 	t.totalSent += uint64(len(data))
 	t.mu.Unlock()
-	return true
 }
 
 // withoutUserAgent leaves the User-Agent header out of twirp calls. Most calls of an idle
