--- a/core/consensus/departure_test.go
+++ b/core/consensus/departure_test.go
@@ -95,7 +95,8 @@
 				}
 			}
 			if len(failed) > 0 {
-				t.Errorf("leader leaves %v, disk of the leader lost %v: no quorum for good if lost at %v ticks after the end of the process", leaderLeaves, leaderLost, failed)
+				t.Errorf("leader leaves %v, disk of the leader lost %v: no quorum for good if lost at %v ticks after the end"+
+					" of the process", leaderLeaves, leaderLost, failed)
 			}
 		}
 	}
