Count the voters that may still be lost in the watch of the group

What operators would see: no line and no change of a metric while a group of four voters, one of them silent, tolerates no further loss. Cause: the watch compared the live voters with the wanted ones; with four voters, three live ones are just the quorum. Found by an independent review. Change: it compares the live voters beyond the quorum with the losses that the settings ask to tolerate. Evidence: the row 'four, one silent' of TestLastingProblemOfTheGroupIsLogged failed before.

--- a/daemon/fleetd/group.go
+++ b/daemon/fleetd/group.go
@@ -28,7 +28,7 @@
 	groupNotFound groupProblem = "this controller has not found its group"
 	groupNotAdded groupProblem = "this controller is not a member of its group"
 	groupNoLeader groupProblem = "this controller knows no leader of its group"
-	groupTooSmall groupProblem = "the group has fewer voters that respond than the settings ask for"
+	groupTooSmall groupProblem = "the group tolerates fewer losses than the settings ask for"
 )
 
 // groupCondition is what one controller knows of its group.
@@ -40,6 +40,9 @@
 	silent  []string // addresses of the other voters
 }
 
+// reserve is the number of voters that may still be lost.
+func (c groupCondition) reserve() int { return c.live - (c.voters/2 + 1) }
+
 // conditionOf derives the condition of the group from the status of a controller. wanted is the number of
 // voters that the settings ask for.
 func conditionOf(s replica.Status, wanted int) groupCondition {
@@ -64,7 +67,7 @@
 		c.problem = groupNotAdded
 	case s.Leader.ID == "":
 		c.problem = groupNoLeader
-	case c.leads && c.live < wanted:
+	case c.leads && c.reserve() < (wanted-1)/2:
 		c.problem = groupTooSmall
 	}
 	return c
--- a/daemon/fleetd/group_test.go
+++ b/daemon/fleetd/group_test.go
@@ -253,6 +253,7 @@
 		"empty disk":       {replica.Status{ID: "a"}, groupNotFound},
 		"not added":        {replica.Status{ID: "a", Group: "g", Members: []replica.MemberStatus{live}}, groupNotAdded},
 		"two voters":       {replica.Status{ID: "a", Group: "g", Leader: leader, Members: []replica.MemberStatus{self, live, learner}}, groupTooSmall},
+		"four, one silent": {replica.Status{ID: "a", Group: "g", Leader: leader, Members: []replica.MemberStatus{self, live, live, silent}}, groupTooSmall},
 		"a silent voter":   {replica.Status{ID: "a", Group: "g", Leader: leader, Members: []replica.MemberStatus{self, live, silent}}, groupTooSmall},
 		"follower":         {replica.Status{ID: "a", Group: "g", Leader: other, Members: []replica.MemberStatus{self, live}}, groupHealthy},
 		"no leader":        {replica.Status{ID: "a", Group: "g", Members: []replica.MemberStatus{self, live}}, groupNoLeader},
