Bring known faults back and run the checks against them

Nothing showed which check finds which fault.

Change: test/planted has a catalogue of source changes, one or more for the cause of each incident, each fixed review case and each promise of the issue. test/cmd/planted applies one change to a copy of the tree, builds it, runs the checks that are expected to find it (tests, models, soak seeds) and writes a table. A change that does not apply or compile, a check that does not exist or does not compile, and one that fails on the unchanged source, are errors.

--- a/spec/check.sh
+++ b/spec/check.sh
@@ -106,6 +106,19 @@
   cases+=('ownership holds -DMAXEPOCH=3')
 fi
 
+# --only CASE runs one of the cases above.
+if [ "${1:-}" = --only ]; then
+  known=false
+  for case in "${cases[@]}"; do
+    [ "$case" = "${2:-}" ] && known=true
+  done
+  if [ "$known" = false ]; then
+    echo "no such case: ${2:-}" >&2
+    exit 2
+  fi
+  cases=("$2")
+fi
+
 pids=()
 for index in "${!cases[@]}"; do
   while [ "$(jobs -rp | wc -l)" -ge "$parallel" ]; do
--- a/test/cmd/soak/main.go
+++ b/test/cmd/soak/main.go
@@ -8,13 +8,12 @@
 	"os"
 	"os/signal"
 	"path/filepath"
-	"strconv"
-	"strings"
 	"sync"
 	"time"
 
 	"github.com/alecthomas/kingpin/v2"
 
+	"samphirepaddle.example/test/planted"
 	"samphirepaddle.example/test/soak"
 )
 
@@ -38,7 +37,7 @@
 	app.Flag("jobs", "Number of seeds that run in parallel.").Default("3").IntVar(&s.jobs)
 	app.Flag("dir", "Directory for logs. Logs of seeds without violations are removed.").Default("soak-runs").StringVar(&s.dir)
 	app.Flag("root", "Root of the repository.").Default(".").ExistingDirVar(&s.root)
-	app.Flag("without", "Name of a safeguard to remove from the source first. The run must then report a violation.").StringVar(&s.without)
+	app.Flag("without", "Fault of the catalogue in test/planted to plant first. The run must then report a violation of its promise.").StringVar(&s.without)
 	app.Flag("controllers", "Number of controllers, 3 or 5. With 0, the seed decides.").Default("0").IntVar(&s.controllers)
 	app.Flag("gateways", "Number of gateways.").Default("3").IntVar(&s.gateways)
 	kingpin.MustParse(app.Parse(os.Args[1:]))
@@ -68,17 +67,15 @@
 	if err := os.MkdirAll(dir, 0o700); err != nil {
 		return err
 	}
-	var removal *soak.Removal
-	if s.without != "" {
-		if removal, err = soak.FindRemoval(s.without); err != nil {
-			return err
-		}
+	fault, err := findFault(s.without)
+	if err != nil {
+		return err
 	}
-	binary, err := soak.Build(s.root, dir, removal)
+	binary, err := soak.Build(s.root, dir, fault)
 	if err != nil {
 		return err
 	}
-	return runSeeds(ctx, s, binary, dir, first, last, removal)
+	return runSeeds(ctx, s, binary, dir, first, last, fault)
 }
 
 // defaultSeeds is the number of seeds that are run without --seeds.
@@ -89,27 +86,25 @@
 		first = uint64(time.Now().Unix())
 		return first, first + defaultSeeds - 1, nil
 	}
-	from, to, found := strings.Cut(text, "-")
-	if !found {
-		to = from
-	}
-	first, err = strconv.ParseUint(from, 10, 64)
-	if err != nil {
-		return 0, 0, fmt.Errorf("--seeds %q: %w", text, err)
-	}
-	last, err = strconv.ParseUint(to, 10, 64)
-	if err == nil && last < first {
-		err = errors.New("the last seed is less than the first")
+	return planted.ParseSeeds(text)
+}
+
+// findFault returns the fault with the id, or nil if the id is empty. Its promise must be known, because a
+// violation of another one may have another cause.
+func findFault(id string) (*planted.Fault, error) {
+	if id == "" {
+		return nil, nil
 	}
-	if err != nil {
-		return 0, 0, fmt.Errorf("--seeds %q: %w", text, err)
+	fault, err := planted.Find(id)
+	if err == nil && fault.Promise == "" {
+		err = fmt.Errorf("no promise of the soak is named for fault %s", id)
 	}
-	return first, last, nil
+	return fault, err
 }
 
-// runSeeds runs the seeds. If a safeguard was removed, it stops at the first seed that reports
-// a violation of the promise that the safeguard upholds.
-func runSeeds(ctx context.Context, s options, binary, dir string, first, last uint64, removal *soak.Removal) error {
+// runSeeds runs the seeds. With a fault, it stops at the first seed that reports a violation of the
+// fault's promise.
+func runSeeds(ctx context.Context, s options, binary, dir string, first, last uint64, fault *planted.Fault) error {
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
 	seeds := make(chan uint64)
@@ -130,7 +125,7 @@
 						failedSeeds++
 					}
 				}
-				if removal != nil && violates(report, removal.Promise) {
+				if fault != nil && violates(report, fault.Promise) {
 					reproduced = true
 					cancel()
 				}
@@ -147,11 +142,11 @@
 	close(seeds)
 	group.Wait()
 	switch {
-	case removal != nil && reproduced:
-		fmt.Printf("without %s, a violation of %q is reported\n", removal.Name, removal.Promise)
+	case fault != nil && reproduced:
+		fmt.Printf("with fault %s, a violation of %q is reported\n", fault.ID, fault.Promise)
 		return nil
-	case removal != nil:
-		return fmt.Errorf("without %s, no seed reports a violation of %q", removal.Name, removal.Promise)
+	case fault != nil:
+		return fmt.Errorf("with fault %s, no seed reports a violation of %q", fault.ID, fault.Promise)
 	case failedSeeds > 0:
 		return errViolations
 	}
--- /dev/null
+++ b/test/planted/incidents.go
@@ -0,0 +1,161 @@
+package planted
+
+import "slices"
+
+// Catalogue lists all faults.
+var Catalogue = slices.Concat(incidents, promises, safeguards)
+
+// incidents lists the root causes of the pages under docs/incidents and of the cases under review.
+var incidents = []Fault{
+	{
+		ID: "crash-budget", Origin: "incidents/crashing-task.md", Promise: "budget",
+		Brings: "A task that crashes its workers is started on worker after worker without a limit.",
+		Edits: []Edit{{"core/workflow/crash.go", "return crashes >= maxCrashes ||",
+			"return crashes < 0 && crashes >= maxCrashes ||"}, {"core/workflow/crash.go", "(crashes >= minCrashes && s.Sole", "(crashes < 0 && s.Sole"}},
+		Checks: []Check{
+			unit("core/workflow", "TestTaskThatCrashesItsWorkersIsGivenUp"),
+			unit("core/dispatch", "TestOnlyTasksThatCrashWorkersAreGivenUp"),
+		},
+	},
+	{
+		ID: "empty-controller", Origin: "incidents/empty-controllers.md, review/1", Promise: "recover",
+		Brings: "An empty controller looks for its group at the seeds of its own settings only, which may be relays by then.",
+		Edits:  []Edit{{"daemon/replica/discovery.go", "if d.r.opts.KnownControllers != nil {", "if d.r == nil {"}},
+		Checks: []Check{unit("daemon/fleetd", "TestEmptyControllerFindsItsGroupAfterTheSeedsWereExchanged")},
+	},
+	{
+		ID: "forgotten-leader", Origin: "incidents/fresh-5c5b.md", Promise: "config",
+		Brings: "A call to another controller that fails late makes a daemon forget the leader that it has found meanwhile.",
+		Edits:  []Edit{{"daemon/fleet/client.go", `if c.leader != "" && c.leader != addr {`, "if c == nil {"}},
+		Checks: []Check{unit("daemon/fleet", "TestLateFailuresKeepTheLeader")},
+	},
+	{
+		ID: "unsynced-directory", Origin: "incidents/full-disks.md", Promise: "lost",
+		Brings: "A start takes what an earlier process could not sync for durable.",
+		Edits: []Edit{{"daemon/storage/store.go",
+			"func (s *Store) load() error {\n\tif err := s.files.SyncDir(s.dir); err != nil {\n\t\treturn err\n\t}\n",
+			"func (s *Store) load() error {\n"}},
+		Checks: []Check{unit("daemon/storage", "TestDataReadAtTheStartSurvivesALossOfPower|TestLossOfPowerWhileTheDiskIsFull")},
+	},
+	{
+		ID: "refused-return", Origin: "incidents/full-disks.md", Promise: "recover",
+		Brings: "A controller that was replaced while it was silent is refused for good.",
+		Edits:  []Edit{{"daemon/replica/discovery.go", "if d.r.opts.MaxVoters == 0 || !d.r.opts.OpenMembership {", "if d.r != nil {"}},
+		Checks: []Check{unit("daemon/replica", "TestControllerReplacedWhileItsDiskWasFullReturns")},
+	},
+	{
+		ID: "lost-permission", Origin: "incidents/full-disks.md", Promise: "recover",
+		Brings: "After a first start on a full disk nobody may create the group.",
+		// The next initial controller would create the group instead, so both ways out are closed.
+		Edits: []Edit{
+			{"daemon/replica/discovery.go",
+				"return !d.r.opts.JoinOnly || d.r.store.Identity().Creators == d.r.opts.initialGateways()", "return !d.r.opts.JoinOnly"},
+			{"daemon/replica/discovery.go", "c.Gateway < d.r.opts.Gateway && !received.response.MayNotCreate {", "c.Gateway < d.r.opts.Gateway {"},
+		},
+		Checks: []Check{unit("daemon/replica", "TestGroupIsCreatedAfterTheDiskOfItsCreatorWasFull|TestGroupIsCreatedWithoutItsFirstCreator")},
+	},
+	{
+		ID: "removed-before-promoted", Origin: "incidents/full-disks.md", Promise: "recover",
+		Brings: "A silent voter is removed before the learner that replaces it is promoted, so that one lost disk ends the quorum.",
+		Edits: []Edit{{"core/consensus/membership.go", "if !n.aboveMaxVoters(n.members()) {",
+			"if n.opts.MaxVoters == 0 || n.members().Voters() < n.opts.MaxVoters {"}},
+		Checks: []Check{unit("core/consensus", "TestDiskLostWhileASilentVoterIsReplaced")},
+	},
+	{
+		ID: "gang-checkpoints", Origin: "incidents/gang-checkpoints.md, review/4", Promise: "unasked",
+		Brings: "The members of a gang start from a checkpoint each.",
+		Edits: []Edit{
+			{"core/workflow/apply.go", "if !j.Steps[a.Task.Step].Gang {", "if j != nil {"},
+			{"core/workflow/apply.go", "if !j.Steps[key.Step].Gang {", "if j != nil {"},
+		},
+		Checks: []Check{unit("core/workflow", "TestMembersOfAGangStartFromOneCheckpoint")},
+	},
+	{
+		ID: "kept-agent", Origin: "incidents/inc-32ea.md",
+		Brings: "The leader goes on to make calls through a controller whose connection has ended.",
+		Edits:  []Edit{{"daemon/agent/pool.go", "return other == s }", "return other == nil }"}},
+		Checks: []Check{unit("daemon/agent", "TestAgentsAreReplaced|TestSilentAgentIsGivenUp")},
+	},
+	{
+		ID: "unannounced-members", Origin: "incidents/inc-487d.md", Promise: "recover",
+		Brings: "Daemons whose seeds are relays only do not find the controllers after a loss of power.",
+		Edits:  []Edit{{"daemon/fleet/client.go", "if slices.Contains(members, addr) {", "if addr != \"\" {"}},
+		Checks: []Check{unit("daemon/fleet", "TestRelaysLearnWhoLeads")},
+	},
+	{
+		ID: "costly-passes", Origin: "incidents/inc-c87b.md",
+		Brings: "A pass rates all workers for each step, although the room for it is known to be missing.",
+		Edits: []Edit{{"core/dispatch/plan.go", "for i := range p.unplaced {\n\t\tif p.unplaced[i].rulesOut(job.Service, step) {",
+			"if len(p.unplaced) >= 0 {\n\t\treturn 0, false\n\t}\n\tfor i := range p.unplaced {\n\t\tif p.unplaced[i].rulesOut(job.Service, step) {"}},
+		Checks: []Check{unit("core/dispatch", "TestPlanEqualsExhaustivePlan|TestWaitingTasksFitOnNoWorker|TestRankingFindsTheBestWorker")},
+	},
+	{
+		ID: "late-deregistration", Origin: "incidents/late-deregistration.md, review/2", Promise: "twice",
+		Brings: "The deregistration of a worker's former process ends the tasks of the next one before its lease has.",
+		Edits: []Edit{{"daemon/fleet/reconcile.go", "\tcase s.leaseExpired(now):\n\t\tlossReason = ",
+			"\tcase known && current.Deregistered && !s.answers(now) && l.deregisteredFor(current, now) > time.Second:\n" +
+				"\t\tlossReason = \"the worker has deregistered\"\n\tcase s.leaseExpired(now):\n\t\tlossReason = "}},
+		Checks: []Check{unit("daemon/fleet", "TestTasksOfADeregisteredWorkerWaitForItsLease")},
+	},
+	{
+		ID: "first-starts-first", Origin: "incidents/long-running-restarts.md", Promise: "lost",
+		Brings: "A first start that the reserve holds back keeps the restarts of its step waiting.",
+		Edits: []Edit{{"core/dispatch/plan.go", "return compareBool(a.task.Attempt == 0, b.task.Attempt == 0)",
+			"return 0"}},
+		Checks: []Check{unit("core/dispatch", "TestRestartsComeBeforeFirstStartsOfTheirStep|TestNoRestartWaitsBesideRoom")},
+	},
+	{
+		ID: "quarantined-restarts", Origin: "incidents/long-running-restarts.md", Promise: "lost",
+		Brings: "A restart waits for the end of a quarantine although no other worker has room.",
+		Edits:  []Edit{{"core/dispatch/plan.go", "case w.LastResort:", "case w == nil:"}},
+		Checks: []Check{
+			unit("core/dispatch", "TestOnlyTasksWithoutRoomElsewhereUseLastResorts"),
+			unit("daemon/fleet", "TestRestartOnTheOnlyWorkerDespiteItsQuarantine"),
+		},
+	},
+	{
+		ID: "failing-task-first", Origin: "incidents/long-running-restarts.md", Promise: "lost",
+		Brings: "A task that fails at each start takes the room before others that are down.",
+		Edits: []Edit{{"core/dispatch/restarts.go", "return ok && task.Failures > r.failures && task.WaitingAt-r.at < minRunTime",
+			"return ok && task.Failures > r.failures && task.WaitingAt-r.at < -minRunTime"}},
+		Checks: []Check{unit("core/dispatch", "TestFailingTaskDoesNotKeepOtherRestartsWaiting|TestFailingTasksTakeTurnsBeforeShortTasks")},
+	},
+	{
+		ID: "believed-heartbeat", Origin: "incidents/odd-entries.md", Promise: "lost",
+		Brings: "A heartbeat of another writer under a worker's id replaces the worker's record.",
+		Edits: []Edit{{"daemon/fleet/claims.go", "if !proven && !l.believes(known, r.Worker) {",
+			"if proven = true; known == nil {"}},
+		Checks: []Check{unit("daemon/fleet", "TestForeignHeartbeatDoesNotReplaceWorker")},
+	},
+	{
+		ID: "odd-address", Origin: "incidents/odd-entries.md", Promise: "recover",
+		Brings: "One address that cannot be called hides the other controllers.",
+		Edits:  []Edit{{"daemon/fleet/client.go", "if err != nil || parsed.Host != addr || parsed.Hostname() == \"\" {\n\t\t\treturn true", "if err != nil || parsed.Host != addr || parsed.Hostname() == \"\" {\n\t\t\treturn false"}},
+		Checks: []Check{unit("daemon/fleet", "TestOddAddressHidesNoController")},
+	},
+	{
+		ID: "suspects-alone", Origin: "incidents/suspects-wait.md", Promise: "lost",
+		Brings: "Suspects of one common crash wait for each other beside free workers.",
+		Edits: []Edit{{"core/dispatch/isolation.go", "return p.now-task.WaitingAt > maxIsolationWait && p.isSharable(job, key)",
+			"return p.now-task.WaitingAt > maxIsolationWait*1000 && p.isSharable(job, key)"}},
+		Checks: []Check{unit("core/dispatch", "TestManySuspectsStartWithinSeconds")},
+	},
+	{
+		ID: "isolated-fleet", Origin: "incidents/suspects-wait.md, incidents/crashing-task.md", Promise: "lost",
+		Brings: "Suspects take every worker, so that sound tasks wait for them.",
+		Edits:  []Edit{{"core/dispatch/isolation.go", "return isolated == 0 || 4*(isolated+1) <= 3*total", "return isolated <= total"}},
+		Checks: []Check{unit("core/dispatch", "TestSuspectsDoNotTakeEveryWorker")},
+	},
+	{
+		ID: "held-request", Origin: "incidents/trouble-1-config.md", Promise: "config",
+		Brings: "A request goes on to wait at a frozen leader although the next one has been found.",
+		Edits:  []Edit{{"daemon/fleet/inflight.go", "if call.addr != leader {", "if call.addr == \"\" {"}},
+		Checks: []Check{unit("daemon/fleet", "TestCallToTheFormerLeaderEndsOnceAnotherResponds")},
+	},
+	{
+		ID: "unproven-crash", Origin: "incidents/unanswered-starts.md, review/3", Promise: "lost",
+		Brings: "A start that reached no living worker counts as a crash under its task, and its job is given up without a run.",
+		Edits:  []Edit{{"daemon/fleet/crash.go", "return workflow.EvidenceNone", "return workflow.EvidenceRan"}},
+		Checks: []Check{unit("daemon/fleet", "TestStartsThatReachNoLivingWorkerDoNotGiveUpAJob")},
+	},
+}
--- a/test/soak/soak_test.go
+++ b/test/soak/soak_test.go
@@ -63,21 +63,3 @@
 	}
 	group.Wait()
 }
-
-// Guards against removals that no longer match the source: the checker could then no longer be
-// tested with them.
-func TestRemovalsMatchTheSource(t *testing.T) {
-	for i := range Removals {
-		removal := &Removals[i]
-		source := t.TempDir()
-		if err := copyModules(repositoryRoot, source); err != nil {
-			t.Fatal(err)
-		}
-		if err := removal.apply(source); err != nil {
-			t.Error(err)
-		}
-	}
-	if _, err := FindRemoval("none"); err == nil {
-		t.Error("FindRemoval returned a removal for an unknown name")
-	}
-}
