Test what a leader without its lease may not do

Cause: the planted faults showed promises that no fast test checks: a leader whose lease has expired sends a start, plans, or answers from its state; one that another has followed goes on; all leaders use one fencing token; calls go through an agent whose connection has ended.

Change: an ordinary test of each in daemon/fleet and daemon/agent. docs/soak.md tells how faults are planted and added.

--- a/daemon/agent/agent_test.go
+++ b/daemon/agent/agent_test.go
@@ -191,6 +191,22 @@
 	}
 }
 
+// Guards against calls through an agent whose connection has ended: they would not be sent until it is back.
+func TestLostAgentIsNotUsed(t *testing.T) {
+	agent := newTestAgent(t, "z")
+	p, direct := newTestPool(t, agent.addr)
+	until(t, "the agent is connected", func() bool { return p.streamCount() == 1 })
+	_ = agent.http.Listener.Close()
+	p.pick(testWorker).end()
+	until(t, "the leader knows that the agent is lost", func() bool { return p.pick(testWorker) == nil })
+	if _, err := p.Start(t.Context(), testWorker, fleet.StartCall{Attempt: testAttempt, Token: 5}); err != nil {
+		t.Error(err)
+	}
+	if direct.startCount() != 1 {
+		t.Error("the leader did not make the call itself")
+	}
+}
+
 // Guards against a verdict that is wrong when a stream ends: a request that was written may have
 // run, one that was not has not.
 func TestEndedStreamTellsWhetherCallsWereSent(t *testing.T) {
--- a/daemon/fleet/leaselost_test.go
+++ b/daemon/fleet/leaselost_test.go
@@ -14,10 +14,24 @@
 	"samphirepaddle.example/daemon/replica"
 )
 
-// quietLog is a log whose leader gets no answers to its heartbeats once quiet is set, as behind a cut.
+// quietLog is a log whose leader gets no answers to its heartbeats once quiet is set, as behind a cut, and
+// that names another leader once replaced is set. Its terms are those of the group and laterTerms.
 type quietLog struct {
 	replica.Log
-	quiet atomic.Bool
+	quiet    atomic.Bool
+	replaced atomic.Bool
+}
+
+// laterTerms keeps the term apart from the first one of a group.
+const laterTerms = 7
+
+func (q *quietLog) Leader() replica.Leader {
+	leader := q.Log.Leader()
+	leader.Term += laterTerms
+	if q.replaced.Load() {
+		leader.Self, leader.Term = false, leader.Term+1
+	}
+	return leader
 }
 
 func (q *quietLog) ReadAtHeartbeat(ctx context.Context, query func(*state.State)) error {
@@ -27,8 +41,8 @@
 	return q.Log.ReadAtHeartbeat(ctx, query)
 }
 
-// newCutLeader returns a leadership with one worker whose lease has expired. The log still names it as the leader.
-func newCutLeader(t *testing.T) (*rig, *leadership, *fakeWorker) {
+// newRigOnQuietLog returns a rig whose engine leads on a quietLog.
+func newRigOnQuietLog(t *testing.T) (*rig, *quietLog) {
 	t.Helper()
 	r := newRig(t)
 	r.stop()
@@ -47,6 +61,13 @@
 		<-done
 	}
 	r.until("the engine leads", func() bool { return r.engine.currentLeadership() != nil })
+	return r, log
+}
+
+// newCutLeader returns a leadership with one worker whose lease has expired. The log still names it as the leader.
+func newCutLeader(t *testing.T) (*rig, *leadership, *fakeWorker) {
+	t.Helper()
+	r, log := newRigOnQuietLog(t)
 	l := r.engine.currentLeadership()
 	a := r.addWorker("a", 1)
 	r.until("the worker answers", func() bool {
@@ -89,3 +110,46 @@
 		t.Errorf("submission %+v, error %v", answer, err)
 	}
 }
+
+// Guards against a plan of a leader that may have a successor by now.
+func TestNoAssignmentWithoutTheLeaderLease(t *testing.T) {
+	r, _, _ := newCutLeader(t)
+	submit := workflow.Command{Submit: &workflow.Submission{Host: "h", Path: "/q/j", Steps: []workflow.StepSpec{oneTask}}}
+	if _, err := r.log.Propose(context.Background(), state.Command{Workflow: &submit}); err != nil {
+		t.Fatal(err)
+	}
+	time.Sleep(5 * maxPassInterval)
+	if status := r.jobStatus("j"); status != workflow.StatusQueued {
+		t.Errorf("the job is %s, want %s", status, workflow.StatusQueued)
+	}
+}
+
+// Guards against a leader that goes on although another one leads.
+func TestLeaderResignsOnceAnotherLeads(t *testing.T) {
+	r, log := newRigOnQuietLog(t)
+	l := r.engine.currentLeadership()
+	log.replaced.Store(true)
+	r.addWorkerDirectly("a") // wakes what waits for a change of the log
+	r.until("the leader resigns", func() bool { return l.ctx.Err() != nil })
+}
+
+// addWorkerDirectly commits a worker without the engine.
+func (r *rig) addWorkerDirectly(id workflow.WorkerID) {
+	r.t.Helper()
+	batch := workflow.Command{Batch: &workflow.Batch{Workers: []workflow.Worker{{Incarnation: workflow.Incarnation{Worker: id, StartedAt: 1}, Service: "s"}}}}
+	if _, err := r.log.Propose(context.Background(), state.Command{Workflow: &batch}); err != nil {
+		r.t.Fatal(err)
+	}
+}
+
+// Guards against leaders with one fencing token: workers could not refuse the calls of an earlier one.
+func TestFencingTokenIsTheTerm(t *testing.T) {
+	r, log := newRigOnQuietLog(t)
+	l := r.engine.currentLeadership()
+	if l == nil {
+		t.Fatal("the leadership has ended")
+	}
+	if term := log.Leader().Term; l.token != term {
+		t.Errorf("the token is %d in term %d", l.token, term)
+	}
+}
--- a/test/planted/incidents.go
+++ b/test/planted/incidents.go
@@ -74,7 +74,7 @@
 		ID: "kept-agent", Origin: "incidents/inc-32ea.md",
 		Brings: "The leader goes on to make calls through a controller whose connection has ended.",
 		Edits:  []Edit{{"daemon/agent/pool.go", "return other == s }", "return other == nil }"}},
-		Checks: []Check{unit("daemon/agent", "TestAgentsAreReplaced|TestSilentAgentIsGivenUp")},
+		Checks: []Check{unit("daemon/agent", "TestAgentsAreReplaced|TestSilentAgentIsGivenUp|TestLostAgentIsNotUsed")},
 	},
 	{
 		ID: "unannounced-members", Origin: "incidents/inc-487d.md", Promise: "recover",
@@ -155,7 +155,11 @@
 	{
 		ID: "unproven-crash", Origin: "incidents/unanswered-starts.md, review/3", Promise: "lost",
 		Brings: "A start that reached no living worker counts as a crash under its task, and its job is given up without a run.",
-		Edits:  []Edit{{"daemon/fleet/crash.go", "return workflow.EvidenceNone", "return workflow.EvidenceRan"}},
+		// The next starts of the task would not be sent without an answer of the worker just before.
+		Edits: []Edit{
+			{"daemon/fleet/crash.go", "return workflow.EvidenceNone", "return workflow.EvidenceRan"},
+			{"daemon/fleet/pass.go", "l.sendStart(s, a.Attempt, payload, task.Checkpoint, mayCrash)", "l.sendStart(s, a.Attempt, payload, task.Checkpoint, mayCrash && s == nil)"},
+		},
 		Checks: []Check{unit("daemon/fleet", "TestStartsThatReachNoLivingWorkerDoNotGiveUpAJob")},
 	},
 }
--- a/test/planted/promises.go
+++ b/test/planted/promises.go
@@ -63,7 +63,7 @@
 			{"daemon/fleet/engine.go", "!leader.Self || leader.Term != term {\n\t\t\tl.resign()\n", "!leader.Self || leader.Term != term {\n"},
 			{"daemon/fleet/engine.go", "if l.lease.valid(bootclock.Now()) {\n\t\t\tl.runPass(fullPass)", "if l.ctx.Err() == nil {\n\t\t\tl.runPass(fullPass)"},
 		},
-		Checks: []Check{unit("daemon/fleet", "TestNextLeaderTakesOver|TestFencedLeaderStops|TestChangesOfLeaderDoNotProlongTheWaitForASilentWorker")},
+		Checks: []Check{unit("daemon/fleet", "TestNoAssignmentWithoutTheLeaderLease|TestLeaderResignsOnceAnotherLeads")},
 	},
 	{
 		ID: "late-renewal", Origin: "promise: a lease ends at its holder first",
@@ -178,7 +178,7 @@
 		Brings: "All leaders use one fencing token.",
 		Edits:  []Edit{{"daemon/fleet/engine.go", "token: term, since:", "token: 1, since:"}},
 		Checks: []Check{
-			unit("daemon/fleet", "TestFencedLeaderStops|TestNextLeaderTakesOver"),
+			unit("daemon/fleet", "TestFencedLeaderStops|TestFencingTokenIsTheTerm"),
 			model("calls ONE_RUN -DNO_TOKEN_GUARD"),
 		},
 	},
