Keep the results of an earlier run of planted faults

Cause: a run of the soak for all faults takes much longer than the tests and models, and its table replaced theirs.

--- a/test/planted/runner_test.go
+++ b/test/planted/runner_test.go
@@ -8,6 +8,7 @@
 	"os"
 	"os/exec"
 	"path/filepath"
+	"slices"
 	"strings"
 	"testing"
 )
@@ -168,3 +169,19 @@
 		t.Errorf("stored results: %s, %v", data, err)
 	}
 }
+
+// Guards against results of an earlier run that stay beside the later ones of the same check, or are lost.
+func TestMergeOfTwoRuns(t *testing.T) {
+	row := func(fault, check string, kind Kind, status string) Result {
+		return Result{Fault: fault, Check: check, Kind: kind, Status: status}
+	}
+	earlier := []Result{row("fencing", "soak", Soak, NotFound), row("fencing", "a", Unit, Found), row("removed fault", "a", Unit, Found)}
+	later := []Result{row("fencing", "soak", Soak, Found), row("crash-budget", "b", Unit, NotFound)}
+	want := []Result{later[1], earlier[1], later[0]}
+	if got := Merge(earlier, later); !slices.Equal(got, want) {
+		t.Errorf("merged %+v, want %+v", got, want)
+	}
+	if _, err := ReadResults(t.TempDir()); err == nil {
+		t.Error("a folder without tables: no error")
+	}
+}
--- a/test/planted/table.go
+++ b/test/planted/table.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"os"
 	"path/filepath"
+	"slices"
 	"strings"
 )
 
@@ -29,6 +30,39 @@
 	return os.WriteFile(filepath.Join(dir, MarkdownFile), []byte(Markdown(results)), 0o600)
 }
 
+// ReadResults returns the results of an earlier run that wrote its tables into the folder.
+func ReadResults(dir string) ([]Result, error) {
+	data, err := os.ReadFile(filepath.Join(dir, JSONFile))
+	if err != nil {
+		return nil, err
+	}
+	var results []Result
+	if err := json.Unmarshal(data, &results); err != nil {
+		return nil, fmt.Errorf("%s: %w", JSONFile, err)
+	}
+	return results, nil
+}
+
+// Merge returns the later results and those of the earlier ones that they do not repeat, in the order of the
+// catalogue and of the kinds of checks. Results of faults that are no longer in the catalogue are left out.
+func Merge(earlier, later []Result) []Result {
+	repeated := func(r Result) bool {
+		return slices.ContainsFunc(later, func(l Result) bool { return l.Fault == r.Fault && l.Check == r.Check })
+	}
+	all := append(slices.DeleteFunc(slices.Clone(earlier), repeated), later...)
+	var merged []Result
+	for _, fault := range Catalogue {
+		for _, kind := range append([]Kind{""}, Kinds...) {
+			for _, r := range all {
+				if r.Fault == fault.ID && r.Kind == kind {
+					merged = append(merged, r)
+				}
+			}
+		}
+	}
+	return merged
+}
+
 // Markdown returns the results as a page.
 func Markdown(results []Result) string {
 	var b strings.Builder
