Order lists of controllers by the committed membership alone

What callers would see: requests refused after a change of leader, at daemons that hold the list of a deposed leader against that of its successor. A deposed leader that has heard of the next term, and still has a change that was never committed, outranked the leader; its list stayed for good. Change: a list names the newest committed membership, whose index alone orders the lists of a group; before the first commit after a restart, the membership in the log with index 0. A known list that was not confirmed for 10 s yields to an older one, so that a group restored from a backup is found. A list with the index of the known one never replaces it, as a copy that was cut to 16 addresses did.

--- a/core/consensus/node.go
+++ b/core/consensus/node.go
@@ -299,6 +299,8 @@
 	SnapshotIndex uint64 // index of the newest snapshot
 	Members       Membership
 	MembersIndex  uint64                // of the entry that holds Members
+	Committed     Membership            // the newest committed membership; empty before the first commit
+	CommittedAt   uint64                // index of the entry that holds Committed
 	ChangePending bool                  // Members is not committed yet
 	Progress      map[MemberID]Progress // leader only
 }
@@ -311,6 +313,11 @@
 		SnapshotIndex: n.snapshot.Index, Members: n.members(), MembersIndex: n.memberships[len(n.memberships)-1].index,
 		ChangePending: n.memberships[len(n.memberships)-1].index > n.log.commit,
 	}
+	for _, m := range n.memberships {
+		if m.index <= n.log.commit {
+			s.Committed, s.CommittedAt = m.members, m.index
+		}
+	}
 	if n.role == RoleLeader {
 		s.Progress = map[MemberID]Progress{}
 		for id, p := range n.peers {
--- a/daemon/fleet/announce.go
+++ b/daemon/fleet/announce.go
@@ -139,6 +139,6 @@
 
 // describe adds the list and its origin to a line.
 func (k *knownControllers) describe(line *zerolog.Event) *zerolog.Event {
-	return line.Strs("controllers", k.list.Addrs).Str("group", k.list.Group).Uint64("term", k.list.Term).
+	return line.Strs("controllers", k.list.Addrs).Str("group", k.list.Group).
 		Uint64("members_index", k.list.Index).Str("from", k.from)
 }
--- a/daemon/fleet/controllers.go
+++ b/daemon/fleet/controllers.go
@@ -1,7 +1,6 @@
 package fleet
 
 import (
-	"cmp"
 	"fmt"
 	"net/http"
 	"strings"
@@ -13,20 +12,20 @@
 // Headers that carry a list of controllers.
 const (
 	headerMembers    = "Samphire-Members"    // addresses of the controllers, separated by commas
-	headerMembership = "Samphire-Membership" // group, term and index of the list; see ControllerList
+	headerMembership = "Samphire-Membership" // group and index of the list; see ControllerList
 	headerSender     = "Samphire-Sender"     // address of the controller that sends a request
 )
 
-// confirmationTimeout is how long after its last confirmation a list yields to one without a version, which
-// earlier builds send.
+// confirmationTimeout is how long after its last confirmation a list yields to an older one, for example after
+// the group was restored from a backup, or to one without a version, which earlier builds send.
 const confirmationTimeout = 10 * time.Second
 
-// ControllerList names the controllers of a group. Lists of one group are ordered by Term, then by Index: a
-// controller that was removed, or cut off for a while, goes on to name the members that it knew.
+// ControllerList names the controllers of a group. Lists of one group are ordered by Index: a controller that
+// was removed, or cut off for a while, goes on to name the members that it knew. Only committed memberships
+// have an order, so that a deposed leader's last change, which the group has dropped, is in no list.
 type ControllerList struct {
 	Group string   `cbor:"1,keyasint"` // empty in lists of earlier builds, which have no version
-	Term  uint64   `cbor:"2,keyasint"` // of the controller that the list is from
-	Index uint64   `cbor:"3,keyasint"` // of the log entry with the membership
+	Index uint64   `cbor:"3,keyasint"` // of the log entry with the committed membership; 0 if none is known
 	Addrs []string `cbor:"4,keyasint"`
 }
 
@@ -40,7 +39,7 @@
 }
 
 func (l ControllerList) isOlderThan(other ControllerList) bool {
-	return l.Group == other.Group && cmp.Or(cmp.Compare(l.Term, other.Term), cmp.Compare(l.Index, other.Index)) < 0
+	return l.Group == other.Group && l.Index < other.Index
 }
 
 // headerValues are the values of the headers that carry a list.
@@ -53,7 +52,7 @@
 func (l ControllerList) headerValues() headerValues {
 	v := headerValues{members: strings.Join(l.Addrs, ",")}
 	if l.Group != "" {
-		v.membership = fmt.Sprintf("%s %d %d", l.Group, l.Term, l.Index)
+		v.membership = fmt.Sprintf("%s %d", l.Group, l.Index)
 	}
 	return v
 }
@@ -70,7 +69,7 @@
 // list returns the list that the values carry. One whose version cannot be read has none.
 func (v headerValues) list() ControllerList {
 	var l ControllerList
-	if _, err := fmt.Sscanf(v.membership, "%s %d %d", &l.Group, &l.Term, &l.Index); err != nil {
+	if _, err := fmt.Sscanf(v.membership, "%s %d", &l.Group, &l.Index); err != nil {
 		l = ControllerList{}
 	}
 	if v.members != "" {
@@ -96,11 +95,15 @@
 	confirmed bootclock.Time // when the list was received last
 }
 
-// offer takes over another list that was received from a daemon unless it is older. It reports whether it has
-// done so.
+// offer takes over a list that was received from a daemon unless it is older. It reports whether the known list
+// has changed.
 func (k *knownControllers) offer(l ControllerList, from string) bool {
-	withoutVersion := l.Group == "" && k.list.Group != ""
-	if l.isOlderThan(k.list) || (withoutVersion && bootclock.Since(k.confirmed) < confirmationTimeout) {
+	if l.Index > 0 && l.Group == k.list.Group && l.Index == k.list.Index {
+		k.confirmed = bootclock.Now() // perhaps with fewer addresses; see usable
+		return false
+	}
+	older := l.isOlderThan(k.list) || (l.Group == "" && k.list.Group != "")
+	if older && bootclock.Since(k.confirmed) < confirmationTimeout {
 		return false
 	}
 	k.list, k.values, k.from, k.confirmed = l.usable(), l.headerValues(), from, bootclock.Now()
--- a/daemon/fleetd/controller.go
+++ b/daemon/fleetd/controller.go
@@ -145,31 +145,48 @@
 	client *fleet.Client
 
 	mu      sync.Mutex
-	members fleet.ControllerList
+	members []string             // addresses of the members in force
+	list    fleet.ControllerList // of the committed membership
 }
 
 func (d *directory) setMembers(s replica.Status) {
-	list := fleet.ControllerList{Group: s.Group, Term: s.Term, Index: s.MembersIndex}
-	for _, member := range s.Members {
+	members := memberAddrs(s.Members)
+	list := fleet.ControllerList{Group: s.Group, Index: s.CommittedAt}
+	for _, member := range s.Committed {
 		list.Addrs = append(list.Addrs, member.Addr)
 	}
+	if len(list.Addrs) == 0 {
+		list.Addrs = members // after a restart, until a leader is known
+	}
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	d.members = list
+	d.members, d.list = members, list
+}
+
+func memberAddrs(members []replica.MemberStatus) []string {
+	var addrs []string
+	for _, member := range members {
+		addrs = append(addrs, member.Addr)
+	}
+	return addrs
 }
 
 // LeaderAddr returns the address of the known leader.
 func (d *directory) LeaderAddr() string { return d.log.Leader().PeerAddr }
 
-// Members returns the members in the local log.
+// Members returns the committed membership in the local log.
 func (d *directory) Members() fleet.ControllerList {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	return d.members
+	return d.list
 }
 
-// MemberAddrs returns the addresses of the members in the local log.
-func (d *directory) MemberAddrs() []string { return d.Members().Addrs }
+// MemberAddrs returns the addresses of the members in force in the local log.
+func (d *directory) MemberAddrs() []string {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return d.members
+}
 
 // KnownControllers returns the members in the local log, or the list that another daemon has sent if it is
 // newer: a controller may be outside its group, or have been removed while it was cut off.
--- a/daemon/replica/members.go
+++ b/daemon/replica/members.go
@@ -12,20 +12,23 @@
 
 // Status describes a replica for operators.
 type Status struct {
-	ID            consensus.MemberID `json:"id"`    // of the data directory
-	Group         string             `json:"group"` // empty while the group is not known
-	Gateway       model.GatewayID    `json:"gateway"`
-	Term          uint64             `json:"term"`
-	Leader        Leader             `json:"leader"`
-	Members       []MemberStatus     `json:"members"`
-	MembersIndex  uint64             `json:"members_index"` // of the log entry that holds Members
-	ChangePending bool               `json:"changing"`      // Members is not committed yet, so a repair is not complete
-	CommitIndex   uint64             `json:"commit"`
-	AppliedIndex  uint64             `json:"applied"`
-	LastIndex     uint64             `json:"last"`       // last entry of the log
-	LogBytes      int                `json:"log_bytes"`  // entries in memory
-	SnapshotIndex uint64             `json:"snapshot"`   // index of the last snapshot
-	SentBytes     uint64             `json:"sent_bytes"` // to the other controllers since the start
+	ID           consensus.MemberID `json:"id"`    // of the data directory
+	Group        string             `json:"group"` // empty while the group is not known
+	Gateway      model.GatewayID    `json:"gateway"`
+	Term         uint64             `json:"term"`
+	Leader       Leader             `json:"leader"`
+	Members      []MemberStatus     `json:"members"`
+	MembersIndex uint64             `json:"members_index"` // of the log entry that holds Members
+	// Committed is the newest membership that is known as committed, and CommittedAt the index of its log entry.
+	Committed     consensus.Membership `json:"committed_members"`
+	CommittedAt   uint64               `json:"committed_members_index"`
+	ChangePending bool                 `json:"changing"` // Members is not committed yet, so a repair is not complete
+	CommitIndex   uint64               `json:"commit"`
+	AppliedIndex  uint64               `json:"applied"`
+	LastIndex     uint64               `json:"last"`       // last entry of the log
+	LogBytes      int                  `json:"log_bytes"`  // entries in memory
+	SnapshotIndex uint64               `json:"snapshot"`   // index of the last snapshot
+	SentBytes     uint64               `json:"sent_bytes"` // to the other controllers since the start
 }
 
 // MemberStatus describes one member. MatchIndex and SilentFor are known to the leader only.
@@ -71,6 +74,7 @@
 	node := r.node.Status()
 	s.Term, s.CommitIndex, s.LastIndex = node.Term, node.CommitIndex, node.LastIndex
 	s.MembersIndex, s.ChangePending = node.MembersIndex, node.ChangePending
+	s.Committed, s.CommittedAt = node.Committed, node.CommittedAt
 	s.LogBytes, s.SnapshotIndex = node.LogBytes, node.SnapshotIndex
 	for _, member := range node.Members {
 		p := node.Progress[member.ID]
