Log each change of the membership and its commit

Change: a controller logs the voters and learners of the membership in its log when it changes and when it is committed. Measured: the tests of odd announcements, departures and silent calls pass.

--- a/core/consensus/node.go
+++ b/core/consensus/node.go
@@ -339,6 +339,13 @@
 // Members returns the membership in force. The caller must not modify it.
 func (n *Node) Members() Membership { return n.members() }
 
+// MembershipState returns the index of the entry that holds the membership in force, and whether it is
+// committed.
+func (n *Node) MembershipState() (index uint64, committed bool) {
+	index = n.memberships[len(n.memberships)-1].index
+	return index, index <= n.log.commit
+}
+
 // LogBytes returns the size of the entries in memory, including overhead.
 func (n *Node) LogBytes() int { return n.log.bytes }
 
--- a/daemon/replica/members.go
+++ b/daemon/replica/members.go
@@ -87,6 +87,32 @@
 	return s
 }
 
+// membershipState identifies a membership in the log.
+type membershipState struct {
+	index     uint64
+	committed bool
+}
+
+// logMembership logs the membership in force when it has changed or is committed; it runs in the event loop.
+func (r *Replica) logMembership() {
+	var state membershipState
+	state.index, state.committed = r.node.MembershipState()
+	if state == r.loggedMembers {
+		return
+	}
+	r.loggedMembers = state
+	var voters, learners []string
+	for _, member := range r.node.Members() {
+		if member.Learner {
+			learners = append(learners, member.Addr)
+		} else {
+			voters = append(voters, member.Addr)
+		}
+	}
+	r.opts.Logger.Info().Uint64("term", r.node.Term()).Uint64("members_index", state.index).Bool("committed", state.committed).
+		Strs("voters", voters).Strs("learners", learners).Msg("membership changed")
+}
+
 // AddMember adds a data directory as a learner, which becomes a voter when it has caught up. It
 // returns when the change is appended, and ErrNotLeader on other controllers.
 func (r *Replica) AddMember(ctx context.Context, id consensus.MemberID, gateway model.GatewayID, addr string) error {
--- a/daemon/replica/replica.go
+++ b/daemon/replica/replica.go
@@ -43,10 +43,11 @@
 	inboxBytes atomic.Int64  // size of the messages received and not yet handled
 
 	// Owned by the event loop.
-	node      *consensus.Node // nil until the directory belongs to a group
-	discovery discovery
-	nextRead  uint64
-	reads     map[uint64]chan<- readOutcome
+	node          *consensus.Node // nil until the directory belongs to a group
+	discovery     discovery
+	nextRead      uint64
+	reads         map[uint64]chan<- readOutcome
+	loggedMembers membershipState
 
 	applier   applier
 	transport transport
@@ -223,6 +224,7 @@
 		r.endRead(id, readOutcome{err: ErrNotLeader})
 	}
 	r.logDepartures(out.Departures)
+	r.logMembership()
 	r.publishLeader()
 }
 
