--- a/test/soak/series.go
+++ b/test/soak/series.go
@@ -165,7 +165,7 @@
 		return func(ctx context.Context) { s.wipe(ctx, n) }
 	case 1:
 		return func(ctx context.Context) {
-			s.replace(ctx, n, func(start func()) {
+			s.replace(ctx, n, "planned", func(start func()) {
 				start()
 				wait.For(ctx, successorDelay+delay/2)
 				n.Terminate()
@@ -174,8 +174,12 @@
 			})
 		}
 	}
+	form := "killed, connections are refused"
+	if silent {
+		form = "killed, connections stay silent"
+	}
 	return func(ctx context.Context) {
-		s.replace(ctx, n, func(start func()) {
+		s.replace(ctx, n, form, func(start func()) {
 			if silent {
 				n.Relay.GoSilent()
 			} else {
@@ -202,7 +206,7 @@
 }
 
 // replace replaces a controller for good. change stops it and calls start, which starts the successor.
-func (s *series) replace(ctx context.Context, n *Node, change func(start func())) {
+func (s *series) replace(ctx context.Context, n *Node, form string, change func(start func())) {
 	n.faultLock.Lock() // never released, so that no other fault starts it again
 	if ctx.Err() != nil || !s.faults.countLoss() {
 		n.faultLock.Unlock()
@@ -215,7 +219,7 @@
 			n.faultLock.Unlock()
 			return
 		}
-		s.faults.log(fmt.Sprintf("replace %s by %s, seeds %v", n.Name, successor.Name, successor.settings["controllers"]))
+		s.faults.log(fmt.Sprintf("replace %s (%s) by %s, seeds %v", n.Name, form, successor.Name, successor.settings["controllers"]))
 		s.faults.restart(successor)
 		s.load.watch(successor.Relay.Addr())
 	})
