Give the place of a lost voter to a caught-up learner after 1.2 s

Cause: a learner of another VM waits until the voter was silent for four election timeouts (2.4 s). That wait protects a VM from a second one with its gateway id by mistake, which is another case: here the lost voter returns as a learner if it was only slow. Change: two election timeouts in this case, the time after which a leader without a quorum steps down. Tests of core/consensus pass.

--- a/core/consensus/membership.go
+++ b/core/consensus/membership.go
@@ -19,6 +19,9 @@
 	// after which the leader replaces a member by a learner. The delay keeps a second VM
 	// that has the same gateway id by mistake from replacing a live member.
 	replaceElectionTimeouts = 4
+	// spareElectionTimeouts is the same for a voter whose place a learner of another VM takes. A voter that
+	// returns becomes a learner, so that a mistake costs little.
+	spareElectionTimeouts = 2
 )
 
 // Add adds the member as a learner, which is promoted to a voter when it has caught up. If
@@ -190,6 +193,12 @@
 	return n.peers[id].ticksSinceMessage >= replaceElectionTimeouts*n.opts.ElectionTicks
 }
 
+// isReplaceable reports whether a learner of another VM may take the place of the voter.
+func (n *Node) isReplaceable(id MemberID) bool {
+	p := n.peers[id]
+	return p.leaving || p.ticksSinceMessage >= spareElectionTimeouts*n.opts.ElectionTicks
+}
+
 // otherMemberOfGateway returns another member with the same gateway id as the learner.
 func (n *Node) otherMemberOfGateway(learner Member) (Member, bool) {
 	for _, member := range n.members() {
@@ -206,7 +215,7 @@
 	var longest Member
 	found := false
 	for _, member := range n.members() {
-		if member.Learner || member.ID == n.id || !n.isSilent(member.ID) && !n.peers[member.ID].leaving {
+		if member.Learner || member.ID == n.id || !n.isReplaceable(member.ID) {
 			continue
 		}
 		if !found || n.peers[member.ID].ticksSinceMessage > n.peers[longest.ID].ticksSinceMessage {
