--- a/test/planted/incidents.go
+++ b/test/planted/incidents.go
@@ -194,4 +194,10 @@
 		Edits:  []Edit{{"daemon/fleetd/controller.go", "return d.Members().Newer(d.client.KnownControllers())", "return d.Members()"}},
 		Checks: []Check{unit("daemon/fleetd", "TestControllerOutsideItsGroupNamesTheMembers")},
 	},
+	{
+		ID: "assigned-is-begun", Origin: "review/5",
+		Brings: "A job counts as begun once a task of it is assigned, so that a start that reaches no worker hides it from the pending ones.",
+		Edits:  []Edit{{"core/workflow/queries.go", "job.Route == route && !job.Begun", "job.Route == route && !job.Started"}},
+		Checks: []Check{unit("core/workflow", "TestAssignedJobIsPendingUntilATaskHasBegun")},
+	},
 }
