--- a/daemon/fleetd/group_test.go
+++ b/daemon/fleetd/group_test.go
@@ -227,7 +227,11 @@
 // group and keeps to itself whom it knows.
 func TestControllerOutsideItsGroupNamesTheMembers(t *testing.T) {
 	g := newTestGroup(t)
-	addrs := g.core[0].daemon.node.dir.MemberAddrs()
+	var addrs []string
+	waitUntil(t, "a controller tells its members", func() bool {
+		addrs = g.core[0].daemon.node.dir.Members().Addrs
+		return len(addrs) == len(g.core)
+	})
 	g.core[1].kill()
 	g.core[2].kill()
 	outside := newVM(t, true)
