--- a/daemon/fleet/fleet_test.go
+++ b/daemon/fleet/fleet_test.go
@@ -160,8 +160,7 @@
 	return found
 }
 
-// Guards against a job that does not complete, and against ends that are acknowledged before they
-// are committed to the log.
+// Guards against a job that does not complete, and against ends that are never acknowledged.
 func TestJobRunsToItsEnd(t *testing.T) {
 	r := newRig(t)
 	w := r.addWorker("a", 1)
--- a/daemon/fleet/session_test.go
+++ b/daemon/fleet/session_test.go
@@ -203,6 +203,28 @@
 	}
 }
 
+// Guards against a worker that forgets an end of which the next leader finds no record, so that the task runs again.
+func TestEndIsAcknowledgedOnceItIsRecorded(t *testing.T) {
+	l := &leadership{engine: NewEngine(Options{}), sessions: map[workflow.Incarnation]*session{}, passRequests: make(chan struct{}, 1)}
+	l.lease.until.Store(math.MaxInt64)
+	s := &session{leadership: l, tokenAccepted: true, orders: map[workflow.Attempt]*order{}, recordedThrough: 7, wake: make(chan struct{}, 1)}
+	acknowledged := func() uint64 {
+		_, call, ok := s.prepareHold()
+		if !ok {
+			t.Fatal("no hold call is made")
+		}
+		return call.AckedThrough
+	}
+	s.applyListing(1, 2, Listing{Ended: []EndedAttempt{{Number: 8}}})
+	if got := acknowledged(); got != 7 {
+		t.Errorf("ends up to %d are acknowledged before the record, want 7", got)
+	}
+	s.markRecorded(8)
+	if got := acknowledged(); got != 8 {
+		t.Errorf("ends up to %d are acknowledged after the record, want 8", got)
+	}
+}
+
 // Guards against taking a shortage on the leader's VM for a silent worker.
 func TestHoldThatWasNotSentIsNoEvidenceAgainstTheWorker(t *testing.T) {
 	l := &leadership{engine: NewEngine(Options{}), sessions: map[workflow.Incarnation]*session{}, passRequests: make(chan struct{}, 1)}
--- a/test/planted/promises.go
+++ b/test/planted/promises.go
@@ -208,7 +208,7 @@
 		Edits: []Edit{{
 			"daemon/fleet/session.go", "call.AckedThrough = s.recordedThrough", "call.AckedThrough = max(s.recordedThrough, s.endsQueued)",
 		}},
-		Checks: []Check{unit("daemon/fleet", "TestJobRunsToItsEnd|TestBatchThatIsNotAppliedAcknowledgesNothing")},
+		Checks: []Check{unit("daemon/fleet", "TestEndIsAcknowledgedOnceItIsRecorded|TestBatchThatIsNotAppliedAcknowledgesNothing")},
 	},
 	{
 		// Makes calls to a new worker process that has not responded yet acknowledge ends up to
