Let a learner forget a leader that it no longer hears

What callers see: nothing at first. A controller that joined in the moment in which the leader was lost never becomes a voter, and the next loss that the settings tolerate ends the group: no configuration is acknowledged or read, no job starts again. Cause: the leader adds the controller as a learner and is lost before the change is committed; its successor drops the change. The learner still has it in its log, counts itself as a member, and goes on to follow the lost leader, because only voters give up a leader that is silent. So it neither looks for its group nor says that it has none. Change: after an election timeout without a message, a learner knows no leader, and a learner without a leader asks for its group at once. The next leader adds it again.

--- a/core/consensus/node.go
+++ b/core/consensus/node.go
@@ -139,7 +139,11 @@
 	n.resetElectionTimer()
 	if n.promotable() {
 		n.campaign(RolePreCandidate)
+		return
 	}
+	// The change that added this learner may have been dropped with its leader, and no later leader would
+	// know it.
+	n.leader = ""
 }
 
 // promotable reports whether the node may become leader. It may not while a completely
--- a/daemon/replica/discovery.go
+++ b/daemon/replica/discovery.go
@@ -125,7 +125,8 @@
 		return false // a replaced controller would be added again just before its process ends
 	}
 	own, ok := d.r.node.Members().Find(d.r.store.Identity().ID)
-	return !ok || own.Addr != d.r.opts.Addr || now.Sub(d.leaderKnownAt) > noLeaderTimeout
+	mayBeUnknown := own.Learner && d.r.node.Leader() == ""
+	return !ok || mayBeUnknown || own.Addr != d.r.opts.Addr || now.Sub(d.leaderKnownAt) > noLeaderTimeout
 }
 
 func (d *discovery) sendRequests() {
