--- a/test/planted/incidents.go
+++ b/test/planted/incidents.go
@@ -200,4 +200,10 @@
 		Edits:  []Edit{{"core/workflow/queries.go", "job.Route == route && !job.Begun", "job.Route == route && !job.Started"}},
 		Checks: []Check{unit("core/workflow", "TestAssignedJobIsPendingUntilATaskHasBegun")},
 	},
+	{
+		ID: "deaf-learner", Origin: "incidents/lost-quorum.md", Promise: "recover", Series: true,
+		Brings: "A learner whose addition was dropped with the leader goes on to follow that leader, and never becomes a voter.",
+		Edits:  []Edit{{"core/consensus/node.go", "	// know it.\n	n.leader = \"\"\n", "	// know it.\n"}},
+		Checks: []Check{unit("core/consensus", "TestLearnerOfADroppedChangeForgetsItsLeader")},
+	},
 }
--- a/test/soak/soak_test.go
+++ b/test/soak/soak_test.go
@@ -50,6 +50,7 @@
 // seriesSeeds lists the seeds that TestSeeds runs with a series.
 var seriesSeeds = []regressionSeed{
 	{4, "recover: with the fault empty-controller, successors find no group after the seeds were exchanged"},
+	{515, "recover: a learner whose addition was dropped with the leader followed that leader for good"},
 }
 
 const (
