--- a/test/planted/incidents.go
+++ b/test/planted/incidents.go
@@ -195,13 +195,13 @@
 		Checks: []Check{unit("daemon/fleetd", "TestControllerOutsideItsGroupNamesTheMembers")},
 	},
 	{
-		ID: "assigned-is-begun", Origin: "review/5",
+		ID: "assigned-is-begun", Origin: "incidents/pending-jobs.md, review/5",
 		Brings: "A job counts as begun once a task of it is assigned, so that a start that reaches no worker hides it from the pending ones.",
 		Edits:  []Edit{{"core/workflow/queries.go", "job.Route == route && !job.Begun", "job.Route == route && !job.Started"}},
 		Checks: []Check{unit("core/workflow", "TestAssignedJobIsPendingUntilATaskHasBegun")},
 	},
 	{
-		ID: "deaf-learner", Origin: "incidents/lost-quorum.md", Promise: "recover", Series: true,
+		ID: "deaf-learner", Origin: "incidents/dropped-learners.md", Promise: "recover", Series: true,
 		Brings: "A learner whose addition was dropped with the leader goes on to follow that leader, and never becomes a voter.",
 		Edits:  []Edit{{"core/consensus/node.go", "	// know it.\n	n.leader = \"\"\n", "	// know it.\n"}},
 		Checks: []Check{unit("core/consensus", "TestLearnerOfADroppedChangeForgetsItsLeader")},
