--- a/core/consensus/departure_test.go
+++ b/core/consensus/departure_test.go
@@ -15,6 +15,21 @@
 	}
 }
 
+// newSimWithLearners starts a group of at most three voters with the given number of caught-up learners of other
+// VMs, and returns its leader.
+func newSimWithLearners(t *testing.T, learners int) (*sim, *simNode) {
+	t.Helper()
+	s := newBoundedSim(t.Fatalf, 3, learners)
+	leader := s.elect(t)
+	s.rounds(5)
+	s.addNonMembers(leader)
+	s.rounds(5 * simElection)
+	if members := leader.node.Members(); members.Voters() != 3 || len(members) != 3+learners {
+		t.Fatalf("invalid test schedule: %+v", members)
+	}
+	return s, leader
+}
+
 // departed is a group with a caught-up learner after a voter has shut down gracefully.
 type departed struct {
 	*sim
@@ -26,14 +41,7 @@
 // two election timeouts.
 func newDeparted(t *testing.T, learners int, leaderLeaves bool) departed {
 	t.Helper()
-	s := newBoundedSim(t.Fatalf, 3, learners)
-	leader := s.elect(t)
-	s.rounds(5)
-	s.addNonMembers(leader)
-	s.rounds(5 * simElection)
-	if members := leader.node.Members(); members.Voters() != 3 || len(members) != 3+learners {
-		t.Fatalf("invalid test schedule: %+v", members)
-	}
+	s, leader := newSimWithLearners(t, learners)
 	gone := s.others(leader)[0]
 	if leaderLeaves {
 		gone = leader
@@ -133,11 +141,7 @@
 
 // Guards against a learner that is promoted although its own process ends.
 func TestLeavingLearnerIsNotPromoted(t *testing.T) {
-	s := newBoundedSim(t.Fatalf, 3, 1)
-	leader := s.elect(t)
-	s.rounds(5)
-	s.addNonMembers(leader)
-	s.rounds(5 * simElection)
+	s, leader := newSimWithLearners(t, 1)
 	learner, voter := s.nodes[3], s.others(leader)[0]
 	s.leave(learner)
 	s.rounds(2)
@@ -222,11 +226,7 @@
 // Guards against a leaving voter that is elected and keeps the leadership until its process ends, so
 // that nobody replaces it before.
 func TestLeavingVoterThatIsElectedIsReplaced(t *testing.T) {
-	s := newBoundedSim(t.Fatalf, 3, 1)
-	leader := s.elect(t)
-	s.rounds(5)
-	s.addNonMembers(leader)
-	s.rounds(5 * simElection)
+	s, leader := newSimWithLearners(t, 1)
 	voter := s.others(leader)[0]
 	voter.node.leaving = true // the leader does not know it yet
 	if err := leader.node.TransferLeadership(voter.member.ID); err != nil {
