Share the replacement of a follower between two tests of the log

Cause: both added a spare controller, ended a follower and waited for the exchange, in the same lines. Measured: both tests pass.

--- a/daemon/replica/departure_test.go
+++ b/daemon/replica/departure_test.go
@@ -47,14 +47,7 @@
 		o.ElectionTicks = 48 // Leave waits this long; two changes took more than the default of 300 ms at a load of 36
 		o.Logger = zerolog.New(&log)
 	})
-	c.propose(1)
-	spare := c.addController("gateway-3", t.TempDir())
-	c.waitMember(spare, true)
-	old := (c.leader() + 1) % 3
-	id := c.controllers[old].replica.identity().ID
-	c.leave(old)
-	c.waitMember(spare, false)
-	c.waitRemoved(id)
+	old, id := c.replaceFollower(c.leave)
 	time.Sleep(3 * noLeaderTimeout / 2) // a directory that is no member sends requests after noLeaderTimeout
 	for _, member := range c.controllers[c.leader()].replica.Status().Members {
 		if member.ID == id {
--- a/daemon/replica/fulldisk_test.go
+++ b/daemon/replica/fulldisk_test.go
@@ -85,19 +85,26 @@
 	})
 }
 
+// replaceFollower adds a spare controller, ends a follower by end, and waits until the spare has its place.
+func (c *cluster) replaceFollower(end func(i int)) (old int, id consensus.MemberID) {
+	c.t.Helper()
+	c.propose(1)
+	spare := c.addController("gateway-3", c.t.TempDir())
+	c.waitMember(spare, true)
+	old = (c.leader() + 1) % 3
+	id = c.controllers[old].replica.identity().ID
+	end(old)
+	c.waitMember(spare, false)
+	c.waitRemoved(id)
+	return old, id
+}
+
 // Guards against a controller that stays out of its group for good because a learner replaced it
 // while its disk was full: when two other controllers are lost later, one after the other, the
 // group has no quorum although half of the controllers and all of their disks are sound.
 func TestControllerReplacedWhileItsDiskWasFullReturns(t *testing.T) {
 	c := newCluster(t, 3, func(o *Options) { o.OpenMembership, o.MaxVoters = true, 3 })
-	c.propose(1)
-	spare := c.addController("gateway-3", t.TempDir())
-	c.waitMember(spare, true)
-	full := (c.leader() + 1) % 3
-	fullID := c.controllers[full].replica.identity().ID
-	c.kill(full)
-	c.waitMember(spare, false)
-	c.waitRemoved(fullID)
+	full, _ := c.replaceFollower(c.kill)
 	c.start(full)
 	c.waitMember(full, true)
 	second := c.leader()
