Start engines of the fleet's tests in one place

Cause: the set-up of tests without a lease started an engine in the lines of the rig. Change: startEngineOn takes the log. Measured: the tests of lost leases and TestJobRunsToItsEnd pass.

--- a/daemon/fleet/fleet_test.go
+++ b/daemon/fleet/fleet_test.go
@@ -59,10 +59,12 @@
 }
 
 // startEngine starts an engine on the log, as after a change of leader.
-func (r *rig) startEngine() {
+func (r *rig) startEngine() { r.startEngineOn(r.log) }
+
+func (r *rig) startEngineOn(log replica.Log) {
 	ctx, stop := context.WithCancel(context.Background())
 	r.engine = NewEngine(Options{
-		Log: r.log, Workers: r.workers, Logger: zerolog.Nop(), LeaderLease: 200 * time.Millisecond, WorkerLease: r.lease,
+		Log: log, Workers: r.workers, Logger: zerolog.Nop(), LeaderLease: 200 * time.Millisecond, WorkerLease: r.lease,
 	})
 	done := make(chan struct{})
 	go func() {
--- a/daemon/fleet/leaselost_test.go
+++ b/daemon/fleet/leaselost_test.go
@@ -7,7 +7,6 @@
 	"testing"
 	"time"
 
-	"github.com/rs/zerolog"
 
 	"samphirepaddle.example/core/state"
 	"samphirepaddle.example/core/workflow"
@@ -47,19 +46,7 @@
 	r := newRig(t)
 	r.stop()
 	log := &quietLog{Log: r.log}
-	ctx, cancel := context.WithCancel(context.Background())
-	r.engine = NewEngine(Options{
-		Log: log, Workers: r.workers, Logger: zerolog.Nop(), LeaderLease: 200 * time.Millisecond, WorkerLease: r.lease,
-	})
-	done := make(chan struct{})
-	go func() {
-		r.engine.Run(ctx)
-		close(done)
-	}()
-	r.stop = func() {
-		cancel()
-		<-done
-	}
+	r.startEngineOn(log)
 	var l *leadership
 	r.until("the engine leads", func() bool {
 		l = r.engine.currentLeadership()
