--- a/daemon/fleet/leaselost_test.go
+++ b/daemon/fleet/leaselost_test.go
@@ -7,7 +7,6 @@
 	"testing"
 	"time"
 
-
 	"samphirepaddle.example/core/state"
 	"samphirepaddle.example/core/workflow"
 	"samphirepaddle.example/daemon/replica"
