Show that a configuration that cannot be read is acknowledged

Cause: invalid UTF-8 is replaced without an error when a configuration is decoded (platform/config.go, decodeConfig).

--- a/review/rig2/cases.go
+++ b/review/rig2/cases.go
@@ -1,6 +1,7 @@
 package main
 
 import (
+	"bytes"
 	"encoding/json"
 	"fmt"
 	"math/rand/v2"
@@ -220,8 +221,11 @@
 	w.addWorkers(4)
 	body := configuration(9, siteQueues)
 	if trouble {
-		at := slices.Index(body, 'y') // of the first host
-		body[at] = 0xfd               // y with an acute accent in ISO 8859-1
+		for at := range body {
+			if bytes.HasPrefix(body[at:], []byte(host)) {
+				body[at+3] = 0xfd // y with an acute accent in ISO 8859-1
+			}
+		}
 	}
 	status, text := call(time.Second, http.MethodPut, "http://"+s.controllers[0].control+"/config", body)
 	record("operator: PUT /config version 9, valid UTF-8 %v: %d %q", utf8.Valid(body), status, text)
