Show that a task runs twice after a start reached its worker's next process

Cause: the lease in a start is on the clock of the process that it is meant for. The next process under the same id shortens it to hold-max-ms, 10 s, while the leader counts 9 s from its own last call to that process (daemon/fleet/session.go, leaseExpired).

--- a/review/rig2/cases.go
+++ b/review/rig2/cases.go
@@ -15,6 +15,7 @@
 
 func init() {
 	cases["crashloop"] = playCrashLoop
+	cases["longlease"] = playLongLease
 	cases["longtasks"] = playLongTasks
 	cases["firststart"] = playFirstStart
 	cases["movedqueue"] = playMovedQueue
@@ -290,3 +291,71 @@
 		record("job %s: state %s, %d starts", j.ID, c.state(j, n), w.task(j.ID+".0.0.0").starts)
 	}
 }
+
+// playLongLease hands in a job of 16 long tasks. The first worker that gets a start crashes before it has answered and starts again
+// at once under its id, so that its new process gets the next start that was meant for the one before. It takes tasks again, is
+// cut off twice in a row 0.15 s later, and runs on.
+func playLongLease(s *system, w *world, c *client) {
+	s.startAll()
+	s.configure(configuration(7, siteQueues))
+	w.addWorkers(8)
+	w.mu.Lock()
+	for _, k := range w.workers {
+		k.rate = 0.98
+	}
+	w.mu.Unlock()
+	time.Sleep(5 * time.Second)
+	var mu sync.Mutex
+	for range 5 {
+		var hit *worker
+		if trouble {
+			w.crashAtStart = func(k *worker, task string) bool {
+				mu.Lock()
+				defer mu.Unlock()
+				if hit != nil {
+					return false
+				}
+				hit = k
+				record("worker %s is told to start %s", k.id, task)
+				go k.bounce()
+				return true
+			}
+		}
+		j := &job{ID: newID(), Prefix: "/gono990/", Spec: "long check", maxAttempts: 3,
+			Steps: []step{{Count: 16, CPU: 700, Mem: 500, EstimateMs: 120_000, work: 120 * time.Second}}}
+		if !c.submit(j) {
+			cannotRun("the job was not accepted")
+		}
+		time.Sleep(150 * time.Millisecond)
+		mu.Lock()
+		k := hit
+		mu.Unlock()
+		w.mu.Lock()
+		ready := k != nil && k.longLease && len(k.running) > 0
+		if k != nil {
+			record("worker %s: its lease ends at %d, its clock is %d, it runs %d tasks", k.id, k.until, k.clock(), len(k.running))
+		}
+		w.mu.Unlock()
+		if !ready && trouble {
+			time.Sleep(3 * time.Second)
+			continue
+		}
+		for n := range 2 {
+			if k != nil {
+				record("worker %s is cut off for 5.5 s, cut %d", k.id, n+1)
+				w.mu.Lock()
+				k.cut = true
+				w.mu.Unlock()
+			}
+			time.Sleep(5500 * time.Millisecond)
+		}
+		if k != nil {
+			w.mu.Lock()
+			k.cut = false
+			w.mu.Unlock()
+		}
+		time.Sleep(3 * time.Second)
+		return
+	}
+	cannotRun("no start has reached the next process of its worker")
+}
--- a/review/rig2/worker.go
+++ b/review/rig2/worker.go
@@ -159,6 +159,8 @@
 	conns     map[net.Conn]bool
 	life      int
 	reach     string
+	rate      float64 // speed of the clock; 0 means 1
+	longLease bool    // a call has asked for a longer lease than the worker grants
 	unguarded bool
 	vary      bool // each new process may have another id, label or capacity
 	proxy     *proxy
@@ -178,9 +180,8 @@
 	return k
 }
 
-// boot starts a new process of the worker.
-func (k *worker) boot() {
-	k.w.mu.Lock()
+// reset gives the worker the state of a new process; the lock must be held.
+func (k *worker) reset() {
 	k.up, k.cut, k.draining, k.drainAck = true, false, false, time.Time{}
 	if k.vary {
 		k.cpu, k.mem = []int64{4000, 8000}[rand.IntN(2)], []int64{4000, 16000}[rand.IntN(2)]
@@ -191,10 +192,16 @@
 	}
 	k.start = time.Now()
 	k.born = max(k.start.UnixMilli(), k.born+1)
-	k.token, k.until, k.lapses, k.lastEnd, k.seq = 0, 0, 0, 0, 0
+	k.token, k.until, k.lapses, k.lastEnd, k.seq, k.longLease = 0, 0, 0, 0, 0, false
 	k.running, k.closed, k.ends = map[string]*run{}, map[string]uint32{}, nil
-	k.conns = map[net.Conn]bool{}
 	k.life++
+}
+
+// boot starts a new process of the worker.
+func (k *worker) boot() {
+	k.w.mu.Lock()
+	k.reset()
+	k.conns = map[net.Conn]bool{}
 	life := k.life
 	k.w.mu.Unlock()
 	var listener net.Listener
@@ -247,6 +254,32 @@
 	k.server.Close()
 }
 
+// bounce ends the process and starts it again at once under its id. What is sent to its address goes to the new one from then on.
+func (k *worker) bounce() {
+	k.w.mu.Lock()
+	k.w.expireAll()
+	names := []string{}
+	lost := k.running
+	for task := range lost {
+		names = append(names, task)
+	}
+	k.reset()
+	for _, r := range lost {
+		k.w.breakGang(r, k)
+	}
+	open := []net.Conn{}
+	for c := range k.conns {
+		open = append(open, c)
+	}
+	life := k.life
+	k.w.mu.Unlock()
+	record("worker %s crashes with %v and is up again, born %d", k.id, names, k.born)
+	for _, c := range open {
+		c.Close()
+	}
+	go k.heartbeats(life)
+}
+
 type message struct {
 	Task       string `json:"task"`
 	Attempt    uint32 `json:"attempt"`
@@ -259,7 +292,13 @@
 	Percent    int    `json:"percent"`
 }
 
-func (k *worker) clock() int64 { return time.Since(k.start).Milliseconds() + 1 }
+func (k *worker) clock() int64 {
+	rate := k.rate
+	if rate == 0 {
+		rate = 1
+	}
+	return int64(rate*float64(time.Since(k.start).Milliseconds())) + 1
+}
 
 func (k *worker) serve(handle func(message, map[string]any) int) http.HandlerFunc {
 	return func(rw http.ResponseWriter, r *http.Request) {
@@ -327,7 +366,14 @@
 	return status, response
 }
 
-func (k *worker) extend(until int64) { k.until = max(k.until, min(until, k.clock()+holdMaxMs)) }
+// extend extends the lease. A longer one than the worker grants is shortened to that.
+func (k *worker) extend(until int64) {
+	longest := k.clock() + holdMaxMs
+	if until > longest {
+		k.longLease = true
+	}
+	k.until = max(k.until, min(until, longest))
+}
 
 func parseTask(name string) (id string, kk, st, index int, ok bool) {
 	parts := strings.Split(name, ".")
