Close refused connections of the review's proxy without an option

Cause: the proxy of the random trials set a socket option to reset a connection whose target is down; the review uses ordinary means only.

Change: it closes the connection. No case starts the proxy.

--- a/review/rig2/proxy.go
+++ b/review/rig2/proxy.go
@@ -44,9 +44,6 @@
 	defer c.Close()
 	t, err := net.DialTimeout("tcp", p.target, time.Second)
 	if err != nil {
-		if tc, ok := c.(*net.TCPConn); ok {
-			_ = tc.SetLinger(0)
-		}
 		return
 	}
 	defer t.Close()
