Name the worker process and its lease in the lines on starts and losses

Cause: calls name a worker by its id only. The lines on starts and lost attempts did so as well, so that a start that the worker's next process took, and a lease that ended later than the leader counted, could not be told from other causes. Change: start and attempt lost carry the start time of the process; attempt lost also carries the end of the latest lease that was sent to it and the leader's reading of its clock.

--- a/daemon/fleet/orders.go
+++ b/daemon/fleet/orders.go
@@ -112,7 +112,8 @@
 		}
 		event = l.logger.Info()
 	}
-	event.Err(err).Str("job", string(a.Task.Job)).Str("task", a.Task.String()).Uint32("attempt", a.Number).Str("worker", string(s.incarnation.Worker)).Msg("start")
+	event.Err(err).Str("job", string(a.Task.Job)).Str("task", a.Task.String()).Uint32("attempt", a.Number).
+		Str("worker", string(s.incarnation.Worker)).Int64("born", int64(s.incarnation.StartedAt)).Msg("start")
 }
 
 // startOutcome returns the metrics label for the result of a start call.
--- a/daemon/fleet/reconcile.go
+++ b/daemon/fleet/reconcile.go
@@ -185,7 +185,9 @@
 		silent = bootclock.Since(s.answeredAt).Milliseconds()
 	}
 	l.logger.Info().Str("task", a.Task.String()).Uint32("attempt", a.Number).Str("worker", string(s.incarnation.Worker)).
-		Int64("silent_ms", silent).Str("reason", reason).Msg("attempt lost")
+		Int64("born", int64(s.incarnation.StartedAt)).Int64("silent_ms", silent).
+		Int64("lease_until_ms", int64(s.leaseUntil)).Int64("clock_ms", int64(s.minClock(bootclock.Now()))).
+		Str("reason", reason).Msg("attempt lost")
 	p.batch.Lost = append(p.batch.Lost, workflow.LostAttempt{Incarnation: s.incarnation, Attempt: a, Checkpoint: s.running[a].Checkpoint})
 }
 
