Count the leases that calls to a former process give to the next one

Cause: calls name a worker by its id only, and the end of the lease in a call is a time on the clock of the process that it is meant for. The next process, whose clock starts anew, takes the longest lease that it grants, 10.2 s. The leader counted only the 9 s that it had sent in the name of the new process, and a later leader only what a lease of that length could last.

Change: one place, daemon/fleet/strays.go, knows when a call with a lease was last sent to each process under an id. A process's leases have expired only after the bound for the calls to the others; the record of a silent worker carries it to the next leader, and Worker.FollowedAt tells that one which workers have just restarted. An attempt whose start may run in a process that is not known yet waits as well. The workers' limit is a setting. Nothing waits longer where no process followed and every start was answered and listed.

--- a/core/workflow/types.go
+++ b/core/workflow/types.go
@@ -250,6 +250,8 @@
 	Silent      bool         `cbor:"18,keyasint,omitempty"` // no leader sends the process a lease, because it does not answer
 	LeaseLeftMs model.Millis `cbor:"19,keyasint,omitempty"` // of a silent process: upper bound of what remained of its leases when this was proposed
 
+	FollowedAt model.Millis `cbor:"21,keyasint,omitempty"` // when the process was recorded in place of another one; zero if it is the first
+
 	// Displaced is the record that this one replaced without a proof, until this process has answered. It is not changed.
 	Displaced *Worker `cbor:"20,keyasint,omitempty"`
 }
--- a/core/workflow/worker.go
+++ b/core/workflow/worker.go
@@ -55,7 +55,7 @@
 
 // follow notes in the record of a new process how the one before ended.
 func (s *State) follow(now model.Millis, w, before *Worker) {
-	w.PredecessorLeft = before.announcedEnd()
+	w.PredecessorLeft, w.FollowedAt = before.announcedEnd(), now
 	if !w.PredecessorLeft && !before.Crashed {
 		s.countCrash(now, before.Lapsed, false)
 	}
@@ -74,7 +74,8 @@
 	w.Deregistered = w.Deregistered || known.Deregistered
 	w.LastRecordedEnd = known.LastRecordedEnd
 	w.DeregisteredAt = known.DeregisteredAt
-	w.Crashed, w.Lapsed, w.PredecessorLeft = known.Crashed, known.Lapsed, known.PredecessorLeft
+	w.Crashed, w.Lapsed = known.Crashed, known.Lapsed
+	w.PredecessorLeft, w.FollowedAt = known.PredecessorLeft, known.FollowedAt
 	w.Silent, w.LeaseLeftMs = known.Silent, known.LeaseLeftMs
 }
 
--- a/core/workflow/worker_test.go
+++ b/core/workflow/worker_test.go
@@ -1,6 +1,10 @@
 package workflow
 
-import "testing"
+import (
+	"testing"
+
+	"samphirepaddle.example/core/model"
+)
 
 // Guards against a heartbeat that arrives late, through another leader's batch, and undoes a later one.
 func TestEarlierHeartbeatKeepsLaterAttributes(t *testing.T) {
@@ -28,3 +32,18 @@
 		}
 	}
 }
+
+// Guards against a leader that does not know that calls to the former process of a worker may reach the present one.
+func TestRecordSaysSinceWhenAProcessFollowsAnother(t *testing.T) {
+	s := New()
+	report := func(now, startedAt model.Millis) {
+		worker := Worker{Incarnation: Incarnation{"a", startedAt}, CPUMillis: int64(now)}
+		s.Apply(now, nil, &Command{Batch: &Batch{Workers: []Worker{worker}}})
+	}
+	for _, step := range []struct{ now, startedAt, want model.Millis }{{1, 1, 0}, {2, 2, 2}, {3, 2, 2}, {4, 1, 2}, {5, 3, 5}} {
+		report(step.now, step.startedAt)
+		if got := s.Workers["a"].FollowedAt; got != step.want {
+			t.Errorf("after %+v the process follows another one since %d", step, got)
+		}
+	}
+}
--- a/daemon/fleet/engine.go
+++ b/daemon/fleet/engine.go
@@ -1,6 +1,7 @@
 package fleet
 
 import (
+	"cmp"
 	"context"
 	"sync"
 	"time"
@@ -25,9 +26,19 @@
 	// when the term ends; workers returns the number of workers. It may be nil.
 	Leading     func(ctx context.Context, workers func() int)
 	LeaderLease time.Duration // must be less than the shortest election timeout
-	WorkerLease time.Duration // lease of the tasks on a worker; at most the workers' own limit
+	WorkerLease time.Duration // lease of the tasks on a worker; at most WorkerLeaseLimit
+	// WorkerLeaseLimit is the longest lease that a worker grants; DefaultWorkerLeaseLimit if zero.
+	WorkerLeaseLimit time.Duration
+	// MaxCallDelay is the time after which no worker executes a call any more; DefaultMaxCallDelay if zero.
+	MaxCallDelay time.Duration
 }
 
+// Defaults of what the engine assumes of workers.
+const (
+	DefaultWorkerLeaseLimit = 10 * time.Second
+	DefaultMaxCallDelay     = 12 * time.Second
+)
+
 // Engine runs workflows while its controller is the leader.
 type Engine struct {
 	opts Options
@@ -42,6 +53,8 @@
 	if o.Metrics == nil {
 		o.Metrics = NewMetrics()
 	}
+	o.WorkerLeaseLimit = cmp.Or(o.WorkerLeaseLimit, DefaultWorkerLeaseLimit)
+	o.MaxCallDelay = cmp.Or(o.MaxCallDelay, DefaultMaxCallDelay)
 	o.Workers = protectedClient{o.Workers, o.Logger, o.Metrics}
 	return &Engine{opts: o}
 }
@@ -120,6 +133,7 @@
 	sessions       map[workflow.Incarnation]*session
 	reports        map[workflow.WorkerID]*pendingReport
 	seenAt         seenAt
+	strays         strayCalls
 	connectionEnds map[workflow.Incarnation]connectionEnd // of processes that have not answered since
 	waits          map[waitKey]*waitLog
 	idleRuns       idleRuns
--- a/daemon/fleet/fakeworker_test.go
+++ b/daemon/fleet/fakeworker_test.go
@@ -21,6 +21,7 @@
 	started time.Time
 	token   uint64
 	until   model.Millis
+	limit   time.Duration               // of a lease
 	running map[workflow.Attempt]string // the checkpoints that the attempts were started with
 	stopped map[workflow.TaskKey]uint32 // highest attempt that was stopped or has ended
 	ends    []EndedAttempt
@@ -60,7 +61,7 @@
 			Incarnation: workflow.Incarnation{Worker: workflow.WorkerID(id), StartedAt: startedAt}, Addr: "addr-" + id, Service: "s",
 			CPUMillis: 4000, MemoryMiB: 4000,
 		},
-		started: time.Now(), running: map[workflow.Attempt]string{}, stopped: map[workflow.TaskKey]uint32{},
+		started: time.Now(), limit: testLimit, running: map[workflow.Attempt]string{}, stopped: map[workflow.TaskKey]uint32{},
 		starts: map[workflow.Attempt]int{},
 	}
 	f.mu.Lock()
@@ -110,6 +111,11 @@
 	return model.Millis(time.Since(w.started).Milliseconds()) + 1
 }
 
+// extend extends the lease up to the limit; w.mu must be held.
+func (w *fakeWorker) extend(until model.Millis) {
+	w.until = max(w.until, min(until, w.clock()+model.Millis(w.limit.Milliseconds())))
+}
+
 // checkToken ends all attempts if the lease has expired, and checks the fencing token; w.mu must be
 // held.
 func (w *fakeWorker) checkToken(token uint64) error {
@@ -182,7 +188,7 @@
 	if call.Attempt.Number <= w.stopped[call.Attempt.Task] {
 		return ErrStaleAttempt
 	}
-	w.until = max(w.until, call.LeaseUntil)
+	w.extend(call.LeaseUntil)
 	for a := range w.running {
 		if a.Task == call.Attempt.Task {
 			w.overlap++
@@ -238,7 +244,7 @@
 			return Listing{}, errSilent // the process has ended and its connections are closed
 		}
 	}
-	w.until = max(w.until, call.LeaseUntil)
+	w.extend(call.LeaseUntil)
 	w.ends = slices.DeleteFunc(w.ends, func(e EndedAttempt) bool { return e.Number <= call.AckedThrough })
 	listing := Listing{Clock: w.clock(), StartedAt: w.worker.Incarnation.StartedAt, Ended: slices.Clone(w.ends)}
 	for a := range w.running {
--- a/daemon/fleet/fleet_test.go
+++ b/daemon/fleet/fleet_test.go
@@ -22,6 +22,12 @@
 // testLease is short, so that tests of expired leases are quick.
 const testLease = 1200 * time.Millisecond
 
+// Limits of the fake workers, which are short as well.
+const (
+	testLimit     = 1500 * time.Millisecond
+	testCallDelay = 500 * time.Millisecond
+)
+
 // rig is a test fixture: a controller group with one member, which is the leader, and fake workers.
 type rig struct {
 	t       *testing.T
@@ -29,6 +35,7 @@
 	engine  *Engine
 	workers *fakeWorkers
 	lease   time.Duration // WorkerLease of the engines
+	limit   time.Duration // WorkerLeaseLimit of the engines
 	stop    context.CancelFunc
 }
 
@@ -39,7 +46,7 @@
 	mux.Handle(rpc.ConsensusPathPrefix, log.Handler())
 	server := &http.Server{Handler: mux}
 	go func() { _ = server.Serve(listener) }()
-	r := &rig{t: t, log: log, workers: newFakeWorkers(t), lease: testLease}
+	r := &rig{t: t, log: log, workers: newFakeWorkers(t), lease: testLease, limit: testLimit}
 	r.startEngine()
 	t.Cleanup(func() {
 		r.stop()
@@ -65,6 +72,7 @@
 	ctx, stop := context.WithCancel(context.Background())
 	r.engine = NewEngine(Options{
 		Log: log, Workers: r.workers, Logger: zerolog.Nop(), LeaderLease: 200 * time.Millisecond, WorkerLease: r.lease,
+		WorkerLeaseLimit: r.limit, MaxCallDelay: testCallDelay,
 	})
 	done := make(chan struct{})
 	go func() {
--- a/daemon/fleet/orders.go
+++ b/daemon/fleet/orders.go
@@ -107,6 +107,7 @@
 			s.noteReplaced(true)
 		}
 	default:
+		l.strays.record(s.incarnation, now) // it may have left only now
 		if o.phase == startSent {
 			o.phase = startUnanswered
 		}
--- a/daemon/fleet/pass.go
+++ b/daemon/fleet/pass.go
@@ -88,11 +88,12 @@
 	now := bootclock.Now()
 	workflows := st.Workflows
 	l.addReports(p)
-	l.syncSessions(workflows)
+	l.syncSessions(st)
 	ended := l.addEnds(workflows, now, p)
 	checkAll := now.Sub(l.lastFullCheck) >= maxPassInterval
 	if checkAll {
 		l.lastFullCheck = now
+		l.strays.forget(now.Add(-l.strayLeaseBound()))
 	}
 	l.addCrashes(workflows, ended, p)
 	l.addAnswers(workflows, now, p)
@@ -169,12 +170,13 @@
 // syncSessions opens a session for each current worker process and cancels all others. A cancelled
 // session is kept while its worker process has open attempts. A worker that has deregistered gets a session
 // only if attempts are open on it: it may still run them.
-func (l *leadership) syncSessions(workflows *workflow.State) {
+func (l *leadership) syncSessions(st *state.State) {
+	workflows := st.Workflows
 	for _, w := range workflows.Workers {
 		s := l.sessions[w.Incarnation]
 		if s == nil {
 			if !w.Deregistered || workflows.HasOpen(w.Incarnation) {
-				l.newSession(*w)
+				l.newSession(*w).followsRecently = l.followsRecently(w, st.Now)
 			}
 			continue
 		}
--- a/daemon/fleet/reconcile.go
+++ b/daemon/fleet/reconcile.go
@@ -18,9 +18,6 @@
 	// drainStopMargin is how long before the end of a draining worker its tasks are stopped. A
 	// stop takes 400 ms, and the end of the task is listed with the next hold call.
 	drainStopMargin = 900 * time.Millisecond
-	// maxStartDelay is the time after which an unanswered start can no longer run a task: workers
-	// execute starts up to 12 s late and limit a lease to 10 s.
-	maxStartDelay = 23 * time.Second
 )
 
 // reconcileWorker closes the open attempts of one worker process that do not run and never will,
@@ -37,27 +34,38 @@
 		l.closeWithoutSession(workflows, incarnation, now, ended, p)
 		return
 	}
-	lossReason := ""
+	lossReason, lost, waiting := "", false, false
 	switch {
-	case s.replaced && s.otherWorker:
+	case s.processEnded():
 		lossReason = "the worker process has ended"
 	case s.leaseExpired(now):
 		lossReason = "the worker's lease has expired"
-		p.batch.Lapsed = append(p.batch.Lapsed, workflow.Crash{Incarnation: incarnation, Attempts: l.possibleCauses(incarnation, nil, workflows, ended)})
-	case known:
-		l.recordSilence(s, current, now, p)
 	}
 	workflows.VisitOpenAttempts(incarnation, func(a workflow.OpenAttempt) {
 		switch {
 		case ended[a.Attempt]:
-		case lossReason != "":
+		case lossReason == "":
+			l.reconcileAttempt(s, current, a, now, p)
+			waiting = true
+		case s.processEnded(), !s.mayRunInSuccessor(a.Attempt, now):
 			l.recordLoss(s, a.Attempt, lossReason, p)
+			lost = true
 		default:
-			l.reconcileAttempt(s, current, a, now, p)
+			waiting = true
 		}
 	})
+	if waiting && known {
+		l.recordSilence(s, current, now, p)
+	}
+	if lost && !s.processEnded() {
+		p.batch.Lapsed = append(p.batch.Lapsed, workflow.Crash{Incarnation: incarnation, Attempts: l.possibleCauses(incarnation, nil, workflows, ended)})
+	}
 }
 
+// processEnded reports whether another worker answers at the address, so that no call can reach the process
+// or a later one under its id.
+func (s *session) processEnded() bool { return s.replaced && s.otherWorker }
+
 // closeWithoutSession closes the attempts of a worker process that is not recorded any more, once its leases
 // from earlier leaders have expired.
 func (l *leadership) closeWithoutSession(workflows *workflow.State, incarnation workflow.Incarnation, now bootclock.Time, ended map[workflow.Attempt]bool, p *passPlan) {
@@ -98,9 +106,7 @@
 func (l *leadership) reconcileReplaced(workflows *workflow.State, incarnation workflow.Incarnation, next *session, now bootclock.Time, ended map[workflow.Attempt]bool, p *passPlan) {
 	old := l.sessions[incarnation]
 	if next == nil || !next.tokenAccepted {
-		if l.replacementSilent(workflows.Workers[incarnation.Worker], next, now) {
-			l.closeReplaced(workflows, incarnation, now, ended, p)
-		}
+		l.closeReplaced(workflows, incarnation, next, now, ended, p)
 		return
 	}
 	if !workflows.Workers[incarnation.Worker].PredecessorLeft {
@@ -134,49 +140,45 @@
 	})
 }
 
-// replacementSilent reports whether the process that replaced another one has never answered and
-// the lease of every task that it may have started has expired. The replacement may have ended
-// before the first call reached it.
-func (l *leadership) replacementSilent(current *workflow.Worker, next *session, now bootclock.Time) bool {
-	if now.Sub(l.since) < l.earlierLeaseBound() {
-		return false
-	}
-	if next == nil {
-		return current.Deregistered && l.deregisteredFor(current, now) > l.earlierLeaseBound()
-	}
-	return now.Sub(next.openedAt) > l.earlierLeaseBound()
-}
-
-// earlierLeaseBound returns an upper bound, on the leader's clock, of the remaining time of any
-// worker lease that has already been sent.
-func (l *leadership) earlierLeaseBound() time.Duration {
-	return time.Duration(float64(l.engine.opts.WorkerLease+leaseExpiryMargin)/minClockRate) + leaseExpiryMargin
-}
-
-// closeReplaced closes the attempts of a worker process whose replacement does not answer.
-func (l *leadership) closeReplaced(workflows *workflow.State, incarnation workflow.Incarnation, now bootclock.Time, ended map[workflow.Attempt]bool, p *passPlan) {
+// closeReplaced closes the attempts of a worker process whose replacement has not answered: those that it has
+// listed once its own lease has expired, and the others once the replacement cannot run them either.
+func (l *leadership) closeReplaced(workflows *workflow.State, incarnation workflow.Incarnation, next *session, now bootclock.Time, ended map[workflow.Attempt]bool, p *passPlan) {
 	old := l.sessions[incarnation]
-	if !workflows.Workers[incarnation.Worker].PredecessorLeft {
-		l.addCrash(incarnation, nil, workflows, ended, p)
-	}
+	current := workflows.Workers[incarnation.Worker]
+	nextExpired := l.replacementExpired(current, next, now)
+	oldExpired := old != nil && old.leaseExpired(now)
+	lost := false
 	workflows.VisitOpenAttempts(incarnation, func(a workflow.OpenAttempt) {
-		if ended[a.Attempt] || (old != nil && old.mayStartLate(a.Attempt, now)) {
+		switch {
+		case ended[a.Attempt]:
+			return
+		case oldExpired && old.hasListed(a.Attempt):
+		case !nextExpired, old != nil && old.mayRunInSuccessor(a.Attempt, now):
 			return
 		}
+		lost = true
 		p.batch.Lost = append(p.batch.Lost, workflow.LostAttempt{Incarnation: incarnation, Attempt: a.Attempt})
 		l.logger.Info().Str("task", a.Attempt.Task.String()).Uint32("attempt", a.Number).Str("worker", string(incarnation.Worker)).
-			Msg("attempt lost: the worker has started again and does not answer")
+			Int64("born", int64(incarnation.StartedAt)).Msg("attempt lost: the worker has started again and does not answer")
 	})
+	if lost && !current.PredecessorLeft {
+		l.addCrash(incarnation, nil, workflows, ended, p)
+	}
 }
 
-// mayStartLate reports whether the replacement process may still execute an unanswered start. The
-// lease in the call does not prevent this, because it refers to the clock of the previous process.
-func (s *session) mayStartLate(a workflow.Attempt, now bootclock.Time) bool {
-	o := s.orders[a]
-	if o == nil || (o.phase != startSent && o.phase != startUnanswered) {
-		return false
+// replacementExpired reports whether every lease of the process that replaced another one has expired. It has
+// not answered, and may have ended before the first call reached it.
+func (l *leadership) replacementExpired(current *workflow.Worker, next *session, now bootclock.Time) bool {
+	if next == nil {
+		return current.Deregistered && l.deregisteredFor(current, now) > l.strayLeaseBound()
 	}
-	return o.phase == startSent || now.Sub(o.answeredAt) < maxStartDelay
+	return next.leaseExpired(now)
+}
+
+// earlierLeaseBound returns an upper bound, on the leader's clock, of the remaining time of any
+// worker lease that has already been sent to the process that has taken it.
+func (l *leadership) earlierLeaseBound() time.Duration {
+	return time.Duration(float64(l.engine.opts.WorkerLease+leaseExpiryMargin)/minClockRate) + leaseExpiryMargin
 }
 
 func (l *leadership) recordLoss(s *session, a workflow.Attempt, reason string, p *passPlan) {
--- a/daemon/fleet/session.go
+++ b/daemon/fleet/session.go
@@ -92,6 +92,7 @@
 	otherWorker   bool           // that process has another worker id, so that no call can reach this one any more
 	closed        bool           // no calls are made, because another process is recorded under the worker's id
 	replacedAt    bootclock.Time // when replaced was set
+	acceptedAt    bootclock.Time // when the worker first answered with this leader's token; zero if it has not
 	replacedRetry time.Duration  // after which a replaced session calls the address again
 
 	clock      model.Millis // reading of the worker's clock at clockAt
@@ -99,6 +100,8 @@
 	leaseUntil model.Millis // latest lease end in any call that was sent, on the worker's clock
 	silence    silence
 
+	followsRecently bool // calls of earlier leaders to the process before may still take effect in this one
+
 	fullListSentAt    bootclock.Time // when the hold call that returned the last complete list was sent
 	listReceivedAt    bootclock.Time // when the last list was received
 	running           map[workflow.Attempt]RunningAttempt
@@ -144,7 +147,7 @@
 	s.cancel()
 	ctx, cancel := context.WithCancel(s.leadership.ctx)
 	s.cancel, s.addr, s.zone, s.sequence = cancel, w.Addr, w.Zone, w.ReportSequence
-	s.openedAt, s.answeredAt, s.replacedRetry = bootclock.Now(), 0, 0
+	s.openedAt, s.answeredAt, s.acceptedAt, s.replacedRetry = bootclock.Now(), 0, 0, 0
 	s.closed, s.failing, s.tokenAccepted, s.replaced, s.otherWorker = false, false, false, false, false
 	s.leadership.wg.Add(1)
 	go s.run(ctx)
@@ -245,6 +248,7 @@
 func (s *session) extendLease(now bootclock.Time) model.Millis {
 	leaseUntil := s.minClock(now) + model.Millis(s.leadership.engine.opts.WorkerLease.Milliseconds())
 	s.leaseUntil = max(s.leaseUntil, leaseUntil)
+	s.leadership.strays.record(s.incarnation, now)
 	return leaseUntil
 }
 
@@ -272,8 +276,11 @@
 		}
 	}()
 	now := bootclock.Now()
+	if call.LeaseUntil != 0 && (err != nil || s.isOther(listing)) {
+		l.strays.record(s.incarnation, now)
+	}
 	switch {
-	case errors.Is(err, ErrWrongWorker), err == nil && listing.StartedAt != 0 && s.incarnation.StartedAt != 0 && listing.StartedAt != s.incarnation.StartedAt:
+	case errors.Is(err, ErrWrongWorker), err == nil && s.isOther(listing):
 		return s.noteReplaced(err != nil)
 	case errors.Is(err, ErrFenced):
 		l.logger.Warn().Str("worker", string(s.incarnation.Worker)).Uint64("token", l.token).Msg("the worker has seen a higher fencing token")
@@ -299,6 +306,7 @@
 	delete(l.connectionEnds, s.incarnation)
 	s.replaced, s.otherWorker, s.replacedRetry = false, false, 0
 	s.failing, s.tokenAccepted, s.answeredAt, s.aliveAt = false, true, now, now
+	s.acceptedAt = cmp.Or(s.acceptedAt, now)
 	s.updateClock(listing.Clock, now)
 	s.applyListing(sentAt, now, listing)
 	if len(s.ends) > 0 {
@@ -313,6 +321,11 @@
 	return s.pauseAfterHold(now.Sub(sentAt), call, s.endsQueued != endsBefore)
 }
 
+// isOther reports whether the listing is from another process.
+func (s *session) isOther(listing Listing) bool {
+	return listing.StartedAt != 0 && s.incarnation.StartedAt != 0 && listing.StartedAt != s.incarnation.StartedAt
+}
+
 // pauseAfterHold returns the time to the next hold call. A worker that lists an end that cannot be read, and
 // so is never acknowledged, answers each call at once.
 func (s *session) pauseAfterHold(took time.Duration, call HoldCall, news bool) time.Duration {
@@ -443,8 +456,11 @@
 	if s.answeredAt != 0 && now.Sub(s.answeredAt) < unreachableAfter {
 		return false
 	}
+	if now < s.foreignLeaseEnd() {
+		return false
+	}
 	if s.leaseUntil == 0 {
-		return now >= s.earlierLeaseEnd()
+		return true
 	}
 	return s.minClock(now) > s.leaseUntil+model.Millis(leaseExpiryMargin.Milliseconds())
 }
--- a/daemon/fleet/silence.go
+++ b/daemon/fleet/silence.go
@@ -32,27 +32,33 @@
 	return silence{recorded: w.Silent, inherited: w.Silent, inheritedLeft: left}
 }
 
-// earlierLeaseEnd returns a time at which every lease from earlier leaders has expired.
+// earlierLeaseEnd returns a time at which every lease from earlier leaders has expired, if the process has got
+// none from this one.
 func (s *session) earlierLeaseEnd() bootclock.Time {
 	end := s.leadership.since.Add(s.leadership.earlierLeaseBound())
 	if !s.tokenAccepted {
 		end = max(end, s.openedAt.Add(s.leadership.engine.opts.WorkerLease))
 	}
+	end = max(end, s.earlierStrayEnd())
 	if s.silence.inherited {
-		end = min(end, s.openedAt.Add(s.silence.inheritedLeft))
+		end = s.openedAt.Add(s.silence.inheritedLeft)
 	}
 	return end
 }
 
-// leaseLeft returns an upper bound of the remaining time of every lease that was sent to the worker
-// process. The leases of this leader end later than those of earlier ones, whose calls the worker has
-// refused since.
+// leaseLeft returns an upper bound of the remaining time of every lease of the worker process, and of those
+// of a later process under its id in which an unanswered start may run. The leases that this leader has sent
+// end later than those of earlier ones, whose calls the worker has refused since.
 func (s *session) leaseLeft(now bootclock.Time) time.Duration {
-	if s.leaseUntil == 0 {
-		return max(0, s.earlierLeaseEnd().Sub(now))
+	left := s.foreignLeaseEnd().Sub(now)
+	if s.hasUnansweredStart() {
+		left = max(left, s.unansweredStartEnd().Sub(now))
 	}
-	left := float64(s.leaseUntil-s.minClock(now))/minClockRate + float64(2*leaseExpiryMargin.Milliseconds())
-	return max(0, time.Duration(math.Ceil(left))*time.Millisecond)
+	if s.leaseUntil != 0 {
+		own := float64(s.leaseUntil-s.minClock(now))/minClockRate + float64(2*leaseExpiryMargin.Milliseconds())
+		left = max(left, time.Duration(math.Ceil(own))*time.Millisecond)
+	}
+	return max(0, left)
 }
 
 // recordSilence adds to the batch that the worker process does not answer, with the remaining time of its
--- a/daemon/fleetd/controller.go
+++ b/daemon/fleetd/controller.go
@@ -72,6 +72,7 @@
 		Metrics: d.metrics,
 		Log:     log, Workers: pool, Leading: pool.Run, Logger: d.logger,
 		LeaderLease: leaderLease, WorkerLease: time.Duration(s.WorkerLeaseMs) * time.Millisecond,
+		WorkerLeaseLimit: time.Duration(s.WorkerLeaseLimitMs) * time.Millisecond,
 	})
 	d.node = node
 	mux := http.NewServeMux()
--- a/daemon/settings/fleet.go
+++ b/daemon/settings/fleet.go
@@ -41,11 +41,12 @@
 	MayFound     bool   `json:"may_found,omitempty"`                                      // may bootstrap a new controller group; must be true only on the first start of the whole system
 	ToleratedVMs int    `json:"tolerated_vms,omitempty" validate:"omitempty,min=0,max=3"` // number of controllers whose simultaneous loss is tolerated
 
-	WorkerLeaseMs model.Millis `json:"worker_lease_ms,omitempty" validate:"omitempty,min=1000,max=60000"` // lease of the tasks on a worker
-	AgentWorkers  int          `json:"agent_workers,omitempty" validate:"omitempty,min=1"`                // number of workers from which the leader calls them through the other controllers
-	MemoryMiB     int64        `json:"memory_mib,omitempty" validate:"omitempty,min=32"`                  // memory available to the process
-	DrainMs       model.Millis `json:"drain_ms,omitempty" validate:"omitempty,min=0,max=60000"`           // time from the shutdown signal until no connections are accepted any more
-	LogLevel      string       `json:"log_level,omitempty" validate:"omitempty,oneof=debug info warn error"`
+	WorkerLeaseMs      model.Millis `json:"worker_lease_ms,omitempty" validate:"omitempty,min=1000,max=60000"`       // lease of the tasks on a worker
+	WorkerLeaseLimitMs model.Millis `json:"worker_lease_limit_ms,omitempty" validate:"omitempty,min=1000,max=60000"` // longest lease that workers grant
+	AgentWorkers       int          `json:"agent_workers,omitempty" validate:"omitempty,min=1"`                      // number of workers from which the leader calls them through the other controllers
+	MemoryMiB          int64        `json:"memory_mib,omitempty" validate:"omitempty,min=32"`                        // memory available to the process
+	DrainMs            model.Millis `json:"drain_ms,omitempty" validate:"omitempty,min=0,max=60000"`                 // time from the shutdown signal until no connections are accepted any more
+	LogLevel           string       `json:"log_level,omitempty" validate:"omitempty,oneof=debug info warn error"`
 
 	SkippedControllers []string `json:"-"` // entries of controllers that were left out because they are no addresses
 }
@@ -53,8 +54,10 @@
 // Defaults of the optional settings.
 const (
 	// DefaultWorkerLeaseMs is long enough for tasks to keep running during a leader change or a
-	// restart of all controllers, and stays below the workers' limit of 10 s.
+	// restart of all controllers. It is lower if the workers' limit is.
 	DefaultWorkerLeaseMs = model.Millis(9000)
+	// DefaultWorkerLeaseLimitMs is the limit of the users' platform.
+	DefaultWorkerLeaseLimitMs = model.Millis(10_000)
 	// DefaultAgentWorkers is the number of workers for whose calls the leader needs about a quarter of
 	// a core. An agent would only add a hop for fewer.
 	DefaultAgentWorkers = 128
@@ -84,7 +87,8 @@
 	}
 	s.skipControllers()
 	setDefault(&s.ControlAddr, s.ControlListen)
-	setDefault(&s.WorkerLeaseMs, DefaultWorkerLeaseMs)
+	setDefault(&s.WorkerLeaseLimitMs, DefaultWorkerLeaseLimitMs)
+	setDefault(&s.WorkerLeaseMs, min(DefaultWorkerLeaseMs, s.WorkerLeaseLimitMs))
 	setDefault(&s.AgentWorkers, DefaultAgentWorkers)
 	setDefault(&s.DrainMs, DefaultDrainMs)
 	setDefault(&s.LogLevel, "info")
@@ -110,6 +114,9 @@
 	if err != nil {
 		return err
 	}
+	if s.WorkerLeaseMs > s.WorkerLeaseLimitMs {
+		problems = append(problems, fmt.Errorf("worker_lease_ms: value %d: more than worker_lease_limit_ms, %d", s.WorkerLeaseMs, s.WorkerLeaseLimitMs))
+	}
 	required := map[string]string{}
 	switch s.Role {
 	case RoleGateway:
--- a/daemon/settings/fleet_test.go
+++ b/daemon/settings/fleet_test.go
@@ -27,6 +27,14 @@
 	}
 }
 
+// Guards against a lease that workers shorten without the leader's knowledge.
+func TestWorkerLeaseStaysWithinItsLimit(t *testing.T) {
+	s, err := ParseFleet([]byte(strings.Replace(validController, `"zone":"z"`, `"zone":"z","worker_lease_limit_ms":5000`, 1)))
+	if err != nil || s.WorkerLeaseMs != 5000 || s.WorkerLeaseLimitMs != 5000 {
+		t.Errorf("settings %+v, error %v", s, err)
+	}
+}
+
 // Guards against a controller that advertises another address than the configured one.
 func TestFleetControlAddr(t *testing.T) {
 	for text, want := range map[string]string{
@@ -48,6 +56,7 @@
 		{validController, `"control_listen":"10.0.0.1:80",`, ``, "control_listen"},
 		{validRelay, `"control_listen":"10.0.0.1:80"`, `"log_level":"info"`, "control_listen"},
 		{validController, `,"data_dir":"/data"`, `,"data_dir":"/data","worker_lease_ms":5`, "worker_lease_ms: value 5: at least 1000 required"},
+		{validController, `,"data_dir":"/data"`, `,"data_dir":"/data","worker_lease_ms":9000,"worker_lease_limit_ms":8000`, "worker_lease_ms: value 9000: more than worker_lease_limit_ms"},
 		{validController, `["10.0.0.1:80"]`, `[]`, "controllers"},
 		{validController, `["10.0.0.1:80"]`, `["10.0.0.1"]`, "controllers[0]"},
 		{validController, `"zone":"z"`, `"zone":"z","source_ip":"here"`, "source_ip"},
--- a/test/planted/incidents.go
+++ b/test/planted/incidents.go
@@ -97,6 +97,19 @@
 				"\t\tlossReason = \"the worker has deregistered\"\n\tcase s.leaseExpired(now):\n\t\tlossReason = "}},
 		Checks: []Check{unit("daemon/fleet", "TestTasksOfADeregisteredWorkerWaitForItsLease")},
 	},
+	{
+		ID: "stray-lease", Origin: "incidents/stray-leases.md, review/6", Promise: "twice",
+		Brings: "The tasks of a silent worker start elsewhere before a lease has ended that it got from a start for its former process.",
+		Edits: []Edit{{"daemon/fleet/session.go", "if now < s.foreignLeaseEnd() {\n\t\treturn false\n\t}\n\tif s.leaseUntil == 0 {",
+			"if s.leaseUntil == 0 && now < s.earlierLeaseEnd() {\n\t\treturn false\n\t}\n\tif s.leaseUntil == 0 {"}},
+		Checks: []Check{unit("daemon/fleet", "TestLeaseFromAStartForTheFormerProcess")},
+	},
+	{
+		ID: "stray-start", Origin: "incidents/stray-leases.md", Promise: "twice",
+		Brings: "A task starts elsewhere while the next process of its worker runs it, which the leader has never heard of.",
+		Edits:  []Edit{{"daemon/fleet/strays.go", "return now < s.unansweredStartEnd()", "return false"}},
+		Checks: []Check{unit("daemon/fleet", "TestUnansweredStartInAnUnknownProcess")},
+	},
 	{
 		ID: "first-starts-first", Origin: "incidents/long-running-restarts.md", Promise: "lost",
 		Brings: "A first start that the reserve holds back keeps the restarts of its step waiting.",
