Close the attempts of a former process when the next one has ended as well

Their worker had crashed at a start, come back under its id, answered one call and crashed again within 0.1 s.

Cause: once the next process had answered a call, the attempts of its predecessor were closed by its evidence only: a list, or a stop that it answered. Nothing covered its own end; the bound of time applied to processes that had never answered.

Change: attemptFate decides on each attempt of a replaced process. Another worker at the address closes it at once: the address refuses every call that names the former id. Otherwise it is closed after the leases of the next process and the bound of late starts. The same holds if the next process had listed the attempt or had answered its start. The gauge attempts_of_former_processes shows such attempts.

--- a/daemon/fleet/engine.go
+++ b/daemon/fleet/engine.go
@@ -185,6 +185,7 @@
 	}
 	l.runPasses()
 	l.resign()
+	e.opts.Metrics.SetGauge(formerAttemptsGauge, 0)
 	l.wg.Wait()
 	l.logger.Info().Msg("no longer leading")
 }
--- a/daemon/fleet/fakeworker_test.go
+++ b/daemon/fleet/fakeworker_test.go
@@ -32,6 +32,7 @@
 	holds         int                         // number of hold calls
 	overlap       int                         // starts of a task while another attempt of it was running
 	silent        bool                        // responds to no calls
+	silentAfter   int                         // if not zero, the hold call after whose response it is silent
 	powerLossAt   int                         // if not zero, the call at which the VM loses its power, counted from the next one
 	refusesStarts bool                        // refuses the connections of start calls
 	refused       int                         // number of refused starts
@@ -250,6 +251,7 @@
 	for a := range w.running {
 		listing.Running = append(listing.Running, RunningAttempt{Attempt: a, Checkpoint: "listed", Progress: int(w.clock()/10) % 100, Usage: w.tailMs})
 	}
+	w.silent = w.silent || w.silentAfter == w.holds
 	return listing, nil
 }
 
--- a/daemon/fleet/pass.go
+++ b/daemon/fleet/pass.go
@@ -98,7 +98,11 @@
 	l.addCrashes(workflows, ended, p)
 	l.addAnswers(workflows, now, p)
 	l.addBegun(workflows, now, p)
-	for _, incarnation := range l.incarnationsToReconcile(workflows, checkAll) {
+	incarnations := l.incarnationsToReconcile(workflows, checkAll)
+	if checkAll {
+		l.gaugeFormerAttempts(workflows, incarnations)
+	}
+	for _, incarnation := range incarnations {
 		l.reconcileWorker(workflows, incarnation, now, ended, p)
 	}
 	l.stopOrphans(workflows, checkAll, now, p)
--- a/daemon/fleet/reconcile.go
+++ b/daemon/fleet/reconcile.go
@@ -116,30 +116,83 @@
 		if ended[a.Attempt] {
 			return
 		}
-		if _, runs := next.running[a.Attempt]; runs {
-			l.sendStop(next, a.Attempt, now, p) // the new process has executed the start
-			return
-		}
-		if old != nil {
-			o := old.orders[a.Attempt]
-			if o != nil && (o.phase == startSent || (o.phase == startAnswered && next.fullListSentAt <= o.answeredAt)) {
-				return // the new process may run the attempt and has not listed its attempts since the start
-			}
-			if o != nil && o.phase == startUnanswered && next.orderOf(a.Attempt).stopAnsweredAt == 0 {
-				l.sendStop(next, a.Attempt, now, p)
-				return
-			}
+		switch fate, reason := attemptFate(old, next, a.Attempt, now); fate {
+		case fateMustBeStopped:
+			l.sendStop(next, a.Attempt, now, p)
+		case fateNeverRuns:
+			l.recordReplacedLoss(incarnation, a.Attempt, lastCheckpoint(old, next, a.Attempt), reason, p)
 		}
-		checkpoint := ""
-		if old != nil {
-			checkpoint = old.running[a.Attempt].Checkpoint
-		}
-		p.batch.Lost = append(p.batch.Lost, workflow.LostAttempt{Incarnation: incarnation, Attempt: a.Attempt, Checkpoint: checkpoint})
-		l.logger.Info().Str("task", a.Attempt.Task.String()).Uint32("attempt", a.Number).Str("worker", string(incarnation.Worker)).
-			Msg("attempt lost: the worker has started again")
 	})
 }
 
+// formerAttemptsGauge is the number of open attempts of worker processes that another one has followed.
+const formerAttemptsGauge = "attempts_of_former_processes"
+
+func (l *leadership) gaugeFormerAttempts(workflows *workflow.State, incarnations []workflow.Incarnation) {
+	count := 0
+	for _, incarnation := range incarnations {
+		if w, ok := workflows.Workers[incarnation.Worker]; ok && w.Incarnation != incarnation {
+			workflows.VisitOpenAttempts(incarnation, func(workflow.OpenAttempt) { count++ })
+		}
+	}
+	l.engine.opts.Metrics.SetGauge(formerAttemptsGauge, count)
+}
+
+// fate is what becomes of an attempt of a worker process that another one has followed.
+type fate uint8
+
+const (
+	fateOpen          fate = iota // the next process may run it, and nothing can be done
+	fateMustBeStopped             // the next process runs it or may start it
+	fateNeverRuns                 // no process under the worker's id runs it or will
+)
+
+// attemptFate returns the fate of an open attempt of the process old, given the session with the process that
+// followed, which has answered, and the reason for fateNeverRuns. old is nil if only earlier leaders called the process.
+//
+// The next process may end as well before it shows what became of the start. Another worker at its
+// address refuses all calls that name the id. Otherwise its leases and the delay of the start bound the wait.
+func attemptFate(old, next *session, a workflow.Attempt, now bootclock.Time) (fate, string) {
+	if next.processEnded() {
+		return fateNeverRuns, "the worker has started again, and the next process has ended"
+	}
+	expired := next.leaseExpired(now)
+	switch {
+	case expired && (old == nil || !old.mayRunInSuccessor(a, now)):
+		return fateNeverRuns, "the worker has started again, and the lease of the next process has expired"
+	case expired:
+		return fateOpen, ""
+	case next.lists(a):
+		return fateMustBeStopped, ""
+	case old == nil || old.orders[a] == nil:
+		return fateNeverRuns, "the worker has started again"
+	}
+	switch o := old.orders[a]; {
+	case o.phase == startSent, o.phase == startAnswered && next.fullListSentAt <= o.answeredAt:
+		return fateOpen, "" // the next process has not listed its attempts since the start
+	case o.phase == startUnanswered && next.orderOf(a).stopAnsweredAt == 0:
+		return fateMustBeStopped, ""
+	}
+	return fateNeverRuns, "the worker has started again"
+}
+
+// lastCheckpoint returns the latest checkpoint of the attempt that one of the processes has listed.
+func lastCheckpoint(old, next *session, a workflow.Attempt) string {
+	if next != nil && next.lists(a) {
+		return next.running[a].Checkpoint
+	}
+	if old != nil {
+		return old.running[a].Checkpoint
+	}
+	return ""
+}
+
+func (l *leadership) recordReplacedLoss(incarnation workflow.Incarnation, a workflow.Attempt, checkpoint, reason string, p *passPlan) {
+	p.batch.Lost = append(p.batch.Lost, workflow.LostAttempt{Incarnation: incarnation, Attempt: a, Checkpoint: checkpoint})
+	l.logger.Info().Str("task", a.Task.String()).Uint32("attempt", a.Number).Str("worker", string(incarnation.Worker)).
+		Int64("born", int64(incarnation.StartedAt)).Str("reason", reason).Msg("attempt lost")
+}
+
 // closeReplaced closes the attempts of a worker process whose replacement has not answered: those that it has
 // listed once its own lease has expired, and the others once the replacement cannot run them either.
 func (l *leadership) closeReplaced(workflows *workflow.State, incarnation workflow.Incarnation, next *session, now bootclock.Time, ended map[workflow.Attempt]bool, p *passPlan) {
@@ -157,9 +210,7 @@
 			return
 		}
 		lost = true
-		p.batch.Lost = append(p.batch.Lost, workflow.LostAttempt{Incarnation: incarnation, Attempt: a.Attempt})
-		l.logger.Info().Str("task", a.Attempt.Task.String()).Uint32("attempt", a.Number).Str("worker", string(incarnation.Worker)).
-			Int64("born", int64(incarnation.StartedAt)).Msg("attempt lost: the worker has started again and does not answer")
+		l.recordReplacedLoss(incarnation, a.Attempt, lastCheckpoint(old, next, a.Attempt), "the worker has started again and does not answer", p)
 	})
 	if lost && !current.PredecessorLeft {
 		l.addCrash(incarnation, nil, workflows, ended, p)
--- a/daemon/fleet/strays.go
+++ b/daemon/fleet/strays.go
@@ -29,8 +29,13 @@
 	c.sent[to.Worker][to] = max(c.sent[to.Worker][to], at)
 }
 
-// lastSent returns when a call was last sent to the process, or zero.
-func (c *strayCalls) lastSent(to workflow.Incarnation) bootclock.Time { return c.sent[to.Worker][to] }
+// lastSentUnder returns when a call was last sent to any process under the id, or zero.
+func (c *strayCalls) lastSentUnder(id workflow.WorkerID) (last bootclock.Time) {
+	for _, at := range c.sent[id] {
+		last = max(last, at)
+	}
+	return last
+}
 
 // lastSentToOthers returns when a call was last sent to another process under the same id, or zero.
 func (c *strayCalls) lastSentToOthers(than workflow.Incarnation) (last bootclock.Time) {
@@ -126,7 +131,7 @@
 // unansweredStartEnd returns a time from which no later process under the worker's id runs an attempt whose
 // start got no answer.
 func (s *session) unansweredStartEnd() bootclock.Time {
-	return s.leadership.strays.lastSent(s.incarnation).Add(s.leadership.strayLeaseBound())
+	return s.leadership.strays.lastSentUnder(s.incarnation.Worker).Add(s.leadership.strayLeaseBound())
 }
 
 // hasUnansweredStart reports whether the start of any attempt is without an answer.
--- a/daemon/fleet/strays_test.go
+++ b/daemon/fleet/strays_test.go
@@ -92,28 +92,22 @@
 // Guards against running a task twice: its start is executed by the next process of the worker, which never
 // reaches the leader.
 func TestUnansweredStartInAnUnknownProcess(t *testing.T) {
+	t.Parallel()
 	r, a := newStrayRig(t)
-	a.withLock(func() { a.delayStart = func(workflow.Attempt) bool { return true } })
-	r.submit("j", oneTask)
-	r.until("the start is sent", func() bool {
-		sent := false
-		a.withLock(func() { sent = len(a.delayed) > 0 })
-		return sent
-	})
+	call := r.failStart(a)
 	next := r.restart()
 	next.withLock(func() {
 		next.silent = true
-		a.withLock(func() {
-			if err := next.start(a.delayed[0]); err != nil {
-				t.Errorf("the next process refuses the start: %v", err)
-			}
-		})
+		if err := next.start(call); err != nil {
+			t.Errorf("the next process refuses the start: %v", err)
+		}
 	})
 	r.expectNoOverlap(next)
 }
 
 // Guards against running a task twice: the process that followed has answered the start and never a hold call.
 func TestAnsweredStartInAProcessThatFallsSilent(t *testing.T) {
+	t.Parallel()
 	r, _ := newStrayRig(t)
 	next := r.restart()
 	r.submit("j", oneTask)
--- a/test/planted/incidents.go
+++ b/test/planted/incidents.go
@@ -110,6 +110,15 @@
 		Edits:  []Edit{{"daemon/fleet/strays.go", "return now < s.unansweredStartEnd()", "return false"}},
 		Checks: []Check{unit("daemon/fleet", "TestUnansweredStartInAnUnknownProcess")},
 	},
+	{
+		ID: "ended-replacement", Origin: "incidents/ended-replacements.md, review/7", Promise: "lost",
+		Brings: "An attempt waits for ever for an answer of a process that has ended.",
+		Edits: []Edit{
+			{"daemon/fleet/reconcile.go", "if next.processEnded() {", "if next.closed {"},
+			{"daemon/fleet/reconcile.go", "expired := next.leaseExpired(now)", "expired := false"},
+		},
+		Checks: []Check{unit("daemon/fleet", "TestReplacementThatEndsAfterItsFirstAnswer")},
+	},
 	{
 		ID: "first-starts-first", Origin: "incidents/long-running-restarts.md", Promise: "lost",
 		Brings: "A first start that the reserve holds back keeps the restarts of its step waiting.",
