Remove ended jobs past one with an open attempt

Cause: dropExpiredJobs removes ended jobs in order and stopped at the first one with an open attempt. Change: such a job is kept, and those after it are removed.

--- a/core/workflow/state.go
+++ b/core/workflow/state.go
@@ -45,8 +45,8 @@
 	id JobID
 }
 
-// compare orders jobs by their end. Jobs that ended at the same time are ordered by id: their order must not
-// depend on whether the state was restored, because dropExpiredJobs stops at the first job that it keeps.
+// compare orders jobs by their end. Jobs that ended at the same time are ordered by id, so that the order does not
+// depend on whether the state was restored.
 func (e endedJob) compare(other endedJob) int {
 	return cmp.Or(cmp.Compare(e.at, other.at), cmp.Compare(e.id, other.id))
 }
@@ -195,16 +195,21 @@
 	}
 }
 
-// dropExpiredJobs removes ended jobs after their retention.
+// dropExpiredJobs removes ended jobs after their retention, except for those with an open attempt, whose worker
+// has not reported the end yet.
 func (s *State) dropExpiredJobs(now model.Millis) {
-	for len(s.endedJobs) > 0 && now-s.endedJobs[0].at > jobRetention {
-		job := s.Jobs[s.endedJobs[0].id]
-		if job != nil && job.hasOpenAttempt() {
-			return // its worker has not reported the end yet
+	kept, expired := 0, 0
+	for ; expired < len(s.endedJobs) && now-s.endedJobs[expired].at > jobRetention; expired++ {
+		ended := s.endedJobs[expired]
+		if job := s.Jobs[ended.id]; job != nil && job.hasOpenAttempt() {
+			s.endedJobs[kept] = ended
+			kept++
+			continue
 		}
-		delete(s.Jobs, s.endedJobs[0].id)
-		s.endedJobs = s.endedJobs[1:]
+		delete(s.Jobs, ended.id)
 	}
+	copy(s.endedJobs[expired-kept:expired], s.endedJobs[:kept])
+	s.endedJobs = s.endedJobs[expired-kept:]
 }
 
 func (s *State) dropExpiredWorkers(now model.Millis) {
--- a/core/workflow/workflow_test.go
+++ b/core/workflow/workflow_test.go
@@ -1,6 +1,7 @@
 package workflow
 
 import (
+	"fmt"
 	"testing"
 
 	"samphirepaddle.example/core/model"
@@ -321,3 +322,25 @@
 		}
 	}
 }
+
+// Guards against a state that grows without bound: an attempt that stays open, on a worker that is lost, must keep
+// its own job only, not every job that ended later.
+func TestOpenAttemptKeepsOnlyItsOwnJob(t *testing.T) {
+	s, a, task := newOpenTask(t)
+	cancel := func(now model.Millis, id string) {
+		apply(t, s, now, Command{Cancel: &Cancel{Host: "h", Path: "/q/" + id}})
+	}
+	cancel(1, string(task.Job))
+	const later = 1000
+	for i := range later {
+		cancel(2, fmt.Sprintf("later%d", i))
+	}
+	apply(t, s, jobRetention+3, Command{Batch: &Batch{}})
+	if len(s.Jobs) != 1 || s.Jobs[task.Job] == nil {
+		t.Errorf("%d jobs are kept after their retention, want the one with an open attempt", len(s.Jobs))
+	}
+	batch(t, s, jobRetention+4, Batch{Lost: []LostAttempt{{Incarnation: a, Attempt: Attempt{task, 1}}}})
+	if len(s.Jobs) != 0 || len(s.endedJobs) != 0 {
+		t.Errorf("%d jobs and %d entries are kept after the last attempt has ended", len(s.Jobs), len(s.endedJobs))
+	}
+}
