Bound answered starts that were never listed in the record of a silent worker

Cause: the record of a silent worker tells the next leader when no process under its id runs its attempts any more. It covered starts without an answer, and not those that were answered and never listed, which the next process may have answered. Change: the record covers both, by the rule that closes attempts.

--- a/daemon/fleet/silence.go
+++ b/daemon/fleet/silence.go
@@ -46,14 +46,11 @@
 	return end
 }
 
-// leaseLeft returns an upper bound of the remaining time of every lease of the worker process, and of those
-// of a later process under its id in which an unanswered start may run. The leases that this leader has sent
-// end later than those of earlier ones, whose calls the worker has refused since.
+// leaseLeft returns an upper bound of the remaining time of every lease of the worker process, and of those of a
+// later process under its id that may run one of its attempts. The leases that this leader has sent end later
+// than those of earlier ones, whose calls the worker has refused since.
 func (s *session) leaseLeft(now bootclock.Time) time.Duration {
-	left := s.foreignLeaseEnd().Sub(now)
-	if s.hasUnansweredStart() {
-		left = max(left, s.unansweredStartEnd().Sub(now))
-	}
+	left := max(s.foreignLeaseEnd(), s.successorRunsEnd(now)).Sub(now)
 	if s.leaseUntil != 0 {
 		own := float64(s.leaseUntil-s.minClock(now))/minClockRate + float64(2*leaseExpiryMargin.Milliseconds())
 		left = max(left, time.Duration(math.Ceil(own))*time.Millisecond)
--- a/daemon/fleet/strays.go
+++ b/daemon/fleet/strays.go
@@ -134,12 +134,17 @@
 	return s.leadership.strays.lastSentUnder(s.incarnation.Worker).Add(s.leadership.strayLeaseBound())
 }
 
-// hasUnansweredStart reports whether the start of any attempt is without an answer.
-func (s *session) hasUnansweredStart() bool {
-	for _, o := range s.orders {
-		if o.phase == startSent || o.phase == startUnanswered {
-			return true
+// successorRunsEnd returns a time from which no later process under the worker's id runs an attempt of the
+// session, or zero if none may.
+func (s *session) successorRunsEnd(now bootclock.Time) (end bootclock.Time) {
+	for a, o := range s.orders {
+		switch {
+		case !s.mayRunInSuccessor(a, now):
+		case o.phase == startAnswered:
+			end = max(end, o.answeredAt.Add(s.leadership.longestLease()))
+		default:
+			end = max(end, s.unansweredStartEnd())
 		}
 	}
-	return false
+	return end
 }
--- a/daemon/fleet/strays_test.go
+++ b/daemon/fleet/strays_test.go
@@ -154,6 +154,10 @@
 			own(s)
 			s.orderOf(attempt).phase = startUnanswered
 		}, delay + limit - 4*time.Second, delay + limit - 3*time.Second},
+		"a start that was answered and not listed": {func(s *session) {
+			own(s)
+			*s.orderOf(attempt) = order{phase: startAnswered, answeredAt: ago(time.Second)}
+		}, limit - time.Second, limit},
 		"a longer time recorded by an earlier leader": {func(s *session) {
 			s.openedAt, s.silence = ago(time.Second), silence{inherited: true, inheritedLeft: 15 * time.Second}
 		}, 14 * time.Second, 14 * time.Second},
