Hold the room of starts that the next process of a worker may execute

Change: open attempts of former processes that the present one may start are among its allocations. Result: TestStartForTheFormerProcessHoldsItsRoom fails without the change (a task was started beside the attempt) and passes; daemon/fleet passes.

--- a/core/workflow/queries.go
+++ b/core/workflow/queries.go
@@ -150,6 +150,17 @@
 	return incarnations
 }
 
+// FormerIncarnations returns, by worker, the incarnations with open attempts that another one has followed.
+func (s *State) FormerIncarnations() map[WorkerID][]Incarnation {
+	former := map[WorkerID][]Incarnation{}
+	for incarnation := range s.openSets {
+		if w, ok := s.Workers[incarnation.Worker]; ok && w.Incarnation != incarnation {
+			former[incarnation.Worker] = append(former[incarnation.Worker], incarnation)
+		}
+	}
+	return former
+}
+
 // Compare orders incarnations by worker and start time.
 func (i Incarnation) Compare(other Incarnation) int {
 	return cmp.Or(cmp.Compare(i.Worker, other.Worker), cmp.Compare(i.StartedAt, other.StartedAt))
--- a/daemon/fleet/crash_test.go
+++ b/daemon/fleet/crash_test.go
@@ -197,7 +197,7 @@
 		want bool
 	}{{0, true}, {time.Duration(workflow.CrashWindow) * time.Millisecond, false}} {
 		s.orders[attempt].answeredAt = s.listReceivedAt.Add(-c.ran)
-		if l.allocations(st.Workflows, s); s.isolated != c.want {
+		if l.allocations(st.Workflows, s, nil, bootclock.Now()); s.isolated != c.want {
 			t.Errorf("the worker is isolated %v after the task ran for %v, want %v", s.isolated, c.ran, c.want)
 		}
 	}
--- a/daemon/fleet/fakeworker_test.go
+++ b/daemon/fleet/fakeworker_test.go
@@ -33,6 +33,7 @@
 	overlap       int                         // starts of a task while another attempt of it was running
 	silent        bool                        // responds to no calls
 	silentAfter   int                         // if not zero, the hold call after whose response it is silent
+	ignoresStops  bool                        // does not respond to stop calls
 	powerLossAt   int                         // if not zero, the call at which the VM loses its power, counted from the next one
 	refusesStarts bool                        // refuses the connections of start calls
 	refused       int                         // number of refused starts
@@ -217,6 +218,9 @@
 		return 0, err
 	}
 	defer w.mu.Unlock()
+	if w.ignoresStops {
+		return 0, errSilent
+	}
 	if err := w.checkToken(token); err != nil {
 		return 0, err
 	}
--- a/daemon/fleet/pass.go
+++ b/daemon/fleet/pass.go
@@ -98,11 +98,10 @@
 	l.addCrashes(workflows, ended, p)
 	l.addAnswers(workflows, now, p)
 	l.addBegun(workflows, now, p)
-	incarnations := l.incarnationsToReconcile(workflows, checkAll)
 	if checkAll {
-		l.gaugeFormerAttempts(workflows, incarnations)
+		l.gaugeFormerAttempts(workflows)
 	}
-	for _, incarnation := range incarnations {
+	for _, incarnation := range l.incarnationsToReconcile(workflows, checkAll) {
 		l.reconcileWorker(workflows, incarnation, now, ended, p)
 	}
 	l.stopOrphans(workflows, checkAll, now, p)
@@ -339,12 +338,13 @@
 	clear(l.described)
 	l.described = l.described[:0]
 	workers := make([]*dispatch.Worker, 0, len(workflows.Workers))
+	former := workflows.FormerIncarnations()
 	for _, id := range l.sortedWorkers(workflows) {
 		w := workflows.Workers[id]
 		if s := l.sessions[w.Incarnation]; s != nil {
 			l.described = append(l.described, dispatch.Worker{Worker: *w})
 			d := &l.described[len(l.described)-1]
-			l.describeWorker(workflows, s, d, now)
+			l.describeWorker(workflows, s, former[id], d, now)
 			workers = append(workers, d)
 		}
 	}
@@ -362,14 +362,15 @@
 }
 
 // describeWorker sets what the planner needs of a worker beside its record. The allocations and their load are
-// kept until the worker's listing, an order or the set of its open attempts changes.
-func (l *leadership) describeWorker(workflows *workflow.State, s *session, d *dispatch.Worker, now bootclock.Time) {
+// kept until the worker's listing, an order or the set of its open attempts changes, unless attempts of
+// former processes of the worker are open.
+func (l *leadership) describeWorker(workflows *workflow.State, s *session, former []workflow.Incarnation, d *dispatch.Worker, now bootclock.Time) {
 	why := s.usability(&d.Worker, now)
 	d.Usable, d.LastResort = why == usable, why == unusableQuarantined && s.quarantine.allowsRestart(now)
 	d.Silent, d.Latency = !s.answers(now), s.latency
 	l.applyPendingCapacity(&d.Worker)
-	if openVersion := workflows.OpenVersion(s.incarnation); s.changed || s.openVersion != openVersion {
-		s.cachedAllocations, s.openVersion, s.changed = l.allocations(workflows, s), openVersion, false
+	if openVersion := workflows.OpenVersion(s.incarnation); s.changed || s.openVersion != openVersion || len(former) > 0 {
+		s.cachedAllocations, s.openVersion, s.changed = l.allocations(workflows, s, former, now), openVersion, len(former) > 0
 		s.cachedLoad = dispatch.LoadOf(s.cachedAllocations)
 	}
 	d.Allocations, d.Load, d.Isolated = s.cachedAllocations, &s.cachedLoad, s.isolated
@@ -383,8 +384,9 @@
 	}
 }
 
-// allocations lists the attempts that hold resources on a worker, sorted by task.
-func (l *leadership) allocations(workflows *workflow.State, s *session) []dispatch.Allocation {
+// allocations lists the attempts that hold resources on a worker, sorted by task. Those of former processes that
+// this one may run are among them: it may execute their starts at any time.
+func (l *leadership) allocations(workflows *workflow.State, s *session, former []workflow.Incarnation, now bootclock.Time) []dispatch.Allocation {
 	allocations := make([]dispatch.Allocation, 0, len(s.cachedAllocations)+1)
 	serving, bestEffort, isolated, unsettled := false, false, false, false
 	workflows.VisitOpenAttempts(s.incarnation, func(a workflow.OpenAttempt) {
@@ -406,6 +408,7 @@
 		bestEffort = bestEffort || a.Step.UsesSpareCPU
 		allocations = append(allocations, r)
 	})
+	allocations = l.appendFormerAllocations(allocations, workflows, s, former, now)
 	s.colocated, s.isolated, s.unsettled = serving && bestEffort, isolated, unsettled
 	slices.SortFunc(allocations, func(a, b dispatch.Allocation) int {
 		return a.Attempt.Task.Compare(b.Attempt.Task)
@@ -413,6 +416,22 @@
 	return allocations
 }
 
+// appendFormerAllocations appends the attempts of former processes of the worker that its present one may run.
+func (l *leadership) appendFormerAllocations(allocations []dispatch.Allocation, workflows *workflow.State, s *session, former []workflow.Incarnation, now bootclock.Time) []dispatch.Allocation {
+	for _, incarnation := range former {
+		old := l.sessions[incarnation]
+		if old == nil {
+			continue
+		}
+		workflows.VisitOpenAttempts(incarnation, func(a workflow.OpenAttempt) {
+			if old.mayRunInSuccessor(a.Attempt, now) {
+				allocations = append(allocations, dispatch.Allocation{OpenAttempt: a, Pace: 100, Listed: s.lists(a.Attempt), Stopping: true})
+			}
+		})
+	}
+	return allocations
+}
+
 // forgetEndedJobs removes the samples of jobs that are not live, if there may be any.
 func (l *leadership) forgetEndedJobs(workflows *workflow.State) {
 	model := l.plannerState.InterferenceModel
--- a/daemon/fleet/reconcile.go
+++ b/daemon/fleet/reconcile.go
@@ -128,10 +128,10 @@
 // formerAttemptsGauge is the number of open attempts of worker processes that another one has followed.
 const formerAttemptsGauge = "attempts_of_former_processes"
 
-func (l *leadership) gaugeFormerAttempts(workflows *workflow.State, incarnations []workflow.Incarnation) {
+func (l *leadership) gaugeFormerAttempts(workflows *workflow.State) {
 	count := 0
-	for _, incarnation := range incarnations {
-		if w, ok := workflows.Workers[incarnation.Worker]; ok && w.Incarnation != incarnation {
+	for _, former := range workflows.FormerIncarnations() {
+		for _, incarnation := range former {
 			workflows.VisitOpenAttempts(incarnation, func(workflow.OpenAttempt) { count++ })
 		}
 	}
--- a/daemon/fleet/replaced_test.go
+++ b/daemon/fleet/replaced_test.go
@@ -47,7 +47,7 @@
 		t.Run(name, func(t *testing.T) {
 			t.Parallel()
 			r, a := newStrayRig(t)
-			first := r.failStart(a)
+			first := r.failStart(a, oneTask)
 			next := r.restart()
 			next.withLock(func() {
 				next.silentAfter = 2 // the leader's call before the restart is recorded is the first
@@ -77,11 +77,11 @@
 	}
 }
 
-// failStart submits job j, whose start gets no answer from the worker, and returns the call.
-func (r *rig) failStart(w *fakeWorker) (call StartCall) {
+// failStart submits job j, a task whose start gets no answer from the worker, and returns the call.
+func (r *rig) failStart(w *fakeWorker, task workflow.StepSpec) (call StartCall) {
 	r.t.Helper()
 	w.withLock(func() { w.delayStart = func(workflow.Attempt) bool { return true } })
-	r.submit("j", oneTask)
+	r.submit("j", task)
 	r.until("the start is sent", func() bool {
 		sent := false
 		w.withLock(func() {
@@ -104,3 +104,23 @@
 	defer f.mu.Unlock()
 	return f.byAddr[addr]
 }
+
+// Guards against a worker over its capacity: the room of an attempt whose start the next process may still execute
+// was given to another task.
+func TestStartForTheFormerProcessHoldsItsRoom(t *testing.T) {
+	t.Parallel()
+	const most = 3000 // millicores, of the 4000 of a worker
+	r, a := newStrayRig(t)
+	r.failStart(a, workflow.StepSpec{Count: 1, CPUMillis: most})
+	next := r.restart()
+	next.withLock(func() { next.ignoresStops = true })
+	r.report(next)
+	r.until("the next process answers", func() bool { return r.answers(next) })
+	r.submit("other", workflow.StepSpec{Count: 1, CPUMillis: most})
+	time.Sleep(5 * maxPassInterval)
+	if started := next.startedAttempts(); started != 0 {
+		t.Errorf("%d tasks were started beside an attempt that the worker may start at any time", started)
+	}
+	next.withLock(func() { next.ignoresStops = false })
+	r.until("a task starts once the attempt is stopped", func() bool { return next.startedAttempts() == 1 })
+}
--- a/daemon/fleet/strays_test.go
+++ b/daemon/fleet/strays_test.go
@@ -94,7 +94,7 @@
 func TestUnansweredStartInAnUnknownProcess(t *testing.T) {
 	t.Parallel()
 	r, a := newStrayRig(t)
-	call := r.failStart(a)
+	call := r.failStart(a, oneTask)
 	next := r.restart()
 	next.withLock(func() {
 		next.silent = true
