Model the leases of a worker that starts again under its id

Change: spec/lives.pml has three processes under one id, calls that another one executes, and late starts. Writing it showed that the bound for a start that was answered and never listed has to count from the last call under the id: a hold call that the next process receives prolongs its lease. The code does so now.

--- a/daemon/fleet/strays.go
+++ b/daemon/fleet/strays.go
@@ -117,7 +117,7 @@
 	case startUnanswered:
 		return now < s.unansweredStartEnd()
 	case startAnswered:
-		return !s.hasListed(a) && now < o.answeredAt.Add(s.leadership.longestLease())
+		return !s.hasListed(a) && now < s.answeredStartEnd(o)
 	}
 	return false
 }
@@ -134,6 +134,14 @@
 	return s.leadership.strays.lastSentUnder(s.incarnation.Worker).Add(s.leadership.strayLeaseBound())
 }
 
+// answeredStartEnd returns a time from which no later process under the worker's id runs an attempt whose start
+// was answered. The start is not executed late any more, and the last hold call prolongs its lease if that process
+// received it.
+func (s *session) answeredStartEnd(o *order) bootclock.Time {
+	lastCall := max(o.answeredAt, s.leadership.strays.lastSentUnder(s.incarnation.Worker))
+	return lastCall.Add(s.leadership.longestLease())
+}
+
 // successorRunsEnd returns a time from which no later process under the worker's id runs an attempt of the
 // session, or zero if none may.
 func (s *session) successorRunsEnd(now bootclock.Time) (end bootclock.Time) {
@@ -141,7 +149,7 @@
 		switch {
 		case !s.mayRunInSuccessor(a, now):
 		case o.phase == startAnswered:
-			end = max(end, o.answeredAt.Add(s.leadership.longestLease()))
+			end = max(end, s.answeredStartEnd(o))
 		default:
 			end = max(end, s.unansweredStartEnd())
 		}
--- a/spec/check.sh
+++ b/spec/check.sh
@@ -27,6 +27,7 @@
     *'applied1<=1'*) echo APPLIED_ONCE ;;
     *'clog['*) echo COMMITTED_STAYS ;;
     *'running[(1-w)]==0'*) echo ONE_RUN ;;
+    *'closed&&runs'*) echo ONE_RUN ;;
     *'violated done '*) echo END_COUNTS ;;
     *) echo unnamed ;;
   esac
@@ -68,6 +69,10 @@
   'calls ONE_RUN -DNO_STOP_GUARD'
   'calls ONE_RUN -DNO_TOKEN_GUARD'
   'calls END_COUNTS -DNO_LATE_END_GUARD'
+  'lives holds'
+  'lives ONE_RUN -DNO_STRAY_GUARD'
+  'lives ONE_RUN -DNO_SUCCESSOR_GUARD'
+  'lives ONE_RUN -DNO_DELAY_GUARD'
   'ownership holds'
   'tickets holds -DMAXLOG=2 -DMAXTERM=3'
   'tickets holds -DMAXLOG=3 -DMAXTERM=2'
