Judge the progress of a task by the length of its percents

Cause: every task counted as stalled after 2.5 s without a change of its whole percent, and its worker was quarantined. Change: the time is at least four times that of one percent by the estimate, doubles with each earlier stall of the task, and a new checkpoint counts as progress. Estimates of up to a minute and startups of long-running tasks keep 2.5 s.

--- a/daemon/fleet/engine.go
+++ b/daemon/fleet/engine.go
@@ -138,6 +138,7 @@
 	waits          map[waitKey]*waitLog
 	idleRuns       idleRuns
 	begun          begunJobs
+	stalls         map[workflow.TaskKey]int // how often this leader has moved a task of a live job that made no progress
 	plannerState   *dispatch.PlannerState
 }
 
@@ -156,7 +157,7 @@
 		logger:       e.opts.Logger.With().Uint64("term", term).Logger(),
 		passRequests: make(chan struct{}, 1), sessions: map[workflow.Incarnation]*session{},
 		reports: map[workflow.WorkerID]*pendingReport{}, seenAt: newSeenAt(), connectionEnds: map[workflow.Incarnation]connectionEnd{}, waits: map[waitKey]*waitLog{},
-		plannerState: dispatch.NewPlannerState(),
+		plannerState: dispatch.NewPlannerState(), stalls: map[workflow.TaskKey]int{},
 	}
 	l.limiter = &logLimiter{maxPerSecond: maxDecisionLinesPerSecond}
 	l.sampledLogger = l.logger.Sample(l.limiter)
--- a/daemon/fleet/pass.go
+++ b/daemon/fleet/pass.go
@@ -437,6 +437,7 @@
 	model := l.plannerState.InterferenceModel
 	if removals := workflows.LiveRemovals(); removals != l.forgotten || model.HasEndedJobs() {
 		model.Forget(workflows.IsLive)
+		maps.DeleteFunc(l.stalls, func(task workflow.TaskKey, _ int) bool { return !workflows.IsLive(task.Job) })
 		l.forgotten = removals
 	}
 }
--- a/daemon/fleet/reconcile.go
+++ b/daemon/fleet/reconcile.go
@@ -11,10 +11,6 @@
 
 // Timeouts after which a task is moved to another worker.
 const (
-	// stallTimeout is the time without progress of a task after which its worker counts as
-	// stalled. A task that gets a tenth of its cores still advances by one percent in a fraction
-	// of a second.
-	stallTimeout = 2500 * time.Millisecond
 	// drainStopMargin is how long before the end of a draining worker its tasks are stopped. A
 	// stop takes 400 ms, and the end of the task is listed with the next hold call.
 	drainStopMargin = 900 * time.Millisecond
@@ -289,8 +285,9 @@
 		o.evictReason = "the draining worker is about to end"
 	case o.pace == 0 && !o.paceInFlight && dispatch.WorthMoving(a.Step, model.Millis(now.Sub(o.paceSetAt).Milliseconds())):
 		o.evictReason = "paused too long to protect serving tasks"
-	case stalled(a, o, s, now):
+	case s.stalled(a, o, now, l.stalls[a.Attempt.Task]):
 		o.evictReason = "no progress"
+		l.stalls[a.Attempt.Task]++
 		s.quarantine.stalled(now)
 	default:
 		return
@@ -300,14 +297,6 @@
 		Str("reason", o.evictReason).Int("percent", o.progress).Msg("attempt is moved")
 }
 
-// stalled reports whether the task makes no progress although its pace is 100 percent.
-func stalled(a workflow.OpenAttempt, o *order, s *session, now bootclock.Time) bool {
-	if o.progressAt == 0 || o.pace < 100 || o.paceInFlight || (a.Step.LongRunning && o.progress == 100) {
-		return false
-	}
-	return now.Sub(o.progressAt) > stallTimeout && now.Sub(s.answeredAt) < stallTimeout/2 && s.listReceivedAt > o.progressAt.Add(stallTimeout)
-}
-
 // stopOrphans stops running attempts that are not open, such as those of starts that were executed
 // late. Their workers take no tasks meanwhile, because the orphans still hold resources.
 func (l *leadership) stopOrphans(workflows *workflow.State, all bool, now bootclock.Time, p *passPlan) {
--- a/daemon/fleet/session.go
+++ b/daemon/fleet/session.go
@@ -381,7 +381,7 @@
 			o.firstListed = now
 			s.leadership.noteBegun(r.Attempt, s.incarnation.Worker, now)
 		}
-		if r.Progress != o.progress || o.progressAt == 0 {
+		if r.Progress != o.progress || r.Checkpoint != s.running[r.Attempt].Checkpoint || o.progressAt == 0 {
 			o.progress, o.progressAt = r.Progress, now
 		}
 		if o.phase == startUnanswered || o.phase == startInherited {
