Have accepted jobs follow their queue to another service

Cause: a job kept the service of its route at the time of its acceptance. Change: a routing table has the live jobs run on the services to which their routes lead now. Jobs of a removed route keep theirs.

--- a/core/state/tickets.go
+++ b/core/state/tickets.go
@@ -91,6 +91,7 @@
 	}
 	if t.Routing != nil {
 		s.Config.Routing = t.Routing
+		s.Workflows.FollowRoutes(t.Routing)
 	}
 	for _, ref := range refs {
 		s.LastTicket[ref] = t.Number
--- a/core/workflow/state.go
+++ b/core/workflow/state.go
@@ -165,6 +165,20 @@
 	s.removals++
 }
 
+// FollowRoutes has the live jobs run on the services to which their routes send them now. Attempts that are open
+// end where they run. A job whose route is gone keeps its service.
+func (s *State) FollowRoutes(routing *model.Routing) {
+	services := make(map[string]string, len(routing.Routes))
+	for _, route := range routing.Routes {
+		services[route.Name] = route.Service
+	}
+	for _, job := range s.liveOrder {
+		if service, ok := services[job.Route]; ok {
+			job.Service = service
+		}
+	}
+}
+
 func (s *State) addOpen(a Attempt, task *Task) {
 	set := s.openSets[task.Incarnation]
 	if set == nil {
--- a/core/workflow/submission_test.go
+++ b/core/workflow/submission_test.go
@@ -44,3 +44,26 @@
 		}
 	}
 }
+
+// Guards against accepted jobs that wait for ever for the workers of a service to which their route no longer
+// leads, and against jobs that lose their service with their route.
+func TestJobsFollowTheirRouteToAnotherService(t *testing.T) {
+	s, a, task := newOpenTask(t)
+	submit(t, s, "waiting", StepSpec{Count: 1})
+	moved := *testRouting
+	moved.Routes = []model.Route{{Name: "q", Host: "h", PathPrefix: "/q/", Service: "later"}}
+	for _, step := range []struct {
+		routing *model.Routing
+		want    string
+	}{{&moved, "later"}, {&model.Routing{}, "later"}, {testRouting, "s"}} {
+		s.FollowRoutes(step.routing)
+		for _, id := range []JobID{"waiting", task.Job} {
+			if got := s.Jobs[id].Service; got != step.want {
+				t.Errorf("job %s runs on service %q, want %q", id, got, step.want)
+			}
+		}
+	}
+	if !s.HasOpen(a) {
+		t.Error("the change has closed an attempt that runs")
+	}
+}
