--- a/daemon/fleet/bench_test.go
+++ b/daemon/fleet/bench_test.go
@@ -80,6 +80,7 @@
 		engine: NewEngine(Options{Log: fixedLog{state: st}}), ctx: b.Context(), logger: zerolog.Nop(), limiter: &logLimiter{},
 		sampledLogger: zerolog.Nop(), passRequests: make(chan struct{}, 1), since: bootclock.Now(), sessions: map[workflow.Incarnation]*session{},
 		reports: map[workflow.WorkerID]*pendingReport{}, seenAt: newSeenAt(), waits: map[waitKey]*waitLog{}, plannerState: dispatch.NewPlannerState(),
+		stalls: map[workflow.TaskKey]int{},
 	}
 	for _, w := range st.Workflows.Workers {
 		l.sessions[w.Incarnation] = &session{leadership: l, incarnation: w.Incarnation, addr: w.Addr, tokenAccepted: true, orders: map[workflow.Attempt]*order{}}
