--- a/test/planted/incidents.go
+++ b/test/planted/incidents.go
@@ -119,6 +119,24 @@
 		},
 		Checks: []Check{unit("daemon/fleet", "TestReplacementThatEndsAfterItsFirstAnswer")},
 	},
+	{
+		ID: "kept-jobs", Origin: "incidents/kept-jobs.md",
+		Brings: "An ended job with an open attempt keeps every job that ended later in the state.",
+		Edits:  []Edit{{"core/workflow/state.go", "s.endedJobs[kept] = ended\n\t\t\tkept++\n\t\t\tcontinue", "break"}},
+		Checks: []Check{unit("core/workflow", "TestOpenAttemptKeepsOnlyItsOwnJob")},
+	},
+	{
+		ID: "long-tasks", Origin: "incidents/long-tasks.md, review/8", Promise: "lost",
+		Brings: "A task that takes longer than 2.5 s for one percent counts as stalled.",
+		Edits:  []Edit{{"daemon/fleet/stall.go", "allowance = max(allowance, stallSlowdown*percent)", "allowance = max(allowance, 0*percent)"}},
+		Checks: []Check{unit("daemon/fleet", "TestLongTaskIsNotStalled|TestStallDependsOnTheLengthOfTheTask")},
+	},
+	{
+		ID: "moved-queues", Origin: "incidents/moved-queues.md, review/10", Promise: "lost",
+		Brings: "An accepted job keeps the service that its queue had at its acceptance.",
+		Edits:  []Edit{{"core/workflow/state.go", "job.Service = service", "_ = service"}},
+		Checks: []Check{unit("core/workflow", "TestJobsFollowTheirRouteToAnotherService")},
+	},
 	{
 		ID: "first-starts-first", Origin: "incidents/long-running-restarts.md", Promise: "lost",
 		Brings: "A first start that the reserve holds back keeps the restarts of its step waiting.",
