Revert "Add workers that start again under their id to the soak"

Cause: a check counts once it has found a fault that was put there. Result: the soak is as before. What a mode of this kind needs: tasks that last longer than a lease, and several starts on their way to one worker.

--- a/test/cmd/soak/main.go
+++ b/test/cmd/soak/main.go
@@ -28,7 +28,6 @@
 	controllers int
 	gateways    int
 	series      bool
-	lives       bool
 }
 
 func main() {
@@ -43,7 +42,6 @@
 	app.Flag("controllers", "Number of controllers, 3 or 5. With 0, the seed decides.").Default("0").IntVar(&s.controllers)
 	app.Flag("gateways", "Number of gateways.").Default("3").IntVar(&s.gateways)
 	app.Flag("series", "Also replace controllers and exchange the seeds, with pauses in which the controllers catch up.").BoolVar(&s.series)
-	app.Flag("lives", "Inject only faults of workers that start again under their id.").BoolVar(&s.lives)
 	kingpin.MustParse(app.Parse(os.Args[1:]))
 	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt)
 	defer stop()
@@ -76,10 +74,6 @@
 		return err
 	}
 	s.series = s.series || fault != nil && fault.Series
-	s.lives = s.lives || fault != nil && fault.Lives
-	if s.series && s.lives {
-		return errors.New("--series and --lives exclude each other")
-	}
 	binary, err := soak.Build(s.root, dir, fault)
 	if err != nil {
 		return err
@@ -184,7 +178,7 @@
 		return soak.Report{}, err
 	}
 	report, err := soak.Run(ctx, soak.Options{
-		Binary: binary, Dir: runDir, Seed: seed, Faults: s.faults, Controllers: controllers, Gateways: s.gateways, Series: s.series, Lives: s.lives,
+		Binary: binary, Dir: runDir, Seed: seed, Faults: s.faults, Controllers: controllers, Gateways: s.gateways, Series: s.series,
 	})
 	if err == nil && len(report.Violations) == 0 {
 		err = os.RemoveAll(runDir)
--- a/test/planted/check.go
+++ b/test/planted/check.go
@@ -35,7 +35,6 @@
 	Seeded  bool   // the tests draw their input by -rapid.seed
 	Case    string // line of the model's case in spec/check.sh
 	Series  bool   // the soak runs with a series
-	Lives   bool   // the soak runs with workers that start again under their id
 }
 
 func unit(pkg, tests string) Check { return Check{Kind: Unit, Package: pkg, Tests: tests} }
@@ -81,7 +80,7 @@
 	case Model:
 		return c.runModel(ctx, source)
 	case Soak:
-		return c.runSoak(ctx, source, scratch, seed)
+		return runSoak(ctx, source, scratch, seed, c.Series)
 	}
 	return finding{}, fmt.Errorf("unknown kind of check %q", c.Kind)
 }
@@ -164,8 +163,8 @@
 	soakViolation = regexp.MustCompile(`(?m)^  (\S[^\n]*)$`)
 )
 
-// runSoak builds the daemons of the source and runs one seed with the kinds of faults that are needed.
-func (c Check) runSoak(ctx context.Context, source, scratch string, seed uint64) (finding, error) {
+// runSoak builds the daemons of the source and runs one seed, with a series if that is needed.
+func runSoak(ctx context.Context, source, scratch string, seed uint64, series bool) (finding, error) {
 	binary := filepath.Join(scratch, "soak")
 	args := append([]string{"build"}, goFlags...)
 	args = append(args, "-o", binary, "./cmd/soak")
@@ -173,12 +172,9 @@
 		return finding{}, fmt.Errorf("build of the soak: %w: %s", err, lastLines(out))
 	}
 	args = []string{"--root", source, "--jobs", "1", "--seeds", fmt.Sprint(seed), "--dir", filepath.Join(scratch, "runs")}
-	if c.Series {
+	if series {
 		args = append(args, "--series")
 	}
-	if c.Lives {
-		args = append(args, "--lives")
-	}
 	out, err := command(ctx, soakTimeout, scratch, binary, args...)
 	return soakFinding(out, err)
 }
--- a/test/planted/fault.go
+++ b/test/planted/fault.go
@@ -19,7 +19,6 @@
 	Origin  string // the incident, review case, or promise to which the fault belongs
 	Promise string // of the soak that is violated; empty if it is not known
 	Series  bool   // only runs of the soak with a series report it
-	Lives   bool   // only runs of the soak with workers that start again under their id report it
 	Edits   []Edit
 	Checks  []Check // beside the soak, which may run for any fault
 }
--- a/test/planted/incidents.go
+++ b/test/planted/incidents.go
@@ -111,7 +111,7 @@
 		Checks: []Check{unit("daemon/fleet", "TestUnansweredStartInAnUnknownProcess")},
 	},
 	{
-		ID: "ended-replacement", Origin: "incidents/ended-replacements.md, review/7", Promise: "lost", Lives: true,
+		ID: "ended-replacement", Origin: "incidents/ended-replacements.md, review/7", Promise: "lost",
 		Brings: "An attempt waits for ever for an answer of a process that has ended.",
 		Edits: []Edit{
 			{"daemon/fleet/reconcile.go", "if next.processEnded() {", "if next.closed {"},
--- a/test/planted/runner.go
+++ b/test/planted/runner.go
@@ -160,7 +160,7 @@
 // selectChecks returns the checks of the selected kinds.
 func (r *runner) selectChecks(fault *Fault) []Check {
 	var checks []Check
-	for _, check := range append(slices.Clone(fault.Checks), Check{Kind: Soak, Series: fault.Series, Lives: fault.Lives}) {
+	for _, check := range append(slices.Clone(fault.Checks), Check{Kind: Soak, Series: fault.Series}) {
 		if slices.Contains(r.Kinds, check.Kind) {
 			checks = append(checks, check)
 		}
--- a/test/soak/faults.go
+++ b/test/soak/faults.go
@@ -38,7 +38,6 @@
 	mu          sync.Mutex
 	lostDisks   int // data directories removed and controllers replaced, which count together
 	tornEntries int
-	busy        map[*standin.Worker]bool // workers that have a fault of lifeKinds
 }
 
 // faultKind is a kind of fault. prepare makes the random choices, in the scheduling goroutine; the
--- a/test/soak/load.go
+++ b/test/soak/load.go
@@ -89,7 +89,6 @@
 	gateways     []string
 	controlAddrs func() []string // addresses that serve operators now
 	group        sync.WaitGroup
-	shortOnly    bool            // submit no long-running jobs
 	watchCtx     context.Context // ends the reads of the configuration
 	mu           sync.Mutex
 	longRunning  []string // IDs of accepted long-running jobs, cancelled at the end of the run
@@ -144,9 +143,6 @@
 // submit submits a job. After each response that is not a success, it retries at another gateway.
 func (c *caller) submit(ctx context.Context, id string) {
 	job := randomJob(c.rng)
-	for c.load.shortOnly && job.Steps[0].LongRunning {
-		job = randomJob(c.rng)
-	}
 	c.load.checker.Submitting(id, job)
 	accepted, allRefused := false, true
 	for range triesPerJob {
--- a/test/soak/run.go
+++ b/test/soak/run.go
@@ -25,7 +25,6 @@
 	Controllers int           // 3 or 5
 	Gateways    int
 	Series      bool // also replace controllers and exchange the seeds, in bursts of faults
-	Lives       bool // only faults of workers that start again under their id, and no long-running jobs, which would fill the workers that are left
 }
 
 // ControllersOf returns the default number of controllers for a seed: 3 or 5.
@@ -76,7 +75,7 @@
 	controlAddrs := func() []string { return addresses(system.controlNodes()) }
 	r.workers = newWorkers(ctx, checker, addresses(slices.Concat(system.Relays, system.Controllers())))
 	defer r.workers.close()
-	r.load = &load{checker: checker, gateways: addresses(system.Gateways), controlAddrs: controlAddrs, shortOnly: o.Lives}
+	r.load = &load{checker: checker, gateways: addresses(system.Gateways), controlAddrs: controlAddrs}
 	if err := r.startSystem(ctx); err != nil {
 		return Report{}, err
 	}
@@ -121,18 +120,13 @@
 	r.load.start(loadCtx, r.options.Seed)
 	f := &faults{
 		system: r.system, workers: r.workers, rng: rand.New(rand.NewPCG(r.options.Seed, 7)), log: r.faultLog.write,
-		busy: map[*standin.Worker]bool{},
 	}
 	if r.options.Series {
 		r.runSeries(ctx, f)
 	} else {
-		kinds := faultKinds
-		if r.options.Lives {
-			kinds = lifeKinds
-		}
 		faultCtx, stopFaults := context.WithTimeout(ctx, r.options.Faults)
 		defer stopFaults()
-		f.run(faultCtx, kinds)
+		f.run(faultCtx, faultKinds)
 	}
 	r.workers.setAll(standin.Fault{})
 	if err := r.system.heal(); err != nil {
--- a/test/soak/soak_test.go
+++ b/test/soak/soak_test.go
@@ -55,11 +55,6 @@
 	{515, "recover: a learner whose addition was dropped with the leader followed that leader for good"},
 }
 
-// livesSeeds lists the seeds that TestSeeds runs with workers that start again under their id.
-var livesSeeds = []regressionSeed{
-	{2, "lost: with the fault ended-replacement, jobs wait for ever for an answer of a process that has ended"},
-}
-
 const (
 	seedFaults     = 12 * time.Second
 	seriesFaults   = 2 * burstTime // a group of three survives two losses only if the first successor joins
@@ -122,21 +117,18 @@
 			}
 			for _, v := range report.Violations {
 				t.Logf("seed %d: lines of the logs:\n%s", s.seed, taskLines(o.Dir, v.Detail))
-				if !o.Lives && isKnownRed(s.seed, o.Series, v) {
+				if isKnownRed(s.seed, o.Series, v) {
 					fmt.Printf("known red, seed %d: %s: %s\n", s.seed, v.Promise, v.Detail)
 					continue
 				}
-				t.Errorf("seed %d, series %v, lives %v (%s): %s: %s", s.seed, o.Series, o.Lives, s.cause, v.Promise, v.Detail)
+				t.Errorf("seed %d, series %v (%s): %s: %s", s.seed, o.Series, s.cause, v.Promise, v.Detail)
 			}
-			t.Logf("seed %d, series %v, lives %v: %v", s.seed, o.Series, o.Lives, report.Counts)
+			t.Logf("seed %d, series %v: %v", s.seed, o.Series, report.Counts)
 		})
 	}
 	for _, s := range seriesSeeds {
 		run(s, Options{Faults: seriesFaults, Series: true})
 	}
-	for _, s := range livesSeeds {
-		run(s, Options{Faults: seedFaults, Lives: true})
-	}
 	for _, s := range regressionSeeds {
 		run(s, Options{Faults: seedFaults})
 	}
--- a/test/soak/workers.go
+++ b/test/soak/workers.go
@@ -4,7 +4,6 @@
 	"context"
 	"fmt"
 	"math/rand/v2"
-	"slices"
 	"sync"
 	"time"
 
@@ -80,22 +79,6 @@
 	leaving.Close()
 }
 
-// lose ends a worker for good, unless another fault has, and adds another one.
-func (w *workers) lose(lost *standin.Worker) {
-	w.mu.Lock()
-	i := slices.IndexFunc(w.list, func(each *worker) bool { return each.Worker == lost })
-	if i < 0 {
-		w.mu.Unlock()
-		return
-	}
-	w.list[i].stop()
-	w.list = slices.Delete(w.list, i, i+1)
-	w.mu.Unlock()
-	lost.Crash()
-	lost.Close()
-	w.add()
-}
-
 // close stops the heartbeats of every worker and closes it.
 func (w *workers) close() {
 	w.mu.Lock()
