Take the ports of the replica tests from below the ephemeral range

The fixture reserves ports by a listener on port 0, closes it, and listens again when it starts the controller. Between the two the system may give the port to any other process. Who had it is not known. Change: the fixture takes ports that the system gives to nobody, as test/cluster does. Nothing that the tests check changes.

--- a/daemon/replica/fulldisk_test.go
+++ b/daemon/replica/fulldisk_test.go
@@ -2,7 +2,6 @@
 
 import (
 	"errors"
-	"net"
 	"slices"
 	"sync/atomic"
 	"syscall"
@@ -47,14 +46,9 @@
 // addController starts a further controller with an empty directory, which asks to be added.
 func (c *cluster) addController(gateway model.GatewayID, dir string) int {
 	c.t.Helper()
-	listener, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		c.t.Fatal(err)
-	}
 	o := c.controllers[0].options
-	o.Gateway, o.Addr, o.Dir, o.Seed = gateway, listener.Addr().String(), dir, uint64(len(c.controllers)+1)
+	o.Gateway, o.Addr, o.Dir, o.Seed = gateway, freeAddr(c.t), dir, uint64(len(c.controllers)+1)
 	o.JoinOnly = true
-	listener.Close()
 	c.controllers = append(c.controllers, &controller{options: o})
 	c.start(len(c.controllers) - 1)
 	return len(c.controllers) - 1
--- a/daemon/replica/replica_test.go
+++ b/daemon/replica/replica_test.go
@@ -42,12 +42,7 @@
 	c := &cluster{t: t}
 	var initial []Controller
 	for i := range size {
-		listener, err := net.Listen("tcp", "127.0.0.1:0")
-		if err != nil {
-			t.Fatal(err)
-		}
-		initial = append(initial, Controller{model.GatewayID(fmt.Sprintf("gateway-%d", i)), listener.Addr().String()})
-		listener.Close()
+		initial = append(initial, Controller{model.GatewayID(fmt.Sprintf("gateway-%d", i)), freeAddr(t)})
 	}
 	for i, self := range initial {
 		o := Options{
@@ -72,6 +67,30 @@
 	return c
 }
 
+// Ports of controllers are below the ephemeral port range: otherwise another process could take that of a
+// controller that does not listen yet or is down. Those of test/cluster begin at lastPort.
+const (
+	firstPort = 4_000
+	lastPort  = 12_000
+)
+
+var portCounter atomic.Int64
+
+// freeAddr returns an address at which nothing listens. Processes begin with different ports.
+func freeAddr(t testing.TB) string {
+	t.Helper()
+	for range lastPort - firstPort {
+		port := firstPort + (int64(os.Getpid())*97+portCounter.Add(1))%(lastPort-firstPort)
+		addr := fmt.Sprintf("127.0.0.1:%d", port)
+		if listener, err := net.Listen("tcp", addr); err == nil {
+			listener.Close()
+			return addr
+		}
+	}
+	t.Fatalf("none of the ports %d to %d is free", firstPort, lastPort)
+	return ""
+}
+
 func (c *cluster) start(i int) {
 	c.t.Helper()
 	ctl := c.controllers[i]
@@ -396,12 +415,7 @@
 // accepts work that the other controllers do not know of.
 func TestEmptyDirectoryWaitsForItsGroup(t *testing.T) {
 	c := &cluster{t: t}
-	listener, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		t.Fatal(err)
-	}
-	addr := listener.Addr().String()
-	listener.Close()
+	addr := freeAddr(t)
 	c.controllers = append(c.controllers, &controller{options: Options{
 		Gateway: "g", Addr: addr, InitialControllers: []Controller{{"g", addr}}, Dir: t.TempDir(), Seed: 1, Logger: zerolog.Nop(),
 		JoinOnly: true, OnFatal: func(err error) { t.Errorf("fatal: %v", err) },
