Accept long lease limits of workers

Cause: worker_lease_limit_ms comes from the platform by the template, and a limit above a minute would have kept controllers from starting.

--- a/daemon/settings/fleet.go
+++ b/daemon/settings/fleet.go
@@ -41,11 +41,11 @@
 	MayFound     bool   `json:"may_found,omitempty"`                                      // may bootstrap a new controller group; must be true only on the first start of the whole system
 	ToleratedVMs int    `json:"tolerated_vms,omitempty" validate:"omitempty,min=0,max=3"` // number of controllers whose simultaneous loss is tolerated
 
-	WorkerLeaseMs      model.Millis `json:"worker_lease_ms,omitempty" validate:"omitempty,min=1000,max=60000"`       // lease of the tasks on a worker
-	WorkerLeaseLimitMs model.Millis `json:"worker_lease_limit_ms,omitempty" validate:"omitempty,min=1000,max=60000"` // longest lease that workers grant
-	AgentWorkers       int          `json:"agent_workers,omitempty" validate:"omitempty,min=1"`                      // number of workers from which the leader calls them through the other controllers
-	MemoryMiB          int64        `json:"memory_mib,omitempty" validate:"omitempty,min=32"`                        // memory available to the process
-	DrainMs            model.Millis `json:"drain_ms,omitempty" validate:"omitempty,min=0,max=60000"`                 // time from the shutdown signal until no connections are accepted any more
+	WorkerLeaseMs      model.Millis `json:"worker_lease_ms,omitempty" validate:"omitempty,min=1000,max=60000"`          // lease of the tasks on a worker
+	WorkerLeaseLimitMs model.Millis `json:"worker_lease_limit_ms,omitempty" validate:"omitempty,min=1000,max=86400000"` // longest lease that workers grant
+	AgentWorkers       int          `json:"agent_workers,omitempty" validate:"omitempty,min=1"`                         // number of workers from which the leader calls them through the other controllers
+	MemoryMiB          int64        `json:"memory_mib,omitempty" validate:"omitempty,min=32"`                           // memory available to the process
+	DrainMs            model.Millis `json:"drain_ms,omitempty" validate:"omitempty,min=0,max=60000"`                    // time from the shutdown signal until no connections are accepted any more
 	LogLevel           string       `json:"log_level,omitempty" validate:"omitempty,oneof=debug info warn error"`
 
 	SkippedControllers []string `json:"-"` // entries of controllers that were left out because they are no addresses
