Evacuate availability zones on operators' orders

Cause: no code knew POST and DELETE /evacuate/ZONE.

Nothing is assigned in the zone; long-running tasks leave it as far as their callers allow and others have room. A cold worker is filled as it warms up where the settings ask for it. Orders come through the platform, /v1/evacuations and samphirectl evacuation.

--- a/core/dispatch/candidate.go
+++ b/core/dispatch/candidate.go
@@ -58,6 +58,8 @@
 	*c = candidate{worker: w, index: index, freeCPU: w.CPUMillis, freeMemory: w.MemoryMiB, freeAccelerators: w.Accelerators, spareCPU: w.CPUMillis, isolated: w.Isolated}
 	load := w.load()
 	c.take(&load)
+	c.freeCPU -= w.coldCPU()
+	c.spareCPU -= w.coldCPU()
 }
 
 // shareOf returns the share of the worker's cores that a task of the step declares.
--- a/core/dispatch/plan.go
+++ b/core/dispatch/plan.go
@@ -388,7 +388,7 @@
 // score rates a feasible worker; higher is better. cost is the result of interferenceCost.
 func (c *candidate) score(n *needs, task workflow.Task, cost float64) float64 {
 	spec := n.spec
-	value := 0.0
+	value := -c.coldCost()
 	if spec.DataRack != "" && c.worker.HasLabel(spec.DataRack) {
 		value += dataRackWeight
 	}
--- a/core/dispatch/types.go
+++ b/core/dispatch/types.go
@@ -26,10 +26,12 @@
 // Worker is a worker and the attempts on it.
 type Worker struct {
 	workflow.Worker
-	Usable      bool // new tasks may start on the worker
-	LastResort  bool // not usable, but a task that is down or starved may start on it if no usable worker has room
-	Silent      bool // the worker does not answer, so that attempts there do not count as at work
-	Isolated    bool // no task may start on the worker until a suspect there has survived
+	Usable      bool         // new tasks may start on the worker
+	LastResort  bool         // not usable, but a task that is down or starved may start on it if no usable worker has room
+	Evacuated   bool         // its zone is evacuated
+	ColdFor     model.Millis // time until the worker is at full speed; 0 if it is
+	Silent      bool         // the worker does not answer, so that attempts there do not count as at work
+	Isolated    bool         // no task may start on the worker until a suspect there has survived
 	Allocations []Allocation
 	Load        *Load // of the allocations; nil if it is not known yet
 	Latency     LatencyState
--- a/core/state/apply.go
+++ b/core/state/apply.go
@@ -40,6 +40,8 @@
 		return s.loseTarget(c.LoseTarget)
 	case c.QuarantineTarget != nil:
 		return s.quarantineTarget(c.QuarantineTarget)
+	case c.EvacuateZone != nil:
+		return s.evacuateZone(c.EvacuateZone)
 	default:
 		return s.dispatchWork(c)
 	}
--- a/core/state/commands.go
+++ b/core/state/commands.go
@@ -21,6 +21,7 @@
 	LeaveTarget       *LeaveTarget       `json:"leave_target,omitempty"`
 	LoseTarget        *LoseTarget        `json:"lose_target,omitempty"`
 	QuarantineTarget  *QuarantineTarget  `json:"quarantine_target,omitempty"`
+	EvacuateZone      *EvacuateZone      `json:"evacuate_zone,omitempty"`
 	SubmitJob         *SubmitJob         `json:"submit_job,omitempty"`
 	CancelJobs        *CancelJobs        `json:"cancel_jobs,omitempty"`
 	AssignAttempt     *AssignAttempt     `json:"assign_attempt,omitempty"`
--- a/core/state/members.go
+++ b/core/state/members.go
@@ -161,6 +161,7 @@
 	}
 	target.Address = c.Address
 	target.Zone = c.Zone
+	_, target.Evacuated = s.Evacuations[c.Zone]
 	target.Rack = c.Rack
 	target.Pool = c.Pool
 	target.Capacity = c.Capacity
--- a/core/state/snapshot.go
+++ b/core/state/snapshot.go
@@ -3,6 +3,7 @@
 import (
 	"cmp"
 	"fmt"
+	"maps"
 	"slices"
 
 	"samphirepaddle.example/core/model"
@@ -31,6 +32,7 @@
 	JobKeys      []jobKeyEntry
 	Requests     []requestEntry
 	Workflows    *workflow.Snapshot
+	Evacuations  map[model.Zone]Evacuation `cbor:",omitempty"`
 }
 
 type lastTicketEntry struct {
@@ -73,6 +75,7 @@
 		JobKeys:      s.jobKeyEntries(),
 		Requests:     s.requestEntries(),
 		Workflows:    s.Workflows.Capture(),
+		Evacuations:  maps.Clone(s.Evacuations),
 	}}
 }
 
@@ -133,6 +136,10 @@
 	s.Targets = stored.Targets
 	s.Jobs = stored.Jobs
 	s.Workflows = workflow.Restore(stored.Workflows)
+	for zone, e := range stored.Evacuations {
+		s.Evacuations[zone] = e
+		s.Workflows.SetEvacuated(zone, true)
+	}
 	for id := range s.Gateways {
 		s.ownedTargetsChanged[id] = s.Revision
 		s.ownedSetChanged[id] = s.Revision
--- a/core/state/state.go
+++ b/core/state/state.go
@@ -121,6 +121,8 @@
 	// QuarantinedByOperator is set if only an operator may lift the quarantine.
 	QuarantinedByOperator bool `json:"quarantined_by_operator,omitempty" cbor:"13,keyasint,omitempty"`
 
+	Evacuated bool `json:"evacuated,omitempty" cbor:"18,keyasint,omitempty"` // its zone is evacuated, so it takes no new work
+
 	PastStartIDs     []string        `json:"past_start_ids,omitempty" cbor:"14,keyasint,omitempty"` // earlier processes, whose delayed announcements are rejected
 	LostAt           model.Millis    `json:"lost_at,omitempty" cbor:"15,keyasint,omitempty"`
 	LostSequence     uint64          `json:"lost_sequence,omitempty" cbor:"16,keyasint,omitempty"` // position in the order of losses
@@ -191,6 +193,8 @@
 
 	Workflows *workflow.State
 
+	Evacuations map[model.Zone]Evacuation // orders of operators in force, by zone
+
 	// ownedTargetsChanged holds for each gateway the revision of the last change of its targets
 	// or of the attempts on them. It is not part of snapshots; a restore sets it to the revision
 	// of the snapshot for every gateway.
@@ -234,6 +238,8 @@
 		Requests:   map[RequestKey]*RequestRecord{},
 		Workflows:  workflow.New(),
 
+		Evacuations: map[model.Zone]Evacuation{},
+
 		ownedTargetsChanged: map[model.GatewayID]model.Revision{},
 		index:               newIndex(),
 		closedAttempts:      map[model.GatewayID]*closedLog{},
--- a/core/workflow/apply.go
+++ b/core/workflow/apply.go
@@ -339,7 +339,7 @@
 		return
 	}
 	worker, ok := s.Workers[a.Incarnation.Worker]
-	if !ok || worker.Incarnation != a.Incarnation || worker.Draining || worker.Deregistered {
+	if !ok || worker.Incarnation != a.Incarnation || worker.Draining || worker.Deregistered || s.evacuated[worker.Zone] {
 		return
 	}
 	run := job.ensureRun(key.Occurrence)
--- a/core/workflow/state.go
+++ b/core/workflow/state.go
@@ -30,6 +30,8 @@
 	openSets  map[Incarnation]*openSet
 	endedJobs []endedJob // in the order of compare
 
+	evacuated map[model.Zone]bool // set by the owner of the orders; not part of snapshots
+
 	lastVersion uint64 // last version given to an open set
 	removals    uint64 // number of live jobs that have ended
 }
--- a/core/workflow/types.go
+++ b/core/workflow/types.go
@@ -252,6 +252,9 @@
 
 	FollowedAt model.Millis `cbor:"21,keyasint,omitempty"` // when the process was recorded in place of another one; zero if it is the first
 
+	// ColdUntil is when the worker expects to be at full speed, on its own clock; 0 if it has not said so.
+	ColdUntil model.Millis `cbor:"22,keyasint,omitempty"`
+
 	// Displaced is the record that this one replaced without a proof, until this process has answered. It is not changed.
 	Displaced *Worker `cbor:"20,keyasint,omitempty"`
 }
--- a/ctl/cmd/samphirectl/main.go
+++ b/ctl/cmd/samphirectl/main.go
@@ -18,6 +18,7 @@
 	addCancel,
 	addLeases,
 	addQuarantine,
+	addEvacuation,
 	addHistograms,
 	addMembers,
 	addTarget,
--- a/daemon/controller/operators.go
+++ b/daemon/controller/operators.go
@@ -212,6 +212,10 @@
 	return json.Marshal(list)
 }
 
+func queryEvacuations(_ *Service, st *state.State, _ []byte) ([]byte, error) {
+	return json.Marshal(st.DescribeEvacuations())
+}
+
 // Explainer explains why a queued job waits; the scheduler implements it. Explain is called with
 // the state locked.
 type Explainer interface {
--- a/daemon/controller/queries.go
+++ b/daemon/controller/queries.go
@@ -17,15 +17,16 @@
 
 // queries lists the named queries of Read.
 var queries = map[string]queryFunc{
-	"explain":    queryExplain,
-	"job":        queryJob,
-	"jobs":       queryJobs,
-	"leases":     queryLeases,
-	"members":    queryMembers,
-	"owner":      queryOwner,
-	"quarantine": queryQuarantine,
-	"status":     queryStatus,
-	"ticket":     queryTicket,
+	"evacuations": queryEvacuations,
+	"explain":     queryExplain,
+	"job":         queryJob,
+	"jobs":        queryJobs,
+	"leases":      queryLeases,
+	"members":     queryMembers,
+	"owner":       queryOwner,
+	"quarantine":  queryQuarantine,
+	"status":      queryStatus,
+	"ticket":      queryTicket,
 }
 
 // Read runs a named query as a linearizable read.
--- a/daemon/fleet/claims.go
+++ b/daemon/fleet/claims.go
@@ -5,6 +5,7 @@
 	"errors"
 	"time"
 
+	"samphirepaddle.example/core/model"
 	"samphirepaddle.example/core/state"
 	"samphirepaddle.example/core/workflow"
 	"samphirepaddle.example/daemon/bootclock"
@@ -242,7 +243,8 @@
 	}
 	l.reports[incarnation.Worker] = next
 	l.logger.Info().Str("worker", string(incarnation.Worker)).Int64("born", int64(incarnation.StartedAt)).Str("addr", r.Worker.Addr).
-		Bool("draining", r.Worker.Draining).Bool("gone", r.Worker.Deregistered).Bool("proven", proven).Msg("worker reports")
+		Bool("draining", r.Worker.Draining).Bool("gone", r.Worker.Deregistered).Bool("proven", proven).
+		Int64("cold_ms", int64(max(0, r.Worker.ColdUntil-r.Clock))).Msg("worker reports")
 	return next.done, false
 }
 
@@ -284,5 +286,12 @@
 			return false
 		}
 	}
-	return (a.Draining || !b.Draining) && (a.Deregistered || !b.Deregistered)
+	return (a.Draining || !b.Draining) && (a.Deregistered || !b.Deregistered) && !coldLonger(a, b)
 }
+
+// coldTolerance is the difference between two reports of when a worker is at full speed that is no news.
+const coldTolerance = model.Millis(1000)
+
+// coldLonger reports whether b announces that the worker stays cold for longer than a does. An earlier end
+// of the cold time is no news: it passes by itself.
+func coldLonger(a, b workflow.Worker) bool { return b.ColdUntil > a.ColdUntil+coldTolerance }
--- a/daemon/fleet/engine.go
+++ b/daemon/fleet/engine.go
@@ -9,6 +9,7 @@
 	"github.com/rs/zerolog"
 
 	"samphirepaddle.example/core/dispatch"
+	"samphirepaddle.example/core/model"
 	"samphirepaddle.example/core/state"
 	"samphirepaddle.example/core/workflow"
 	"samphirepaddle.example/daemon/bootclock"
@@ -29,6 +30,8 @@
 	WorkerLease time.Duration // lease of the tasks on a worker; at most WorkerLeaseLimit
 	// WorkerLeaseLimit is the longest lease that a worker grants; DefaultWorkerLeaseLimit if zero.
 	WorkerLeaseLimit time.Duration
+	// SpareCold has cold workers filled as they warm up.
+	SpareCold bool
 	// MaxCallDelay is the time after which no worker executes a call any more; DefaultMaxCallDelay if zero.
 	MaxCallDelay time.Duration
 }
@@ -128,6 +131,7 @@
 	described     []dispatch.Worker         // workers of the last pass
 	startAlone    map[workflow.TaskKey]bool // tasks whose attempts isolate their workers in this pass
 	silenced      map[workflow.TaskKey]bool // tasks under which a worker fell silent, in this pass
+	evacuated     map[model.Zone]bool       // zones in which no task may start, in this pass
 
 	mu             sync.Mutex // guards the fields below and those of the sessions
 	sessions       map[workflow.Incarnation]*session
--- a/daemon/fleet/fakeworker_test.go
+++ b/daemon/fleet/fakeworker_test.go
@@ -27,6 +27,7 @@
 	ends    []EndedAttempt
 	last    uint64 // number of the last end
 
+	allAtWork     bool                        // tasks are listed as at work, with all of their startup done
 	percentMs     model.Millis                // time in which the attempts advance by one percent
 	tailMs        int64                       // tail latency of every running attempt
 	longPolls     bool                        // hold calls last for their full wait if there is no end to list
@@ -254,7 +255,11 @@
 	w.ends = slices.DeleteFunc(w.ends, func(e EndedAttempt) bool { return e.Number <= call.AckedThrough })
 	listing := Listing{Clock: w.clock(), StartedAt: w.worker.Incarnation.StartedAt, Ended: slices.Clone(w.ends)}
 	for a := range w.running {
-		listing.Running = append(listing.Running, RunningAttempt{Attempt: a, Checkpoint: "listed", Progress: int(w.clock()/w.percentMs) % 100, Usage: w.tailMs})
+		progress := int(w.clock()/w.percentMs) % 100
+		if w.allAtWork {
+			progress = 100
+		}
+		listing.Running = append(listing.Running, RunningAttempt{Attempt: a, Checkpoint: "listed", Progress: progress, Usage: w.tailMs})
 	}
 	w.silent = w.silent || w.silentAfter == w.holds
 	return listing, nil
--- a/daemon/fleet/pass.go
+++ b/daemon/fleet/pass.go
@@ -87,6 +87,7 @@
 func (l *leadership) buildPlan(st *state.State, p *passPlan) {
 	now := bootclock.Now()
 	workflows := st.Workflows
+	l.noteEvacuations(st)
 	l.addReports(p)
 	l.syncSessions(st)
 	ended := l.addEnds(workflows, now, p)
@@ -109,6 +110,7 @@
 	plannerInput := l.plannerInput(st, now)
 	if p.kind == fullPass {
 		l.adjustPaces(plannerInput, now, p)
+		l.moveOutOfEvacuated(plannerInput)
 	}
 	plannerInput.BeforeBestEffort = p.kind == reservedPass
 	assigned, waits := dispatch.Plan(plannerInput, l.plannerState)
@@ -368,6 +370,7 @@
 	why := s.usability(&d.Worker, now)
 	d.Usable, d.LastResort = why == usable, why == unusableQuarantined && s.quarantine.allowsRestart(now)
 	d.Silent, d.Latency = !s.answers(now), s.latency
+	d.Evacuated, d.ColdFor = l.evacuated[d.Zone], l.coldFor(s, &d.Worker, now)
 	l.applyPendingCapacity(&d.Worker)
 	if openVersion := workflows.OpenVersion(s.incarnation); s.changed || s.openVersion != openVersion || len(former) > 0 {
 		s.cachedAllocations, s.openVersion, s.changed = l.allocations(workflows, s, former, now), openVersion, len(former) > 0
--- a/daemon/fleet/reports.go
+++ b/daemon/fleet/reports.go
@@ -4,6 +4,7 @@
 	"context"
 	"hash/fnv"
 
+	"samphirepaddle.example/core/model"
 	"samphirepaddle.example/core/state"
 	"samphirepaddle.example/core/workflow"
 	"samphirepaddle.example/daemon/replica"
@@ -21,6 +22,7 @@
 	// HeartbeatAddr returns the address to which a worker should send its next heartbeats, or an
 	// empty string if none is known.
 	HeartbeatAddr func(workflow.WorkerID) string
+	Zones         []model.Zone // zones of the settings
 }
 
 // HeartbeatMember returns a controller for the worker's heartbeats, so that those of all workers
--- a/daemon/fleet/rpc.go
+++ b/daemon/fleet/rpc.go
@@ -38,6 +38,9 @@
 	opReport     = "report"
 	opDeregister = "leave"
 	opPing       = "ping"
+	opOrderZone  = "zone"
+
+	opEvacuatedZones = "evacuated"
 )
 
 // Directory provides the addresses of the controllers.
@@ -57,6 +60,8 @@
 	registerOperation(mux, d, logger, opReport, e.ReportWorker)
 	registerOperation(mux, d, logger, opDeregister, e.Deregister)
 	registerOperation(mux, d, logger, opPing, e.Ping)
+	registerOperation(mux, d, logger, opOrderZone, e.OrderZone)
+	registerOperation(mux, d, logger, opEvacuatedZones, e.EvacuatedZones)
 	return mux
 }
 
--- a/daemon/fleet/usability.go
+++ b/daemon/fleet/usability.go
@@ -16,6 +16,7 @@
 	usable unusable = iota
 	unusableReplaced
 	unusableLeaves
+	unusableEvacuated
 	unusableNoToken
 	unusableSilent
 	unusableOrphan
@@ -25,7 +26,7 @@
 
 // String returns the reason as a field name in log lines.
 func (u unusable) String() string {
-	return [...]string{"usable", "replaced", "draining", "token_not_accepted", "silent", "runs_unknown_attempt", "paused_after_refusal", "quarantined"}[u]
+	return [...]string{"usable", "replaced", "draining", "evacuated", "token_not_accepted", "silent", "runs_unknown_attempt", "paused_after_refusal", "quarantined"}[u]
 }
 
 // usability returns why no task may start on the worker, or usable.
@@ -35,6 +36,8 @@
 		return unusableReplaced
 	case w.Draining, w.Deregistered:
 		return unusableLeaves
+	case s.leadership.evacuated[w.Zone]:
+		return unusableEvacuated
 	case !s.tokenAccepted:
 		return unusableNoToken
 	case !s.answers(now), s.silence.recorded:
--- a/daemon/fleetd/controller.go
+++ b/daemon/fleetd/controller.go
@@ -13,6 +13,7 @@
 	"samphirepaddle.example/core/workflow"
 	"samphirepaddle.example/daemon/agent"
 	"samphirepaddle.example/daemon/fleet"
+	"samphirepaddle.example/daemon/operator"
 	"samphirepaddle.example/daemon/replica"
 	"samphirepaddle.example/daemon/rpc"
 	"samphirepaddle.example/daemon/settings"
@@ -73,6 +74,7 @@
 		Log:     log, Workers: pool, Leading: pool.Run, Logger: d.logger,
 		LeaderLease: leaderLease, WorkerLease: time.Duration(s.WorkerLeaseMs) * time.Millisecond,
 		WorkerLeaseLimit: time.Duration(s.WorkerLeaseLimitMs) * time.Millisecond,
+		SpareCold:        s.SpareColdWorkers,
 	})
 	d.node = node
 	mux := http.NewServeMux()
@@ -81,10 +83,12 @@
 	mux.Handle(fleet.PathPrefix, d.client.LearnMembers(fleet.Handler(node.engine, &node.dir, d.logger)))
 	mux.Handle("GET "+agent.StreamPath, node.agent)
 	mux.Handle("GET /metrics", d.metrics.Handler())
-	adapter.RegisterControl(mux, fleet.Control{
+	c := fleet.Control{
 		Client: d.client, Reporter: fleet.LocalReporter{Log: log, Leader: d.client},
-		HeartbeatAddr: func(workflow.WorkerID) string { return s.ControlAddr },
-	}, d.logger)
+		HeartbeatAddr: func(workflow.WorkerID) string { return s.ControlAddr }, Zones: s.Zones,
+	}
+	operator.RegisterZones(mux, c)
+	adapter.RegisterControl(mux, c, d.logger)
 	return d.listen(map[string]http.Handler{s.ControlListen: mux})
 }
 
--- a/daemon/fleetd/daemon.go
+++ b/daemon/fleetd/daemon.go
@@ -15,6 +15,7 @@
 	"github.com/rs/zerolog"
 
 	"samphirepaddle.example/daemon/fleet"
+	"samphirepaddle.example/daemon/operator"
 	"samphirepaddle.example/daemon/settings"
 	"samphirepaddle.example/daemon/wait"
 )
@@ -118,7 +119,9 @@
 func (d *Daemon) buildRelay(adapter Adapter) ([]net.Listener, error) {
 	mux := http.NewServeMux()
 	mux.Handle(fleet.PathPrefix, fleet.RedirectHandler(d.client))
-	adapter.RegisterControl(mux, fleet.Control{Client: d.client, Reporter: d.client, HeartbeatAddr: d.client.HeartbeatMember}, d.logger)
+	c := fleet.Control{Client: d.client, Reporter: d.client, HeartbeatAddr: d.client.HeartbeatMember, Zones: d.settings.Zones}
+	operator.RegisterZones(mux, c)
+	adapter.RegisterControl(mux, c, d.logger)
 	return d.listen(map[string]http.Handler{d.settings.ControlListen: mux})
 }
 
--- a/daemon/operator/operator.go
+++ b/daemon/operator/operator.go
@@ -47,6 +47,7 @@
 	mux.HandleFunc("POST /v1/jobs/cancel", a.cancelJobs)
 	mux.HandleFunc("GET /v1/leases", a.readHandler("leases"))
 	mux.HandleFunc("GET /v1/members", a.readHandler("members"))
+	RegisterZones(mux, controlZones{a.control})
 	mux.HandleFunc("GET /v1/quarantine", a.readHandler("quarantine"))
 	mux.HandleFunc("POST /v1/quarantine/{target}", a.quarantineHandler(true))
 	mux.HandleFunc("DELETE /v1/quarantine/{target}", a.quarantineHandler(false))
--- a/daemon/owner/summary.go
+++ b/daemon/owner/summary.go
@@ -37,7 +37,7 @@
 // not, because the resources that they use are not known. The caller holds o.mu.
 func (o *ownedTarget) takesWork() bool {
 	return o.reported && !o.ownershipEnded && !o.leaving && !o.losing && o.unknownAttempts == 0 &&
-		!o.record.Leaving && !o.record.Lost
+		!o.record.Leaving && !o.record.Lost && !o.record.Evacuated
 }
 
 // FreeQuickSlots returns the free slots for quick requests on the owned targets of a pool.
--- a/daemon/scheduler/update.go
+++ b/daemon/scheduler/update.go
@@ -204,6 +204,8 @@
 		return "its lease ran out"
 	case target.Leaving:
 		return "it is leaving"
+	case target.Evacuated:
+		return "its availability zone is evacuated"
 	case target.Owner == "":
 		return "no gateway owns it"
 	case p.pendingQuarantines[target.ID]:
--- a/daemon/settings/fleet.go
+++ b/daemon/settings/fleet.go
@@ -23,10 +23,11 @@
 
 // Fleet is the content of the settings file of a daemon that runs workflows on a platform.
 type Fleet struct {
-	ID          string     `json:"id" validate:"required,max=128"`
-	Role        FleetRole  `json:"role" validate:"required,oneof=gateway controller relay"`
-	Zone        model.Zone `json:"zone" validate:"required,max=128"`
-	Controllers []string   `json:"controllers" validate:"required,min=1,max=16,dive,hostname_port"` // seed addresses for finding the controllers
+	ID          string       `json:"id" validate:"required,max=128"`
+	Role        FleetRole    `json:"role" validate:"required,oneof=gateway controller relay"`
+	Zone        model.Zone   `json:"zone" validate:"required,max=128"`
+	Zones       []model.Zone `json:"zones,omitempty" validate:"omitempty,max=256,dive,required,max=128"` // zones that operators may name; others must have a known worker
+	Controllers []string     `json:"controllers" validate:"required,min=1,max=16,dive,hostname_port"`    // seed addresses for finding the controllers
 
 	CallersListen string `json:"callers_listen,omitempty" validate:"omitempty,hostname_port"` // gateways
 	ReadyListen   string `json:"ready_listen,omitempty" validate:"omitempty,hostname_port"`   // gateways
@@ -43,6 +44,7 @@
 
 	WorkerLeaseMs      model.Millis `json:"worker_lease_ms,omitempty" validate:"omitempty,min=1000,max=60000"`          // lease of the tasks on a worker
 	WorkerLeaseLimitMs model.Millis `json:"worker_lease_limit_ms,omitempty" validate:"omitempty,min=1000,max=86400000"` // longest lease that workers grant
+	SpareColdWorkers   bool         `json:"spare_cold_workers,omitempty"`                                               // fill workers that report to be cold as they warm up
 	AgentWorkers       int          `json:"agent_workers,omitempty" validate:"omitempty,min=1"`                         // number of workers from which the leader calls them through the other controllers
 	MemoryMiB          int64        `json:"memory_mib,omitempty" validate:"omitempty,min=32"`                           // memory available to the process
 	DrainMs            model.Millis `json:"drain_ms,omitempty" validate:"omitempty,min=0,max=60000"`                    // time from the shutdown signal until no connections are accepted any more
