Decide how long a wait for a place pays

Cause: a paused best-effort task was stopped after a constant 500 ms, whatever a move costs. Steps with same_rack were spread over racks, and a task near whose data no place was free went elsewhere at once, at up to three times the run time.

Change: the costs of a stop, a restore and a remote place come from the settings. A paused task waits as long as a move is expected to cost. A task waits for the rack of its data or group while the queue there is shorter than what it loses elsewhere, and at most for that loss. Groups start on one rack.

--- a/core/dispatch/plan.go
+++ b/core/dispatch/plan.go
@@ -20,6 +20,7 @@
 func newPass(p *Snapshot, state *PlannerState) *pass {
 	pass := &pass{
 		now: p.Now, workers: p.Workers, cautions: p.Cautions, interference: state.InterferenceModel, restarts: state.RestartHistory,
+		costs: p.Costs, nearWaits: state.NearWaits,
 		starvationTimeouts: starvationTimeouts(p), firstStartBudget: state.ShortTaskReserve.firstStartBudget(p),
 	}
 	for _, w := range p.Workers {
@@ -35,6 +36,7 @@
 
 func (p *pass) placeRuns(snapshot *Snapshot) {
 	p.restarts.forgetOld(p.now)
+	p.nearWaits.forgetOld(p.now)
 	for _, turn := range sortRuns(snapshot, p.restarts) {
 		if snapshot.BeforeBestEffort && usesSpareCPU(turn.Job) {
 			break
@@ -53,6 +55,9 @@
 	cautions           workflow.Cautions
 	interference       *InterferenceModel
 	restarts           *RestartHistory
+	costs              PlaceCosts
+	nearWaits          *NearWaits
+	racks              map[rackKey]*rack       // set by rackOf
 	starvationTimeouts map[string]model.Millis // by service
 	firstStartBudget   map[string]int64        // for first starts of long-running tasks, by service
 	workers            []*Worker
@@ -186,6 +191,9 @@
 		}
 	}
 	n := p.needsOf(q, ready.step)
+	if spec.SameRack && n.near == "" {
+		n.near = p.groupRack(q, ready.step, len(ready.tasks))
+	}
 	var ranked *ranking
 	for i, waiting := range ready.tasks {
 		key := workflow.TaskKey{Job: q.Job.ID, Occurrence: q.Occurrence, Step: ready.step, Index: waiting.index}
@@ -203,6 +211,9 @@
 		if best == nil {
 			best = p.takeLastResort(q.Job, n, waiting.task, starved)
 		}
+		if best != nil && best.index != notRanked && !starved && p.waitPays(&n, best) {
+			best, reason = nil, WaitNearPlace
+		}
 		if best != nil && best.index != notRanked && !p.takeFirstStartBudget(q.Job, spec, waiting.task) {
 			best, reason = nil, WaitShortTaskReserve
 		}
@@ -267,10 +278,12 @@
 	spec         *workflow.StepSpec
 	step         stepKey
 	coefficients *coefficientRow // nil unless the step uses spare CPU
+	near         string          // label of the rack near which the tasks are faster; empty if none
 }
 
 func (p *pass) needsOf(q PendingRun, step int) needs {
 	n := needs{service: q.Job.Service, spec: &q.Job.Steps[step], step: stepKey{q.Job.ID, q.Occurrence, step}}
+	n.near = n.spec.DataRack
 	if n.spec.UsesSpareCPU {
 		n.coefficients = p.coefficientsOf(n.spec.Image)
 	}
@@ -389,7 +402,7 @@
 func (c *candidate) score(n *needs, task workflow.Task, cost float64) float64 {
 	spec := n.spec
 	value := -c.coldCost()
-	if spec.DataRack != "" && c.worker.HasLabel(spec.DataRack) {
+	if n.near != "" && n.isNear(c.worker) {
 		value += dataRackWeight
 	}
 	if task.Failures > 0 && task.Incarnation == c.worker.Incarnation {
--- a/core/dispatch/plan_test.go
+++ b/core/dispatch/plan_test.go
@@ -246,7 +246,7 @@
 		{bestEffort, maxPause + 1, true}, {bestEffort, maxPause, false},
 		{withoutCheckpoints, 100 * maxPause, false}, {reserved, 100 * maxPause, false},
 	} {
-		if got := WorthMoving(&c.step, c.paused); got != c.want {
+		if got := WorthMoving(&c.step, c.paused, PlaceCosts{}); got != c.want {
 			t.Errorf("%+v paused for %d ms: %v, want %v", c.step, c.paused, got, c.want)
 		}
 	}
--- a/core/dispatch/state.go
+++ b/core/dispatch/state.go
@@ -6,9 +6,10 @@
 	InterferenceModel *InterferenceModel
 	ShortTaskReserve  *ShortTaskReserve
 	RestartHistory    *RestartHistory
+	NearWaits         *NearWaits
 }
 
 // NewPlannerState returns the state of a planner that has processed no snapshot yet.
 func NewPlannerState() *PlannerState {
-	return &PlannerState{InterferenceModel: NewInterferenceModel(), ShortTaskReserve: NewShortTaskReserve(), RestartHistory: NewRestartHistory()}
+	return &PlannerState{InterferenceModel: NewInterferenceModel(), ShortTaskReserve: NewShortTaskReserve(), RestartHistory: NewRestartHistory(), NearWaits: NewNearWaits()}
 }
--- a/core/dispatch/types.go
+++ b/core/dispatch/types.go
@@ -51,6 +51,7 @@
 	Workers     []*Worker
 	PendingRuns []PendingRun // in order of acceptance
 	Cautions    workflow.Cautions
+	Costs       PlaceCosts
 
 	// BeforeBestEffort limits the pass to the runs that come before the first one with a best-effort
 	// step. Such a pass rates no interference, so it takes a fraction of the time of a full one.
--- a/core/dispatch/wait.go
+++ b/core/dispatch/wait.go
@@ -16,6 +16,7 @@
 	WaitInterference                       // the task would interfere with serving tasks
 	WaitNoSpareCPU                         // no spare CPU is expected on any worker
 	WaitShortTaskReserve                   // the remaining cores are reserved for short tasks
+	WaitNearPlace                          // a place near its data or its group is expected soon enough
 	WaitBackoff                            // several workers may have crashed under the task; the next start waits for proof
 )
 
@@ -25,6 +26,7 @@
 		"no worker takes tasks", "no worker has the required label", "no worker has the capacity free", "max_per_worker is reached on each worker with free capacity",
 		"each worker with free capacity has just started a task that is suspected of crashing workers",
 		"it would interfere with serving tasks", "no spare CPU", "the remaining cores are reserved for short tasks",
+		"a place near its data or its group is expected soon",
 		"several workers fell silent after they started the task",
 	}[r]
 }
--- a/daemon/fleet/engine.go
+++ b/daemon/fleet/engine.go
@@ -30,6 +30,8 @@
 	WorkerLease time.Duration // lease of the tasks on a worker; at most WorkerLeaseLimit
 	// WorkerLeaseLimit is the longest lease that a worker grants; DefaultWorkerLeaseLimit if zero.
 	WorkerLeaseLimit time.Duration
+	// PlaceCosts are what a place or a move costs a task; unknown if zero.
+	PlaceCosts dispatch.PlaceCosts
 	// SpareCold has cold workers filled as they warm up.
 	SpareCold bool
 	// MaxCallDelay is the time after which no worker executes a call any more; DefaultMaxCallDelay if zero.
--- a/daemon/fleet/pass.go
+++ b/daemon/fleet/pass.go
@@ -321,7 +321,7 @@
 	workflows := st.Workflows
 	wall := model.Millis(time.Now().UnixMilli())
 	latest := l.clock.read(wall, st.Now, now)
-	p := &dispatch.Snapshot{Now: latest, Cautions: workflows.Cautions(latest)}
+	p := &dispatch.Snapshot{Now: latest, Cautions: workflows.Cautions(latest), Costs: l.engine.opts.PlaceCosts}
 	l.startAlone, l.silenced = p.Cautions.StartAlone, p.Cautions.Silenced
 	p.Workers = l.describeWorkers(workflows, now)
 	workflows.VisitLiveJobs(func(job *workflow.Job) {
--- a/daemon/fleet/reconcile.go
+++ b/daemon/fleet/reconcile.go
@@ -283,7 +283,7 @@
 		o.evictReason = "the worker is draining"
 	case w != nil && w.Draining && s.drainUntil != 0 && s.drainUntil.Sub(now) < drainStopMargin:
 		o.evictReason = "the draining worker is about to end"
-	case o.pace == 0 && !o.paceInFlight && dispatch.WorthMoving(a.Step, model.Millis(now.Sub(o.paceSetAt).Milliseconds())):
+	case o.pace == 0 && !o.paceInFlight && dispatch.WorthMoving(a.Step, model.Millis(now.Sub(o.paceSetAt).Milliseconds()), l.engine.opts.PlaceCosts):
 		o.evictReason = "paused too long to protect serving tasks"
 	case s.stalled(a, o, now, l.stalls[a.Attempt.Task]):
 		o.evictReason = "no progress"
--- a/daemon/fleetd/controller.go
+++ b/daemon/fleetd/controller.go
@@ -9,6 +9,7 @@
 
 	"github.com/rs/zerolog"
 
+	"samphirepaddle.example/core/dispatch"
 	"samphirepaddle.example/core/model"
 	"samphirepaddle.example/core/workflow"
 	"samphirepaddle.example/daemon/agent"
@@ -75,6 +76,7 @@
 		LeaderLease: leaderLease, WorkerLease: time.Duration(s.WorkerLeaseMs) * time.Millisecond,
 		WorkerLeaseLimit: time.Duration(s.WorkerLeaseLimitMs) * time.Millisecond,
 		SpareCold:        s.SpareColdWorkers,
+		PlaceCosts:       dispatch.PlaceCosts{StopMs: s.TaskStopMs, RestoreMs: s.TaskRestoreMs, RemoteFactor: s.RemoteFactor},
 	})
 	d.node = node
 	mux := http.NewServeMux()
--- a/daemon/settings/fleet.go
+++ b/daemon/settings/fleet.go
@@ -45,6 +45,9 @@
 	WorkerLeaseMs      model.Millis `json:"worker_lease_ms,omitempty" validate:"omitempty,min=1000,max=60000"`          // lease of the tasks on a worker
 	WorkerLeaseLimitMs model.Millis `json:"worker_lease_limit_ms,omitempty" validate:"omitempty,min=1000,max=86400000"` // longest lease that workers grant
 	SpareColdWorkers   bool         `json:"spare_cold_workers,omitempty"`                                               // fill workers that report to be cold as they warm up
+	TaskStopMs         model.Millis `json:"task_stop_ms,omitempty" validate:"omitempty,min=1,max=60000"`                // until a stopped task has released its worker
+	TaskRestoreMs      model.Millis `json:"task_restore_ms,omitempty" validate:"omitempty,min=1,max=600000"`            // until a task that resumes from a checkpoint makes progress
+	RemoteFactor       float64      `json:"remote_factor,omitempty" validate:"omitempty,min=1,max=1000"`                // run time of a task away from its data or group, as a multiple of that near them
 	AgentWorkers       int          `json:"agent_workers,omitempty" validate:"omitempty,min=1"`                         // number of workers from which the leader calls them through the other controllers
 	MemoryMiB          int64        `json:"memory_mib,omitempty" validate:"omitempty,min=32"`                           // memory available to the process
 	DrainMs            model.Millis `json:"drain_ms,omitempty" validate:"omitempty,min=0,max=60000"`                    // time from the shutdown signal until no connections are accepted any more
