Bound what clients hold of a process

Cause: request bodies were read whole, one for each connection, before anything was counted. Crowds that stop one byte short took a gateway of 64 MiB to 129 to 132 MiB (83 with chunks of one byte), a controller of 128 MiB to 302 to 376 MiB and a daemon with its own pools to 323 to 396 MiB. 400 legal jobs of 240 KB took the leader to 462 MiB of 128.

Change: each process accounts the bytes of bodies that it reads, of large answers, and its connections. Clients that have stopped sending give way first, then the address that holds most; what was read completely is never given up. A refusal is sent only for a body that has not arrived as a whole. Calls of other daemons have a budget of their own. The leader refuses jobs for whose records it has no memory. Decoding stops at the step limit.

--- a/core/workflow/state.go
+++ b/core/workflow/state.go
@@ -25,10 +25,11 @@
 	Workers  map[WorkerID]*Worker
 
 	// Indexes of Jobs. They are not part of snapshots; Restore rebuilds them.
-	liveJobs  map[JobID]*Job
-	liveOrder []*Job // the live jobs in order of acceptance
-	openSets  map[Incarnation]*openSet
-	endedJobs []endedJob // in the order of compare
+	liveJobs   map[JobID]*Job
+	liveOrder  []*Job // the live jobs in order of acceptance
+	liveWeight int64  // sum of their weights
+	openSets   map[Incarnation]*openSet
+	endedJobs  []endedJob // in the order of compare
 
 	evacuated map[model.Zone]bool // set by the owner of the orders; not part of snapshots
 
@@ -156,11 +157,14 @@
 // addLive adds a job to the live ones. The latest accepted one belongs at the end of liveOrder.
 func (s *State) addLive(job *Job) {
 	s.liveJobs[job.ID] = job
+	job.weight = jobWeight(job.Payload, job.Steps, job.Repeats, job.Interval)
+	s.liveWeight += job.weight
 	s.liveOrder = append(s.liveOrder, job)
 }
 
 func (s *State) removeLive(job *Job) {
 	delete(s.liveJobs, job.ID)
+	s.liveWeight -= job.weight
 	if i, found := slices.BinarySearchFunc(s.liveOrder, job, compareAcceptance); found {
 		s.liveOrder = slices.Delete(s.liveOrder, i, i+1)
 	}
--- a/core/workflow/types.go
+++ b/core/workflow/types.go
@@ -95,7 +95,7 @@
 // Bounds on a submission.
 const (
 	maxPayloadBytes = 4000 // limit of the worker protocol
-	maxSteps        = 256
+	MaxSteps        = 256
 	maxTasksPerStep = 10_000
 	maxRepeats      = 100_000
 
@@ -110,8 +110,8 @@
 	if len(s.Payload) > maxPayloadBytes {
 		return fmt.Errorf("the payload has %d bytes, at most %d are allowed", len(s.Payload), maxPayloadBytes)
 	}
-	if len(s.Steps) == 0 || len(s.Steps) > maxSteps {
-		return fmt.Errorf("the job has %d steps, 1 to %d are allowed", len(s.Steps), maxSteps)
+	if len(s.Steps) == 0 || len(s.Steps) > MaxSteps {
+		return fmt.Errorf("the job has %d steps, 1 to %d are allowed", len(s.Steps), MaxSteps)
 	}
 	if s.Repeats < 0 || s.Repeats > maxRepeats || (s.Repeats > 1 && s.IntervalMs <= 0) {
 		return fmt.Errorf("repeats %d with interval %d ms is not allowed", s.Repeats, s.IntervalMs)
@@ -218,6 +218,8 @@
 	Reason        string       `cbor:"21,keyasint,omitempty"` // why the job failed
 	Suspects      []Suspect    `cbor:"22,keyasint,omitempty"` // tasks under which workers have crashed
 	Begun         bool         `cbor:"23,keyasint,omitempty"` // a worker has accepted, listed or ended a task
+
+	weight int64 // while it is live; see jobWeight
 }
 
 // Ended reports whether the job has ended, so that none of its tasks starts any more.
--- a/daemon/cmd/samphired/daemon.go
+++ b/daemon/cmd/samphired/daemon.go
@@ -13,6 +13,7 @@
 	"samphirepaddle.example/daemon/control"
 	"samphirepaddle.example/daemon/controller"
 	"samphirepaddle.example/daemon/gateway"
+	"samphirepaddle.example/daemon/intake"
 	"samphirepaddle.example/daemon/operator"
 	"samphirepaddle.example/daemon/owner"
 	"samphirepaddle.example/daemon/replica"
@@ -48,6 +49,7 @@
 	owners       *owner.Table
 	gateway      *gateway.Gateway
 	control      *control.Client
+	guard        *intake.Guard // of callers, targets and operators
 }
 
 func newDaemon(s settings.Settings) (*daemon, error) {
@@ -64,11 +66,23 @@
 		}
 	}
 	d.buildGateway(publicMux, peerMux)
-	d.public = newServer(s.PublicListen, d.gateway.WithTimeouts(publicMux))
+	guard := d.newGuard()
+	d.public = newServer(s.PublicListen, guard.Handler(d.gateway.WithTimeouts(publicMux)))
+	guard.Attach(d.public)
+	d.guard = guard
 	d.peer = newServer(s.PeerListen, peerMux)
 	return d, nil
 }
 
+// newGuard returns the guard of the public listener. Its refusals say that the request has not run.
+func (d *daemon) newGuard() *intake.Guard {
+	bytes := d.settings.BodyMemoryMiB << 20
+	if bytes == 0 {
+		bytes = intake.DefaultBodyBytes
+	}
+	return intake.New(intake.Options{BodyBytes: bytes, Connections: d.settings.MaxConnections, Logger: d.logger, Refusal: refusalResponse, Refuse: gateway.RefuseForMemory})
+}
+
 // newServer returns an HTTP server with the limits of this daemon.
 func newServer(address string, handler http.Handler) *http.Server {
 	return &http.Server{
@@ -166,7 +180,7 @@
 	}
 	serveErrs := make(chan error, 2)
 	go func() { serveErrs <- d.peer.Serve(peerListener) }()
-	go func() { serveErrs <- d.public.Serve(limitConnections(publicListener, d.settings.MaxConnections)) }()
+	go func() { serveErrs <- d.public.Serve(d.guard.Listener(publicListener)) }()
 	background, stop := context.WithCancel(context.Background())
 	defer stop()
 	d.startLoops(background)
--- a/daemon/cmd/samphired/daemon_test.go
+++ b/daemon/cmd/samphired/daemon_test.go
@@ -16,6 +16,7 @@
 	"time"
 
 	"samphirepaddle.example/core/model"
+	"samphirepaddle.example/daemon/intake"
 	"samphirepaddle.example/daemon/settings"
 	"samphirepaddle.example/daemon/target"
 )
@@ -285,36 +286,56 @@
 }
 
 // Guards against connections over the limit that wait without a response, and against closed
-// connections that still count towards the limit.
+// connections that still count towards the limit. One that is answered may give way to a new one, so
+// that the first is held.
 func TestConnectionsOverTheLimitAreRefused(t *testing.T) {
 	inner, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
 		t.Fatal(err)
 	}
-	server := &http.Server{Handler: http.NotFoundHandler()}
+	guard := intake.New(intake.Options{Connections: 1, Refusal: refusalResponse})
+	held, release := make(chan struct{}, 1), make(chan struct{})
+	server := &http.Server{Handler: guard.Handler(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		select {
+		case held <- struct{}{}:
+			<-release // the first request
+		default:
+		}
+		w.WriteHeader(http.StatusNotFound)
+	}))}
+	guard.Attach(server)
 	defer server.Close()
-	go func() { _ = server.Serve(limitConnections(inner, 1)) }()
-	status := func() (net.Conn, int) {
+	go func() { _ = server.Serve(guard.Listener(inner)) }()
+	dial := func() net.Conn {
 		c, err := net.Dial("tcp", inner.Addr().String())
 		if err != nil {
 			t.Fatal(err)
 		}
 		fmt.Fprint(c, "GET / HTTP/1.1\r\nHost: x\r\n\r\n")
+		return c
+	}
+	answer := func(c net.Conn) int {
 		response, err := http.ReadResponse(bufio.NewReader(c), nil)
 		if err != nil {
-			return c, 0
+			return 0
 		}
-		return c, response.StatusCode
+		return response.StatusCode
 	}
-	first, code := status()
-	if code != http.StatusNotFound {
-		t.Errorf("first connection: status %d", code)
+	status := func() (net.Conn, int) {
+		c := dial()
+		return c, answer(c)
 	}
+	first := dial()
+	waitUntil(t, "the first request is held", func() bool { return len(held) == 1 })
 	second, code := status()
 	if code == http.StatusNotFound {
 		t.Error("a connection over the limit was served")
 	}
 	second.Close()
+	close(release)
+	if code := answer(first); code != http.StatusNotFound {
+		t.Errorf("first connection: status %d", code)
+	}
 	first.Close()
 	waitUntil(t, "a new connection is accepted again", func() bool {
 		c, code := status()
--- a/daemon/fleet/engine.go
+++ b/daemon/fleet/engine.go
@@ -32,6 +32,8 @@
 	WorkerLeaseLimit time.Duration
 	// PlaceCosts are what a place or a move costs a task; unknown if zero.
 	PlaceCosts dispatch.PlaceCosts
+	// JobBytes bounds the memory of the jobs that have not ended; unlimited if zero.
+	JobBytes int64
 	// SpareCold has cold workers filled as they warm up.
 	SpareCold bool
 	// MaxCallDelay is the time after which no worker executes a call any more; DefaultMaxCallDelay if zero.
--- a/daemon/fleet/metrics.go
+++ b/daemon/fleet/metrics.go
@@ -52,6 +52,9 @@
 	metrics.GetOrRegisterCounter(fmt.Sprintf("%s{%s}", name, what), m.registry).Inc(int64(by))
 }
 
+// Count adds by to a counter with a label from a fixed set.
+func (m *Metrics) Count(name, what string, by int) { m.count(name, what, by) }
+
 // observe adds a duration to a histogram in milliseconds.
 func (m *Metrics) observe(name string, d time.Duration) {
 	metrics.GetOrRegisterHistogram(name, m.registry, metrics.NewUniformSample(histogramSize)).Update(d.Milliseconds())
--- a/daemon/fleet/rpc.go
+++ b/daemon/fleet/rpc.go
@@ -3,12 +3,12 @@
 import (
 	"context"
 	"errors"
-	"io"
 	"net/http"
 
 	"github.com/rs/zerolog"
 
 	"samphirepaddle.example/core/model"
+	"samphirepaddle.example/daemon/intake"
 )
 
 // PathPrefix is the path prefix under which controllers serve other daemons.
@@ -77,7 +77,7 @@
 	mux.HandleFunc("POST "+PathPrefix+op, func(w http.ResponseWriter, r *http.Request) {
 		w.Header()["Date"] = nil
 		d.KnownControllers().setHeader(w.Header())
-		body, err := io.ReadAll(http.MaxBytesReader(w, r.Body, maxCallBytes))
+		body, err := intake.ReadBody(w, r, maxCallBytes)
 		if err != nil {
 			w.WriteHeader(http.StatusBadRequest)
 			return
--- a/daemon/fleet/service.go
+++ b/daemon/fleet/service.go
@@ -66,6 +66,11 @@
 	if !e.configured() {
 		return JobResponse{}, ErrNoConfiguration
 	}
+	if refusal, refused := e.admitJob(&s); refused {
+		e.opts.Metrics.count("submissions", "refused_"+string(refusal.Code), 1)
+		l.sampledLogger.Warn().Str("path", s.Path).Str("detail", refusal.Message).Msg("submission refused")
+		return refusal, nil
+	}
 	result, err := l.propose(ctx, state.Command{Workflow: &workflow.Command{Submit: &s}})
 	if err != nil {
 		return JobResponse{}, err
--- a/daemon/fleetd/controller.go
+++ b/daemon/fleetd/controller.go
@@ -75,8 +75,8 @@
 		Log:     log, Workers: pool, Leading: pool.Run, Logger: d.logger,
 		LeaderLease: leaderLease, WorkerLease: time.Duration(s.WorkerLeaseMs) * time.Millisecond,
 		WorkerLeaseLimit: time.Duration(s.WorkerLeaseLimitMs) * time.Millisecond,
-		SpareCold:        s.SpareColdWorkers,
-		PlaceCosts:       dispatch.PlaceCosts{StopMs: s.TaskStopMs, RestoreMs: s.TaskRestoreMs, RemoteFactor: s.RemoteFactor},
+		SpareCold:        s.SpareColdWorkers, JobBytes: jobBytes(s),
+		PlaceCosts: dispatch.PlaceCosts{StopMs: s.TaskStopMs, RestoreMs: s.TaskRestoreMs, RemoteFactor: s.RemoteFactor},
 	})
 	d.node = node
 	mux := http.NewServeMux()
@@ -94,6 +94,14 @@
 	return d.listen(map[string]http.Handler{s.ControlListen: mux})
 }
 
+// jobBytes returns the memory for jobs that have not ended.
+func jobBytes(s settings.Fleet) int64 {
+	if s.JobMemoryMiB > 0 {
+		return s.JobMemoryMiB << 20
+	}
+	return fleet.JobBytesFor(s.MemoryMiB)
+}
+
 // replicaOptions returns the settings of the log. The client must exist already.
 func (d *Daemon) replicaOptions() replica.Options {
 	s := d.settings
--- a/daemon/fleetd/daemon.go
+++ b/daemon/fleetd/daemon.go
@@ -10,12 +10,15 @@
 	"net"
 	"net/http"
 	"runtime/debug"
+	"strings"
 	"time"
 
 	"github.com/rs/zerolog"
 
 	"samphirepaddle.example/daemon/fleet"
+	"samphirepaddle.example/daemon/intake"
 	"samphirepaddle.example/daemon/operator"
+	"samphirepaddle.example/daemon/rpc"
 	"samphirepaddle.example/daemon/settings"
 	"samphirepaddle.example/daemon/wait"
 )
@@ -25,6 +28,7 @@
 	headerTimeout  = 3 * time.Second
 	idleTimeout    = 60 * time.Second
 	bodyTimeout    = 10 * time.Second // to read a whole request
+	writeTimeout   = 10 * time.Second // to take a part of an answer
 	maxHeaderBytes = 16 << 10
 )
 
@@ -53,6 +57,7 @@
 	node     *controllerNode // nil on gateways
 	draining drainFlag
 	metrics  *fleet.Metrics
+	guard    *intake.Guard // of callers, or of workers and operators
 
 	metricsServer *http.Server
 }
@@ -142,22 +147,57 @@
 	if err != nil {
 		return nil, err
 	}
-	budget := newDescriptorBudget(int(inboundDescriptorShare * float64(limit)))
+	d.guard = d.newGuard(int(inboundDescriptorShare * float64(limit)))
+	probes := d.newGuard(maxProbeConns)
 	var listeners []net.Listener
 	for addr, handler := range handlers {
 		listener, err := net.Listen("tcp", addr)
 		if err != nil {
 			return nil, err
 		}
-		listeners = append(listeners, &budgetedListener{listener, budget})
-		d.servers = append(d.servers, &http.Server{
-			Handler: recoverPanics(handler, d.logger), ReadHeaderTimeout: headerTimeout, ReadTimeout: bodyTimeout,
+		guard := d.guard
+		if addr == d.settings.ReadyListen {
+			guard = probes // a crowd of callers must not take the gateway out of rotation
+		}
+		server := &http.Server{
+			Handler: recoverPanics(d.guardBodies(guard, addr, handler), d.logger), ReadHeaderTimeout: headerTimeout, ReadTimeout: bodyTimeout,
 			IdleTimeout: idleTimeout, MaxHeaderBytes: maxHeaderBytes, ErrorLog: nil,
-		})
+		}
+		guard.Attach(server)
+		listeners = append(listeners, guard.Listener(listener))
+		d.servers = append(d.servers, server)
 	}
 	return listeners, nil
 }
 
+// guardBodies returns a handler that reads requests within the budget. Calls of other daemons have a budget of
+// their own, so that a crowd of operators or workers does not stop the group.
+func (d *Daemon) guardBodies(guard *intake.Guard, addr string, handler http.Handler) http.Handler {
+	outside := guard.Handler(handler)
+	if addr != d.settings.ControlListen {
+		return outside
+	}
+	inside := d.newGuard(0).Handler(handler)
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if strings.HasPrefix(r.URL.Path, fleet.PathPrefix) || strings.HasPrefix(r.URL.Path, rpc.ConsensusPathPrefix) {
+			inside.ServeHTTP(w, r)
+			return
+		}
+		outside.ServeHTTP(w, r)
+	})
+}
+
+// maxProbeConns bounds the connections to the listeners of readiness and of metrics.
+const maxProbeConns = 32
+
+func (d *Daemon) newGuard(connections int) *intake.Guard {
+	bytes := d.settings.BodyMemoryMiB << 20
+	if bytes == 0 {
+		bytes = intake.BodyBytesFor(d.settings.MemoryMiB << 20)
+	}
+	return intake.New(intake.Options{BodyBytes: bytes, Connections: connections, Counters: d.metrics, Logger: d.logger, WriteTimeout: writeTimeout})
+}
+
 func (d *Daemon) serve(ctx, force context.Context, reload <-chan struct{}, listeners []net.Listener) error {
 	background, stop := context.WithCancel(context.Background())
 	defer stop()
@@ -229,6 +269,7 @@
 			cancel()
 		}
 		watch.observe(d.client, time.Now())
+		d.guard.SetGauges()
 		wait.For(ctx, contactInterval)
 	}
 }
--- a/daemon/fleetd/descriptors.go
+++ b/daemon/fleetd/descriptors.go
@@ -90,24 +90,3 @@
 		return &budgetedConn{Conn: conn, budget: budget}, nil
 	}
 }
-
-// budgetedListener closes connections above the budget as soon as they are accepted, so that their
-// callers move on to another daemon at once.
-type budgetedListener struct {
-	net.Listener
-	budget *descriptorBudget
-}
-
-// Accept returns the next connection within the budget.
-func (l *budgetedListener) Accept() (net.Conn, error) {
-	for {
-		conn, err := l.Listener.Accept()
-		if err != nil {
-			return nil, err
-		}
-		if l.budget.acquire() {
-			return &budgetedConn{Conn: conn, budget: l.budget}, nil
-		}
-		conn.Close()
-	}
-}
--- a/daemon/fleetd/descriptors_test.go
+++ b/daemon/fleetd/descriptors_test.go
@@ -64,39 +64,3 @@
 		}
 	}
 }
-
-// Guards against callers' connections that take the descriptors of the state files.
-func TestListenerClosesConnectionsAboveTheBudget(t *testing.T) {
-	inner, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		t.Fatal(err)
-	}
-	defer inner.Close()
-	listener := &budgetedListener{inner, newDescriptorBudget(1)}
-	accepted := make(chan net.Conn, 2)
-	go func() {
-		for {
-			conn, err := listener.Accept()
-			if err != nil {
-				return
-			}
-			accepted <- conn
-		}
-	}()
-	dial := func() net.Conn {
-		conn, err := net.Dial("tcp", inner.Addr().String())
-		if err != nil {
-			t.Fatal(err)
-		}
-		t.Cleanup(func() { conn.Close() })
-		return conn
-	}
-	dial()
-	first := <-accepted
-	if _, err := dial().Read(make([]byte, 1)); err == nil {
-		t.Error("a connection above the budget is open")
-	}
-	first.Close()
-	dial()
-	<-accepted
-}
--- a/daemon/fleetd/metrics.go
+++ b/daemon/fleetd/metrics.go
@@ -27,7 +27,10 @@
 	}
 	listener, err := net.Listen("tcp", addr)
 	if err == nil {
-		err = d.metricsServer.Serve(listener)
+		guard := d.newGuard(maxProbeConns)
+		guard.Attach(d.metricsServer)
+		d.metricsServer.Handler = guard.Handler(d.metricsServer.Handler)
+		err = d.metricsServer.Serve(guard.Listener(listener))
 	}
 	if !errors.Is(err, http.ErrServerClosed) {
 		d.logger.Warn().Err(err).Str("addr", addr).Msg("metrics are not served")
--- a/daemon/gateway/bounds.go
+++ b/daemon/gateway/bounds.go
@@ -86,6 +86,11 @@
 	writeJSON(w, status, Problem{Error: message, Code: code, Verdict: verdict.String()})
 }
 
+// RefuseForMemory answers a request whose body was given up for want of memory.
+func RefuseForMemory(w http.ResponseWriter) {
+	writeProblem(w, http.StatusServiceUnavailable, model.VerdictNotRun, "no_memory", "the gateway has no memory for the body; the request has not run")
+}
+
 // retryAfter formats a wait for the Retry-After header: whole seconds, at least 1.
 func retryAfter(wait time.Duration) string {
 	return strconv.Itoa(max(1, int(math.Ceil(wait.Seconds()))))
--- /dev/null
+++ b/daemon/intake/answer.go
@@ -0,0 +1,100 @@
+package intake
+
+import (
+	"errors"
+	"net/http"
+	"time"
+
+	"samphirepaddle.example/core/intake"
+)
+
+// errSlowReader is the error of writing an answer that has no room beside others whose clients do not read.
+var errSlowReader = errors.New("the answer was given up: too many clients do not read theirs")
+
+// answer is the answer to a request. The refusal of a request that was given up replaces whatever the handler
+// answers to its incomplete body.
+type answer struct {
+	http.ResponseWriter
+	guard   *Guard
+	body    *bodyRead // nil without a body
+	begun   bool
+	refused bool
+	held    intake.ID // account of a large answer; 0 if there is none
+}
+
+// WriteHeader begins the answer.
+func (a *answer) WriteHeader(status int) {
+	if a.begun {
+		if !a.refused {
+			a.ResponseWriter.WriteHeader(status)
+		}
+		return
+	}
+	a.begun = true
+	a.setDeadline()
+	if status >= http.StatusBadRequest && a.body != nil && a.guard.wasGivenUp(a.body) {
+		a.refused = true
+		for name := range a.Header() {
+			a.Header().Del(name)
+		}
+		a.Header().Set("Connection", "close")
+		a.guard.options.Refuse(a.ResponseWriter)
+		return
+	}
+	a.ResponseWriter.WriteHeader(status)
+}
+
+// Write writes a part of the answer.
+func (a *answer) Write(data []byte) (int, error) {
+	if !a.begun {
+		a.WriteHeader(http.StatusOK)
+	}
+	if a.refused {
+		return len(data), nil
+	}
+	if len(data) > smallAnswer && !a.hold(int64(len(data))) {
+		return 0, errSlowReader
+	}
+	a.setDeadline()
+	return a.ResponseWriter.Write(data)
+}
+
+func (a *answer) setDeadline() {
+	if a.guard.options.WriteTimeout == 0 {
+		return
+	}
+	// An error means that the connection has no deadlines, as in tests without a server.
+	_ = http.NewResponseController(a.ResponseWriter).SetWriteDeadline(time.Now().Add(a.guard.options.WriteTimeout))
+}
+
+// hold accounts a part of a large answer until the request ends.
+func (a *answer) hold(bytes int64) bool {
+	g := a.guard
+	g.mu.Lock()
+	if a.held == 0 {
+		a.held = g.bodies.Open("", now())
+		g.bodies.Complete(a.held)
+	}
+	verdict, victims := g.bodies.Grow(a.held, bytes, now())
+	conns := g.giveUpVictims(victims)
+	g.mu.Unlock()
+	g.interrupt(conns)
+	if verdict != intake.Granted {
+		g.count("answers", "no_memory")
+	}
+	return verdict == intake.Granted
+}
+
+func (a *answer) release() {
+	if a.held == 0 {
+		return
+	}
+	g := a.guard
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.bodies.Close(a.held)
+	g.release()
+}
+
+// Unwrap gives http.ResponseController access to the connection.
+func (a *answer) Unwrap() http.ResponseWriter { return a.ResponseWriter }
--- /dev/null
+++ b/daemon/intake/guard_test.go
@@ -0,0 +1,140 @@
+package intake
+
+import (
+	"bufio"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"testing"
+
+	"github.com/rs/zerolog"
+
+	"samphirepaddle.example/core/intake"
+)
+
+// Guards against callers' connections that take the descriptors of the state files.
+func TestListenerClosesConnectionsAboveTheBudget(t *testing.T) {
+	inner, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer inner.Close()
+	listener := New(Options{Connections: 1}).Listener(inner)
+	accepted := make(chan net.Conn, 2)
+	go func() {
+		for {
+			conn, err := listener.Accept()
+			if err != nil {
+				return
+			}
+			accepted <- conn
+		}
+	}()
+	dial := func() net.Conn {
+		conn, err := net.Dial("tcp", inner.Addr().String())
+		if err != nil {
+			t.Fatal(err)
+		}
+		t.Cleanup(func() { conn.Close() })
+		return conn
+	}
+	dial()
+	first := <-accepted
+	first.(*conn).note(intake.Serving) // a connection that nobody uses would give way
+	if _, err := dial().Read(make([]byte, 1)); err == nil {
+		t.Error("a connection above the budget is open")
+	}
+	first.Close()
+	dial()
+	<-accepted
+}
+
+// newServer returns a guarded server that answers 200 to complete bodies and 400 to others.
+func newServer(t *testing.T, bodyBytes int64) (*Guard, string) {
+	t.Helper()
+	guard := New(Options{BodyBytes: bodyBytes, Connections: 64, Logger: zerolog.Nop()})
+	server := httptest.NewUnstartedServer(guard.Handler(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if _, err := ReadBody(w, r, 1<<20); err != nil {
+			w.WriteHeader(http.StatusBadRequest)
+			fmt.Fprint(w, err)
+		}
+	})))
+	server.Listener = guard.Listener(server.Listener)
+	guard.Attach(server.Config)
+	server.Start()
+	t.Cleanup(server.Close)
+	return guard, server.Listener.Addr().String()
+}
+
+// send sends a request whose body lacks the given number of bytes.
+func send(t *testing.T, addr string, size, lacks int) net.Conn {
+	t.Helper()
+	conn, err := net.Dial("tcp", addr)
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { conn.Close() })
+	fmt.Fprintf(conn, "POST / HTTP/1.1\r\nHost: x\r\nContent-Length: %d\r\n\r\n%s", size, strings.Repeat("x", size-lacks))
+	return conn
+}
+
+func readAnswer(t *testing.T, conn net.Conn) *http.Response {
+	t.Helper()
+	response, err := http.ReadResponse(bufio.NewReader(conn), nil)
+	if err != nil {
+		t.Fatal(err)
+	}
+	_, _ = io.Copy(io.Discard, response.Body)
+	return response
+}
+
+// Guards against a stalled body that holds the memory which a client that goes on needs, and against a refusal
+// that does not say when to come back.
+func TestStalledBodyIsRefusedForAnother(t *testing.T) {
+	guard, addr := newServer(t, 1<<20)
+	stalled := send(t, addr, 200<<10, 1)
+	if response := readAnswer(t, send(t, addr, 200<<10, 0)); response.StatusCode != http.StatusOK {
+		t.Errorf("the complete body got status %d", response.StatusCode)
+	}
+	response := readAnswer(t, stalled)
+	if response.StatusCode != http.StatusServiceUnavailable || response.Header.Get("Retry-After") == "" || !response.Close {
+		t.Errorf("the stalled body got status %d, header %v", response.StatusCode, response.Header)
+	}
+	stalled.Close()
+	for range 100 {
+		conn := send(t, addr, 1<<20, 0)
+		if response := readAnswer(t, conn); response.StatusCode != http.StatusOK {
+			t.Fatalf("a single body got status %d", response.StatusCode)
+		}
+		conn.Close()
+	}
+	if held := guard.bodies.Held(); held > 3<<20 {
+		t.Errorf("%d bytes are held without an open request", held)
+	}
+}
+
+// Guards against a body that is read although its declared length is above the limit, and against a buffer
+// that is much larger than the body.
+func TestReadBody(t *testing.T) {
+	read := func(declared int64, size int) ([]byte, error) {
+		r := httptest.NewRequest(http.MethodPost, "/", strings.NewReader(strings.Repeat("x", size)))
+		r.ContentLength = declared
+		return ReadBody(httptest.NewRecorder(), r, 100_000)
+	}
+	for _, size := range []int{0, 1, 4095, 4096, 4097, 100_000} {
+		for _, declared := range []int64{int64(size), -1} {
+			body, err := read(declared, size)
+			if err != nil || len(body) != size || cap(body) > max(4096, 2*size+2) {
+				t.Errorf("size %d, declared %d: %d bytes in a buffer of %d, error %v", size, declared, len(body), cap(body), err)
+			}
+		}
+	}
+	for _, declared := range []int64{100_001, -1} {
+		if _, err := read(declared, 100_001); err == nil {
+			t.Errorf("declared %d: a body above the limit was read", declared)
+		}
+	}
+}
--- a/daemon/settings/fleet.go
+++ b/daemon/settings/fleet.go
@@ -50,6 +50,8 @@
 	RemoteFactor       float64      `json:"remote_factor,omitempty" validate:"omitempty,min=1,max=1000"`                // run time of a task away from its data or group, as a multiple of that near them
 	AgentWorkers       int          `json:"agent_workers,omitempty" validate:"omitempty,min=1"`                         // number of workers from which the leader calls them through the other controllers
 	MemoryMiB          int64        `json:"memory_mib,omitempty" validate:"omitempty,min=32"`                           // memory available to the process
+	BodyMemoryMiB      int64        `json:"body_memory_mib,omitempty" validate:"omitempty,min=1"`                       // of it for request bodies and their copies; a fifth if not set
+	JobMemoryMiB       int64        `json:"job_memory_mib,omitempty" validate:"omitempty,min=1"`                        // of it for jobs that have not ended, on controllers; an eighth if not set
 	DrainMs            model.Millis `json:"drain_ms,omitempty" validate:"omitempty,min=0,max=60000"`                    // time from the shutdown signal until no connections are accepted any more
 	LogLevel           string       `json:"log_level,omitempty" validate:"omitempty,oneof=debug info warn error"`
 
--- a/daemon/settings/settings.go
+++ b/daemon/settings/settings.go
@@ -49,6 +49,7 @@
 	AnnounceMs     model.Millis `json:"announce_ms,omitempty" validate:"omitempty,min=50,max=60000"`
 	BalancerWaitMs model.Millis `json:"balancer_wait_ms,omitempty" validate:"omitempty,min=0,max=60000"`
 	MaxConnections int          `json:"max_connections,omitempty" validate:"omitempty,min=1,max=1000000"`
+	BodyMemoryMiB  int64        `json:"body_memory_mib,omitempty" validate:"omitempty,min=1"` // memory for request bodies and their copies; 32 if not set
 	MaxQueued      int          `json:"max_queued,omitempty" validate:"omitempty,min=1,max=1000000"`
 }
 
