Refuse callers at once while there is no leader

Cause: with half of the controllers unreachable one round through them takes longer than callers wait, so that each request was held to its deadline and then ended with 504.

The daemon then asks all controllers at the same time, so that it finds the next leader behind silent ones. The soak evacuates zones.

--- a/daemon/fleet/client.go
+++ b/daemon/fleet/client.go
@@ -59,6 +59,7 @@
 	lastContact bootclock.Time // time of the last response from a leader
 	connected   bool           // the last call to the address in leader succeeded
 	calls       inFlightCalls
+	searching   int // calls that look for a leader
 }
 
 // NewClient returns a client that starts from the seed addresses.
@@ -187,14 +188,19 @@
 }
 
 // call tries the controllers until the leader answers or ctx is done. If no leader has answered
-// within leaderTimeout, it fails after one round, so that callers do not wait until their deadline
-// while there is no leader.
+// within leaderTimeout, it fails, so that callers do not wait until their deadline while there is no
+// leader; a few calls go on for one round.
 func call[Resp, Req any](ctx context.Context, c *Client, op string, request Req) (Resp, error) {
 	var response Resp
 	data, err := model.Encode(request)
 	if err != nil {
 		return response, &NotRunError{err}
 	}
+	done, searching, ok := c.admitCall(op)
+	if !ok {
+		return response, &NotRunError{ErrNotLeading}
+	}
+	defer done()
 	mayHaveRun := false
 	var last error
 	for tries := 1; ; tries++ {
@@ -207,10 +213,11 @@
 		if errors.Is(err, ErrNoConfiguration) {
 			return response, callError(err, mayHaveRun)
 		}
-		if tries%c.addressCount() == 0 {
-			if c.SinceContact() > leaderTimeout {
-				return response, callError(last, mayHaveRun)
-			}
+		round := tries%c.addressCount() == 0
+		if c.SinceContact() > leaderTimeout && (round || !searching) {
+			return response, callError(last, mayHaveRun)
+		}
+		if round {
 			wait.For(ctx, retryDelay)
 		}
 		if ctx.Err() != nil {
@@ -232,6 +239,11 @@
 	if addr == "" {
 		return nil, false, ErrNotLeading
 	}
+	return c.callAt(ctx, addr, op, data)
+}
+
+// callAt makes one call to one controller.
+func (c *Client) callAt(ctx context.Context, addr, op string, data []byte) (body []byte, mayHaveRun bool, err error) {
 	ctx, done := c.beginCall(ctx, addr)
 	defer done()
 	request, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+addr+PathPrefix+op, bytes.NewReader(data))
--- a/daemon/fleet/fleet_test.go
+++ b/daemon/fleet/fleet_test.go
@@ -404,6 +404,53 @@
 	}
 }
 
+// Guards against callers that are all held while a controller is silent and no leader can be found, and
+// against a client that does not find the leader behind silent controllers.
+func TestClientWithoutALeaderHoldsFewCallers(t *testing.T) {
+	released := make(chan struct{})
+	silent := httptest.NewServer(http.HandlerFunc(func(_ http.ResponseWriter, r *http.Request) {
+		_, _ = io.Copy(io.Discard, r.Body)
+		select {
+		case <-r.Context().Done():
+		case <-released:
+		}
+	}))
+	defer silent.Close()
+	defer close(released)
+	leads := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+		data, _ := model.Encode(struct{}{})
+		_, _ = w.Write(data)
+	}))
+	defer leads.Close()
+	client := NewClient([]string{silent.Listener.Addr().String()}, &http.Transport{}, zerolog.Nop())
+	ctx, cancel := context.WithCancel(context.Background())
+	held := make(chan error, maxSearchingCalls)
+	for range maxSearchingCalls {
+		go func() {
+			_, err := client.Submit(ctx, workflow.Submission{})
+			held <- err
+		}()
+	}
+	for searching := 0; searching < maxSearchingCalls; time.Sleep(time.Millisecond) {
+		client.mu.Lock()
+		searching = client.searching
+		client.mu.Unlock()
+	}
+	var notRun *NotRunError
+	if _, err := client.Submit(context.Background(), workflow.Submission{}); !errors.As(err, &notRun) {
+		t.Errorf("a further call ended with %v, want a refusal", err)
+	}
+	cancel()
+	for range maxSearchingCalls {
+		<-held
+	}
+	client.SetSeeds([]string{silent.Listener.Addr().String(), silent.Listener.Addr().String(), leads.Listener.Addr().String()})
+	client.FindLeader(context.Background())
+	if got := client.LeaderAddr(); got != leads.Listener.Addr().String() {
+		t.Errorf("the leader is %q", got)
+	}
+}
+
 // emptyDirectory knows no controllers.
 type emptyDirectory struct{}
 
--- a/daemon/fleetd/daemon.go
+++ b/daemon/fleetd/daemon.go
@@ -254,7 +254,8 @@
 const (
 	contactInterval  = 500 * time.Millisecond
 	contactTimeout   = 1200 * time.Millisecond
-	settingsInterval = 2 * time.Second // the settings file may change without a signal
+	searchAfter      = 1200 * time.Millisecond // silence after which all controllers are asked at the same time
+	settingsInterval = 2 * time.Second         // the settings file may change without a signal
 )
 
 // pollLeader pings the leader if it has not responded within contactInterval, so that readiness is
@@ -265,7 +266,11 @@
 		if d.client.SinceContact() >= contactInterval {
 			call, cancel := context.WithTimeout(ctx, contactTimeout)
 			// The client logs changes of the leader; a failed call is repeated in the next round.
-			_ = d.client.Ping(call)
+			if d.client.SinceContact() < searchAfter {
+				_ = d.client.Ping(call)
+			} else {
+				d.client.FindLeader(call)
+			}
 			cancel()
 		}
 		watch.observe(d.client, time.Now())
--- a/test/soak/checker_test.go
+++ b/test/soak/checker_test.go
@@ -53,6 +53,19 @@
 			h.observe(standin.WorkerCrashed, "a", "", 0, "")
 			h.runAttempt("b", firstTask, 2, "done")
 		}, ""},
+		"start in an evacuated zone": {func(h *checkerFixture) {
+			h.Evacuated("")
+			h.evacuatedAt[""] = time.Now().Add(-time.Minute)
+			h.faultFreeSince = time.Now().Add(-time.Minute)
+			h.observe(standin.RunStarted, "a", firstTask, 1, "")
+		}, "evacuation"},
+		"start in a zone that was taken back": {func(h *checkerFixture) {
+			h.Evacuated("")
+			h.evacuatedAt[""] = time.Now().Add(-time.Minute)
+			h.faultFreeSince = time.Now().Add(-time.Minute)
+			h.TakingBack("")
+			h.observe(standin.RunStarted, "a", firstTask, 1, "")
+		}, ""},
 		"two concurrent attempts": {func(h *checkerFixture) {
 			h.observe(standin.RunStarted, "a", firstTask, 1, "")
 			h.observe(standin.RunStarted, "b", firstTask, 2, "")
--- a/test/soak/load.go
+++ b/test/soak/load.go
@@ -101,6 +101,7 @@
 		l.group.Go(func() { l.runCaller(ctx, i, rng) })
 	}
 	l.group.Go(func() { l.runOperator(ctx, rand.New(rand.NewPCG(seed, 1000))) })
+	l.group.Go(func() { l.runZoneOperator(ctx, rand.New(rand.NewPCG(seed, 1001))) })
 	l.watchCtx = ctx
 	for _, addr := range l.controlAddrs() {
 		l.watch(addr)
