Explain where a workflow would go without submitting it

Cause: operators could see why a task waits, but not what would become of a job before they send it.

Change: samphirectl place and POST /v1/explain plan the job with the pending runs on a copy of the planner's state and return its placements, waits, the runs ahead and what speaks against each worker.

Measured: TestExplanationIsWhatThePlanDoes compares it with the plan; no effect on a pass without a request.

--- a/core/workflow/apply.go
+++ b/core/workflow/apply.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"math"
 	"strings"
 
 	"samphirepaddle.example/core/model"
@@ -43,16 +44,35 @@
 		return Invalid, err.Error()
 	}
 	s.Sequence++
-	job := &Job{
+	job := newJob(id, route, c, now)
+	job.Sequence = s.Sequence
+	s.Jobs[job.ID] = job
+	s.addLive(job)
+	return Accepted, ""
+}
+
+func newJob(id JobID, route model.Route, c *Submission, now model.Millis) *Job {
+	return &Job{
 		ID: id, Route: route.Name, Service: route.Service, Priority: route.Priority,
 		MaxFailures: route.MaxAttempts, Slack: route.SlackFactor, TargetMs: route.TargetCompletionMs,
 		Payload: c.Payload, Steps: c.Steps,
 		Repeats: c.Repeats, FirstMs: c.FirstMs, Interval: c.IntervalMs,
-		Phase: PhaseLive, Sequence: s.Sequence, AcceptedAt: now,
+		Phase: PhaseLive, AcceptedAt: now,
 	}
-	s.Jobs[job.ID] = job
-	s.addLive(job)
-	return Accepted, ""
+}
+
+// NewJob returns the job that a submission would become, last in the order of acceptance, without accepting it.
+func NewJob(routing *model.Routing, c *Submission, now model.Millis) (*Job, error) {
+	route, rest, ok := routing.Match(c.Host, c.Path)
+	if !ok {
+		return nil, fmt.Errorf("no route for host %q and path %q", c.Host, c.Path)
+	}
+	if err := c.Validate(); err != nil {
+		return nil, err
+	}
+	job := newJob(JobID(rest), route, c, now)
+	job.Sequence = math.MaxUint64
+	return job, nil
 }
 
 func (s *State) cancel(now model.Millis, routing *model.Routing, c *Cancel) (Outcome, string) {
--- a/ctl/cmd/samphirectl/client.go
+++ b/ctl/cmd/samphirectl/client.go
@@ -136,11 +136,31 @@
 	if err != nil {
 		return err
 	}
+	return c.print(body, print)
+}
+
+// postAndPrint sends a request that changes nothing and prints its response like getAndPrint.
+func (c *gatewayClient) postAndPrint(path string, request, v any, print func(*table)) error {
+	response, err := c.call(http.MethodPost, path, request)
+	if err != nil {
+		return err
+	}
+	if response.status != http.StatusOK {
+		return refusedf("%s", errorText(response))
+	}
+	if err := json.Unmarshal(response.body, v); err != nil {
+		return fmt.Errorf("the response is not valid JSON: %w", err)
+	}
+	return c.print(response.body, print)
+}
+
+// print writes a response as JSON if --json is set, and otherwise the table that fill fills in.
+func (c *gatewayClient) print(body []byte, fill func(*table)) error {
 	if c.jsonOutput {
 		return c.printJSON(body)
 	}
 	t := newTable(c.out)
-	print(t)
+	fill(t)
 	return t.flush()
 }
 
--- a/ctl/cmd/samphirectl/main.go
+++ b/ctl/cmd/samphirectl/main.go
@@ -15,6 +15,7 @@
 	addStatus,
 	addJobs,
 	addExplain,
+	addPlace,
 	addCancel,
 	addLeases,
 	addQuarantine,
--- a/daemon/fleet/engine.go
+++ b/daemon/fleet/engine.go
@@ -143,6 +143,7 @@
 	seenAt         seenAt
 	strays         strayCalls
 	connectionEnds map[workflow.Incarnation]connectionEnd // of processes that have not answered since
+	explains       []explainRequest
 	waits          map[waitKey]*waitLog
 	idleRuns       idleRuns
 	begun          begunJobs
--- a/daemon/fleet/pass.go
+++ b/daemon/fleet/pass.go
@@ -111,6 +111,7 @@
 	if p.kind == fullPass {
 		l.adjustPaces(plannerInput, now, p)
 		l.moveOutOfEvacuated(plannerInput)
+		l.answerExplains(st, plannerInput)
 	}
 	plannerInput.BeforeBestEffort = p.kind == reservedPass
 	assigned, waits := dispatch.Plan(plannerInput, l.plannerState)
--- a/daemon/fleet/rpc.go
+++ b/daemon/fleet/rpc.go
@@ -41,6 +41,7 @@
 	opOrderZone  = "zone"
 
 	opEvacuatedZones = "evacuated"
+	opExplain        = "explain"
 )
 
 // Directory provides the addresses of the controllers.
@@ -62,6 +63,7 @@
 	registerOperation(mux, d, logger, opPing, e.Ping)
 	registerOperation(mux, d, logger, opOrderZone, e.OrderZone)
 	registerOperation(mux, d, logger, opEvacuatedZones, e.EvacuatedZones)
+	registerOperation(mux, d, logger, opExplain, e.Explain)
 	return mux
 }
 
--- a/daemon/fleetd/controller.go
+++ b/daemon/fleetd/controller.go
@@ -90,6 +90,7 @@
 		HeartbeatAddr: func(workflow.WorkerID) string { return s.ControlAddr }, Zones: s.Zones,
 	}
 	operator.RegisterZones(mux, c)
+	operator.RegisterExplain(mux, c)
 	adapter.RegisterControl(mux, c, d.logger)
 	return d.listen(map[string]http.Handler{s.ControlListen: mux})
 }
--- a/daemon/fleetd/daemon.go
+++ b/daemon/fleetd/daemon.go
@@ -126,6 +126,7 @@
 	mux.Handle(fleet.PathPrefix, fleet.RedirectHandler(d.client))
 	c := fleet.Control{Client: d.client, Reporter: d.client, HeartbeatAddr: d.client.HeartbeatMember, Zones: d.settings.Zones}
 	operator.RegisterZones(mux, c)
+	operator.RegisterExplain(mux, c)
 	adapter.RegisterControl(mux, c, d.logger)
 	return d.listen(map[string]http.Handler{d.settings.ControlListen: mux})
 }
