Deliver large answers also when memory is short

Cause: the guard gave up large answers without room. A request that has run may have such an answer, and the refusal that replaces it says that it has not run.

--- a/core/intake/bodies.go
+++ b/core/intake/bodies.go
@@ -88,14 +88,21 @@
 		b.giveUp(victim)
 		victims = append(victims, victim.id)
 	}
-	grown.held += bytes
-	b.held += bytes
-	if !grown.complete {
-		b.bySource[grown.source] += bytes
-	}
+	b.Hold(id, bytes)
 	return Granted, victims
 }
 
+// Hold accounts bytes that the process holds already, whatever room there is.
+func (b *Bodies) Hold(id ID, bytes int64) {
+	if body, ok := b.bodies[id]; ok {
+		body.held += bytes
+		b.held += bytes
+		if !body.complete {
+			b.bySource[body.source] += bytes
+		}
+	}
+}
+
 // fits reports whether the body may hold so many more bytes. A body that is alone always fits: the process must
 // serve each legal request in calm.
 func (b *Bodies) fits(grown *body, bytes int64) bool {
--- a/daemon/intake/answer.go
+++ b/daemon/intake/answer.go
@@ -1,16 +1,12 @@
 package intake
 
 import (
-	"errors"
 	"net/http"
 	"time"
 
 	"samphirepaddle.example/core/intake"
 )
 
-// errSlowReader is the error of writing an answer that has no room beside others whose clients do not read.
-var errSlowReader = errors.New("the answer was given up: too many clients do not read theirs")
-
 // answer is the answer to a request. The refusal of a request that was given up replaces whatever the handler
 // answers to its incomplete body.
 type answer struct {
@@ -52,8 +48,8 @@
 	if a.refused {
 		return len(data), nil
 	}
-	if len(data) > smallAnswer && !a.hold(int64(len(data))) {
-		return 0, errSlowReader
+	if len(data) > smallAnswer {
+		a.hold(int64(len(data)))
 	}
 	a.setDeadline()
 	return a.ResponseWriter.Write(data)
@@ -67,22 +63,16 @@
 	_ = http.NewResponseController(a.ResponseWriter).SetWriteDeadline(time.Now().Add(a.guard.options.WriteTimeout))
 }
 
-// hold accounts a part of a large answer until the request ends.
-func (a *answer) hold(bytes int64) bool {
+// hold accounts a part of a large answer until the request ends. A ready answer is always delivered.
+func (a *answer) hold(bytes int64) {
 	g := a.guard
 	g.mu.Lock()
+	defer g.mu.Unlock()
 	if a.held == 0 {
 		a.held = g.bodies.Open("", now())
 		g.bodies.Complete(a.held)
 	}
-	verdict, victims := g.bodies.Grow(a.held, bytes, now())
-	conns := g.giveUpVictims(victims)
-	g.mu.Unlock()
-	g.interrupt(conns)
-	if verdict != intake.Granted {
-		g.count("answers", "no_memory")
-	}
-	return verdict == intake.Granted
+	g.bodies.Hold(a.held, bytes)
 }
 
 func (a *answer) release() {
