Run the crowds apart from other tests

Cause: go test runs the packages of a module at the same time; the tests of crowds have to run one at a time. Change: make test runs test/crowd by itself.

--- a/Makefile
+++ b/Makefile
@@ -14,10 +14,11 @@
 # test runs every test of every module with fixed seeds. -count=1 disables cached results: some
 # tests build the daemons themselves, which the cache does not take into account, so it would
 # return old results for changed daemons. bench/decisions, test/soak and one test of core/consensus run separately
-# with -v, because go test otherwise hides the output of passing packages, in which the known misses are printed.
+# with -v, test/crowd because its bounds of memory must not depend on other tests, the others because go test otherwise hides the output of passing packages, in which the known misses are printed.
 test: build
-	@set -e; for m in $(MODULES); do (cd $$m && go test -count=1 -timeout 20m $$(go list ./... | grep -v -e /decisions$$ -e /soak$$)); done
+	@set -e; for m in $(MODULES); do (cd $$m && go test -count=1 -timeout 20m $$(go list ./... | grep -v -e /decisions$$ -e /soak$$ -e /crowd$$)); done
 	cd core && go test -count=1 -v -run TestLearnerLostBeforeItReplacesALostVoter ./consensus
+	cd test && go test -count=1 -timeout 20m -v ./crowd
 	cd test && go test -count=1 -timeout 20m -v ./soak
 	cd bench && go test -count=1 -timeout 20m -v ./decisions
 
