--- a/test/planted/incidents.go
+++ b/test/planted/incidents.go
@@ -246,4 +246,16 @@
 		Edits:  []Edit{{"core/consensus/node.go", "	// know it.\n	n.leader = \"\"\n", "	// know it.\n"}},
 		Checks: []Check{unit("core/consensus", "TestLearnerOfADroppedChangeForgetsItsLeader")},
 	},
+	{
+		ID: "patient-intake", Origin: "incidents/stalled-bodies.md",
+		Brings: "Bodies whose clients have stopped sending keep the memory that others need.",
+		Edits:  []Edit{{"core/intake/bodies.go", "now-other.progressAt >= stalledAfter", "now-other.progressAt >= 1000*stalledAfter"}},
+		Checks: []Check{unit("core/intake", "TestBodiesThatStalledGiveWayFirst"), unit("daemon/intake", "TestStalledBodyIsRefusedForAnother")},
+	},
+	{
+		ID: "held-callers", Origin: "incidents/held-callers.md",
+		Brings: "Every caller goes through all controllers while no leader responds.",
+		Edits:  []Edit{{"daemon/fleet/search.go", "if c.searching >= maxSearchingCalls {", "if c == nil {"}},
+		Checks: []Check{unit("daemon/fleet", "TestClientWithoutALeaderHoldsFewCallers")},
+	},
 }
