Name the workers that tasks move to destinations

Cause: evacuationRoom was a word of our own. Change: a rename without any effect; 'evacuation' stays, it is the product's own name for the operator's order (docs/glossary.md).

--- a/core/dispatch/evacuation.go
+++ b/core/dispatch/evacuation.go
@@ -32,8 +32,8 @@
 // room it would take. Tasks that end by themselves stay unless they have
 // checkpoints and run on for minMoveRemaining.
 func EvacuationMoves(p *Snapshot) []EvacuationMove {
-	room := newEvacuationRoom(p)
-	if room == nil {
+	to := newDestinations(p)
+	if to == nil {
 		return nil
 	}
 	away := tasksAway(p)
@@ -44,14 +44,14 @@
 		}
 		for i := range w.Allocations {
 			a := &w.Allocations[i]
-			if room.inFlight >= maxEvacuationMoves {
+			if to.inFlight >= maxEvacuationMoves {
 				return moves
 			}
-			if !mayMove(a, away) || !room.take(w.Service, a.Step) {
+			if !mayMove(a, away) || !to.take(w.Service, a.Step) {
 				continue
 			}
 			away[stepKeyOf(a.Attempt.Task)]++
-			room.inFlight++
+			to.inFlight++
 			moves = append(moves, EvacuationMove{w.Incarnation, a.Attempt})
 		}
 	}
@@ -99,37 +99,37 @@
 	return away
 }
 
-// evacuationRoom is the room outside the evacuated zones.
-type evacuationRoom struct {
+// destinations are the workers outside the evacuated zones and the capacity that moves may take there.
+type destinations struct {
 	workers  map[string][]*candidate // by service, those with most free cores first
 	spare    map[string]int64        // millicores that moves may still reserve, by service
 	inFlight int                     // tasks that move already
 }
 
-// newEvacuationRoom returns nil if no zone is evacuated.
-func newEvacuationRoom(p *Snapshot) *evacuationRoom {
-	room := &evacuationRoom{workers: map[string][]*candidate{}, spare: map[string]int64{}}
+// newDestinations returns nil if no zone is evacuated.
+func newDestinations(p *Snapshot) *destinations {
+	to := &destinations{workers: map[string][]*candidate{}, spare: map[string]int64{}}
 	evacuated := false
 	for i, w := range p.Workers {
 		switch {
 		case w.Evacuated:
 			evacuated = true
-			room.inFlight += countStopping(w)
+			to.inFlight += countStopping(w)
 		case w.Usable && !w.Isolated:
 			c := newCandidate(w, i)
-			room.workers[w.Service] = append(room.workers[w.Service], c)
-			room.spare[w.Service] += c.freeCPU - int64(minFreeAfterMoves*float64(w.CPUMillis))
+			to.workers[w.Service] = append(to.workers[w.Service], c)
+			to.spare[w.Service] += c.freeCPU - int64(minFreeAfterMoves*float64(w.CPUMillis))
 		}
 	}
 	if !evacuated {
 		return nil
 	}
-	for _, workers := range room.workers {
+	for _, workers := range to.workers {
 		slices.SortFunc(workers, func(a, b *candidate) int {
 			return cmp.Or(cmp.Compare(b.freeCPU, a.freeCPU), cmp.Compare(a.index, b.index))
 		})
 	}
-	return room
+	return to
 }
 
 func countStopping(w *Worker) int {
@@ -143,7 +143,7 @@
 }
 
 // take reserves the room for one task and reports whether there is any.
-func (r *evacuationRoom) take(service string, step *workflow.StepSpec) bool {
+func (r *destinations) take(service string, step *workflow.StepSpec) bool {
 	if !step.UsesSpareCPU && r.spare[service] < step.CPUMillis {
 		return false
 	}
