Bound the bytes that arrive and are not read

Seen by callers: on a machine that counts unread bytes, a crowd that stops one byte short of the end of its bodies ends the gateway, and everyone's requests with it.

Cause: the bound on connections (0.3 of the descriptors) knew nothing of memory. A body that waits for the budget of bodies is not read, and the kernel kept 128 KiB and more of it for each connection, enlarging the buffers by itself; up to 4,096 connections that were complete and not accepted kept as much.

Evidence: test/crowd now samples resident memory together with what the kernel keeps for the connections of a process. On a gateway of 64 MiB held 71 (whole bodies), 67 (pieces) and 71 MiB (large chunks), 99 while it was frozen, 70 when it started again under the crowd; a controller of 128 MiB held 130 under four kinds of calls at once. These six cases failed; chunks of one byte, operators, tenants, open headers, readiness, metrics and slow senders passed.

Change: core/intake.PlanListener divides a part of the memory (connection_memory_mib, a fifth of memory_mib) among the connections of a listener: it sets their receive buffer, how many are admitted and how many wait to be accepted. The kernel enforces both before the process knows of a byte, so the sum fits whatever arrives. All listeners of the fleet daemon together stay within the setting. Metrics: intake_connections_limit, intake_kernel_bytes_limit.

Measured: test/crowd passes; unread bytes peaked at 3 MiB, the same gateways held 38, 36, 41, 36 and 45 MiB, the controller 86.

--- a/daemon/cmd/samphired/daemon.go
+++ b/daemon/cmd/samphired/daemon.go
@@ -10,6 +10,7 @@
 
 	"github.com/rs/zerolog"
 
+	coreintake "samphirepaddle.example/core/intake"
 	"samphirepaddle.example/daemon/control"
 	"samphirepaddle.example/daemon/controller"
 	"samphirepaddle.example/daemon/gateway"
@@ -80,7 +81,7 @@
 	if bytes == 0 {
 		bytes = intake.DefaultBodyBytes
 	}
-	return intake.New(intake.Options{BodyBytes: bytes, Connections: d.settings.MaxConnections, Logger: d.logger, Refusal: refusalResponse, Refuse: gateway.RefuseForMemory})
+	return intake.New(intake.Options{BodyBytes: bytes, Listener: coreintake.ListenerBudget{Connections: d.settings.MaxConnections}, Logger: d.logger, Refusal: refusalResponse, Refuse: gateway.RefuseForMemory})
 }
 
 // newServer returns an HTTP server with the limits of this daemon.
--- a/daemon/cmd/samphired/daemon_test.go
+++ b/daemon/cmd/samphired/daemon_test.go
@@ -15,6 +15,7 @@
 	"testing"
 	"time"
 
+	coreintake "samphirepaddle.example/core/intake"
 	"samphirepaddle.example/core/model"
 	"samphirepaddle.example/daemon/intake"
 	"samphirepaddle.example/daemon/settings"
@@ -293,7 +294,7 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	guard := intake.New(intake.Options{Connections: 1, Refusal: refusalResponse})
+	guard := intake.New(intake.Options{Listener: coreintake.ListenerBudget{Connections: 1}, Refusal: refusalResponse})
 	held, release := make(chan struct{}, 1), make(chan struct{})
 	server := &http.Server{Handler: guard.Handler(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		select {
--- a/daemon/fleetd/daemon.go
+++ b/daemon/fleetd/daemon.go
@@ -15,6 +15,7 @@
 
 	"github.com/rs/zerolog"
 
+	coreintake "samphirepaddle.example/core/intake"
 	"samphirepaddle.example/daemon/fleet"
 	"samphirepaddle.example/daemon/intake"
 	"samphirepaddle.example/daemon/operator"
@@ -148,18 +149,18 @@
 	if err != nil {
 		return nil, err
 	}
-	d.guard = d.newGuard(int(inboundDescriptorShare * float64(limit)))
-	probes := d.newGuard(maxProbeConns)
+	main, probes := d.listenerBudgets(limit)
+	d.guard = d.newGuard(main)
 	var listeners []net.Listener
 	for addr, handler := range handlers {
-		listener, err := net.Listen("tcp", addr)
+		guard, budget := d.guard, main
+		if addr == d.settings.ReadyListen {
+			guard, budget = d.newGuard(probes), probes // a crowd of callers must not take the gateway out of rotation
+		}
+		listener, err := intake.Listen(addr, budget)
 		if err != nil {
 			return nil, err
 		}
-		guard := d.guard
-		if addr == d.settings.ReadyListen {
-			guard = probes // a crowd of callers must not take the gateway out of rotation
-		}
 		server := &http.Server{
 			Handler: recoverPanics(d.guardBodies(guard, addr, handler), d.logger), ReadHeaderTimeout: headerTimeout, ReadTimeout: bodyTimeout,
 			IdleTimeout: idleTimeout, MaxHeaderBytes: maxHeaderBytes, ErrorLog: nil,
@@ -178,7 +179,7 @@
 	if addr != d.settings.ControlListen {
 		return outside
 	}
-	inside := d.newGuard(0).Handler(handler)
+	inside := d.newGuard(coreintake.ListenerBudget{}).Handler(handler)
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		if strings.HasPrefix(r.URL.Path, fleet.PathPrefix) || strings.HasPrefix(r.URL.Path, rpc.ConsensusPathPrefix) {
 			inside.ServeHTTP(w, r)
@@ -188,15 +189,12 @@
 	})
 }
 
-// maxProbeConns bounds the connections to the listeners of readiness and of metrics.
-const maxProbeConns = 32
-
-func (d *Daemon) newGuard(connections int) *intake.Guard {
+func (d *Daemon) newGuard(listener coreintake.ListenerBudget) *intake.Guard {
 	bytes := d.settings.BodyMemoryMiB << 20
 	if bytes == 0 {
 		bytes = intake.BodyBytesFor(d.settings.MemoryMiB << 20)
 	}
-	return intake.New(intake.Options{BodyBytes: bytes, Connections: connections, Counters: d.metrics, Logger: d.logger, WriteTimeout: writeTimeout})
+	return intake.New(intake.Options{BodyBytes: bytes, Listener: listener, Counters: d.metrics, Logger: d.logger, WriteTimeout: writeTimeout})
 }
 
 func (d *Daemon) serve(ctx, force context.Context, reload <-chan struct{}, listeners []net.Listener) error {
--- a/daemon/fleetd/metrics.go
+++ b/daemon/fleetd/metrics.go
@@ -2,10 +2,10 @@
 
 import (
 	"errors"
-	"net"
 	"net/http"
 
 	"samphirepaddle.example/daemon/fleet"
+	"samphirepaddle.example/daemon/intake"
 )
 
 // newMetricsServer returns a server of GET /metrics.
@@ -25,9 +25,10 @@
 	if addr == "" {
 		return
 	}
-	listener, err := net.Listen("tcp", addr)
+	_, budget := d.listenerBudgets(maxProbeConns)
+	listener, err := intake.Listen(addr, budget)
 	if err == nil {
-		guard := d.newGuard(maxProbeConns)
+		guard := d.newGuard(budget)
 		guard.Attach(d.metricsServer)
 		d.metricsServer.Handler = guard.Handler(d.metricsServer.Handler)
 		err = d.metricsServer.Serve(guard.Listener(listener))
--- a/daemon/intake/bodies.go
+++ b/daemon/intake/bodies.go
@@ -188,6 +188,8 @@
 	g.mu.Unlock()
 	g.options.Counters.SetGauge("intake_bytes_held", int(held))
 	g.options.Counters.SetGauge("intake_connections", conns)
+	g.options.Counters.SetGauge("intake_connections_limit", g.options.Listener.Connections)
+	g.options.Counters.SetGauge("intake_kernel_bytes_limit", int(g.options.Listener.Bytes()))
 }
 
 // ReadBody reads a body of at most limit bytes into one buffer. A body that is declared larger is not read.
--- a/daemon/intake/guard.go
+++ b/daemon/intake/guard.go
@@ -25,10 +25,10 @@
 
 // Options are the settings of a Guard.
 type Options struct {
-	BodyBytes   int64 // memory for request bodies, with their copies
-	Connections int
-	Counters    Counters
-	Logger      zerolog.Logger
+	BodyBytes int64 // memory for request bodies, with their copies
+	Listener  intake.ListenerBudget
+	Counters  Counters
+	Logger    zerolog.Logger
 	// Refusal is sent on connections that are not admitted; nothing if empty.
 	Refusal string
 	// WriteTimeout bounds the time in which a client takes a part of an answer; unlimited if zero.
@@ -37,16 +37,26 @@
 	Refuse func(http.ResponseWriter)
 }
 
-// DefaultBodyBytes is the memory for request bodies where the memory of the process is not known.
-const DefaultBodyBytes = 32 << 20
+// Memory of a process whose memory is not known.
+const (
+	DefaultBodyBytes       = 32 << 20 // for request bodies
+	DefaultConnectionBytes = 64 << 20 // for connections
+)
+
+// memoryShare is the part of a process's memory for request bodies, and the part for connections.
+const memoryShare = 0.2
 
 // BodyBytesFor returns the part of a process's memory that request bodies may take.
-func BodyBytesFor(memoryBytes int64) int64 {
-	const share = 0.2
+func BodyBytesFor(memoryBytes int64) int64 { return shareOf(memoryBytes, DefaultBodyBytes) }
+
+// ConnectionBytesFor returns the part of a process's memory that the kernel may take for its connections.
+func ConnectionBytesFor(memoryBytes int64) int64 { return shareOf(memoryBytes, DefaultConnectionBytes) }
+
+func shareOf(memoryBytes, byDefault int64) int64 {
 	if memoryBytes <= 0 {
-		return DefaultBodyBytes
+		return byDefault
 	}
-	return int64(share * float64(memoryBytes))
+	return int64(memoryShare * float64(memoryBytes))
 }
 
 // Guard accounts what clients hold of one process. No lock is taken while mu is held, and no connection is called.
@@ -68,7 +78,7 @@
 		o.Refuse = refuse
 	}
 	return &Guard{
-		options: o, crowd: crowdLog{logger: o.Logger}, bodies: intake.NewBodies(o.BodyBytes), conns: intake.NewConnections(o.Connections),
+		options: o, crowd: crowdLog{logger: o.Logger}, bodies: intake.NewBodies(o.BodyBytes), conns: intake.NewConnections(o.Listener.Connections),
 		open: map[intake.ID]*conn{}, reads: map[intake.ID]*bodyRead{}, freed: make(chan struct{}),
 	}
 }
--- a/daemon/intake/guard_test.go
+++ b/daemon/intake/guard_test.go
@@ -22,7 +22,7 @@
 		t.Fatal(err)
 	}
 	defer inner.Close()
-	listener := New(Options{Connections: 1}).Listener(inner)
+	listener := New(Options{Listener: intake.ListenerBudget{Connections: 1}}).Listener(inner)
 	accepted := make(chan net.Conn, 2)
 	go func() {
 		for {
@@ -55,7 +55,7 @@
 // newServer returns a guarded server that answers 200 to complete bodies and 400 to others.
 func newServer(t *testing.T, bodyBytes int64) (*Guard, string) {
 	t.Helper()
-	guard := New(Options{BodyBytes: bodyBytes, Connections: 64, Logger: zerolog.Nop()})
+	guard := New(Options{BodyBytes: bodyBytes, Listener: intake.ListenerBudget{Connections: 64}, Logger: zerolog.Nop()})
 	server := httptest.NewUnstartedServer(guard.Handler(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		if _, err := ReadBody(w, r, 1<<20); err != nil {
 			w.WriteHeader(http.StatusBadRequest)
--- a/daemon/settings/fleet.go
+++ b/daemon/settings/fleet.go
@@ -42,18 +42,19 @@
 	MayFound     bool   `json:"may_found,omitempty"`                                      // may bootstrap a new controller group; must be true only on the first start of the whole system
 	ToleratedVMs int    `json:"tolerated_vms,omitempty" validate:"omitempty,min=0,max=3"` // number of controllers whose simultaneous loss is tolerated
 
-	WorkerLeaseMs      model.Millis `json:"worker_lease_ms,omitempty" validate:"omitempty,min=1000,max=60000"`          // lease of the tasks on a worker
-	WorkerLeaseLimitMs model.Millis `json:"worker_lease_limit_ms,omitempty" validate:"omitempty,min=1000,max=86400000"` // longest lease that workers grant
-	SpareColdWorkers   bool         `json:"spare_cold_workers,omitempty"`                                               // fill workers that report to be cold as they warm up
-	TaskStopMs         model.Millis `json:"task_stop_ms,omitempty" validate:"omitempty,min=1,max=60000"`                // until a stopped task has released its worker
-	TaskRestoreMs      model.Millis `json:"task_restore_ms,omitempty" validate:"omitempty,min=1,max=600000"`            // until a task that resumes from a checkpoint makes progress
-	RemoteFactor       float64      `json:"remote_factor,omitempty" validate:"omitempty,min=1,max=1000"`                // run time of a task away from its data or group, as a multiple of that near them
-	AgentWorkers       int          `json:"agent_workers,omitempty" validate:"omitempty,min=1"`                         // number of workers from which the leader calls them through the other controllers
-	MemoryMiB          int64        `json:"memory_mib,omitempty" validate:"omitempty,min=32"`                           // memory available to the process
-	BodyMemoryMiB      int64        `json:"body_memory_mib,omitempty" validate:"omitempty,min=1"`                       // of it for request bodies and their copies; a fifth if not set
-	JobMemoryMiB       int64        `json:"job_memory_mib,omitempty" validate:"omitempty,min=1"`                        // of it for jobs that have not ended, on controllers; an eighth if not set
-	DrainMs            model.Millis `json:"drain_ms,omitempty" validate:"omitempty,min=0,max=60000"`                    // time from the shutdown signal until no connections are accepted any more
-	LogLevel           string       `json:"log_level,omitempty" validate:"omitempty,oneof=debug info warn error"`
+	WorkerLeaseMs       model.Millis `json:"worker_lease_ms,omitempty" validate:"omitempty,min=1000,max=60000"`          // lease of the tasks on a worker
+	WorkerLeaseLimitMs  model.Millis `json:"worker_lease_limit_ms,omitempty" validate:"omitempty,min=1000,max=86400000"` // longest lease that workers grant
+	SpareColdWorkers    bool         `json:"spare_cold_workers,omitempty"`                                               // fill workers that report to be cold as they warm up
+	TaskStopMs          model.Millis `json:"task_stop_ms,omitempty" validate:"omitempty,min=1,max=60000"`                // until a stopped task has released its worker
+	TaskRestoreMs       model.Millis `json:"task_restore_ms,omitempty" validate:"omitempty,min=1,max=600000"`            // until a task that resumes from a checkpoint makes progress
+	RemoteFactor        float64      `json:"remote_factor,omitempty" validate:"omitempty,min=1,max=1000"`                // run time of a task away from its data or group, as a multiple of that near them
+	AgentWorkers        int          `json:"agent_workers,omitempty" validate:"omitempty,min=1"`                         // number of workers from which the leader calls them through the other controllers
+	MemoryMiB           int64        `json:"memory_mib,omitempty" validate:"omitempty,min=32"`                           // memory available to the process
+	BodyMemoryMiB       int64        `json:"body_memory_mib,omitempty" validate:"omitempty,min=1"`                       // of it for request bodies and their copies; a fifth if not set
+	ConnectionMemoryMiB int64        `json:"connection_memory_mib,omitempty" validate:"omitempty,min=1"`                 // of it for bytes that the kernel keeps for connections; a fifth if not set
+	JobMemoryMiB        int64        `json:"job_memory_mib,omitempty" validate:"omitempty,min=1"`                        // of it for jobs that have not ended, on controllers; an eighth if not set
+	DrainMs             model.Millis `json:"drain_ms,omitempty" validate:"omitempty,min=0,max=60000"`                    // time from the shutdown signal until no connections are accepted any more
+	LogLevel            string       `json:"log_level,omitempty" validate:"omitempty,oneof=debug info warn error"`
 
 	SkippedControllers []string `json:"-"` // entries of controllers that were left out because they are no addresses
 }
@@ -124,6 +125,9 @@
 	if s.WorkerLeaseMs > s.WorkerLeaseLimitMs {
 		problems = append(problems, fmt.Errorf("worker_lease_ms: value %d: more than worker_lease_limit_ms, %d", s.WorkerLeaseMs, s.WorkerLeaseLimitMs))
 	}
+	if parts := s.BodyMemoryMiB + s.ConnectionMemoryMiB + s.JobMemoryMiB; s.MemoryMiB > 0 && parts > s.MemoryMiB {
+		problems = append(problems, fmt.Errorf("body_memory_mib, connection_memory_mib, job_memory_mib: value %d together: more than memory_mib, %d", parts, s.MemoryMiB))
+	}
 	required := map[string]string{}
 	switch s.Role {
 	case RoleGateway:
--- a/daemon/settings/fleet_test.go
+++ b/daemon/settings/fleet_test.go
@@ -54,6 +54,21 @@
 	}
 }
 
+// Guards against parts of the memory that together exceed it.
+func TestPartsOfTheMemoryFit(t *testing.T) {
+	for parts, valid := range map[string]bool{
+		`"memory_mib":64,"body_memory_mib":20,"connection_memory_mib":20,"job_memory_mib":24`: true,
+		`"memory_mib":64,"body_memory_mib":20,"connection_memory_mib":21,"job_memory_mib":24`: false,
+		`"connection_memory_mib":200`: true,
+		`"connection_memory_mib":-1`:  false,
+	} {
+		_, err := ParseFleet([]byte(strings.Replace(validController, `"zone":"z"`, `"zone":"z",`+parts, 1)))
+		if (err == nil) != valid || (!valid && !strings.Contains(err.Error(), "connection_memory_mib")) {
+			t.Errorf("%s: error %v", parts, err)
+		}
+	}
+}
+
 // Guards against accepting unusable settings, and against errors that do not name the field.
 func TestFleetErrors(t *testing.T) {
 	for _, c := range []struct{ text, from, to, want string }{
--- a/test/crowd/crowd.go
+++ b/test/crowd/crowd.go
@@ -10,6 +10,7 @@
 	"net"
 	"strings"
 	"sync"
+	"time"
 )
 
 // shape is how a crowd sends its bodies.
@@ -25,6 +26,7 @@
 	chunkBytes         = 64 << 10
 	finishEvery        = 16 // one of so many clients sends its body to the end
 	dialParallel       = 32
+	dialTimeout        = 2 * time.Second
 )
 
 // crowd is a number of clients that send requests of the same kind.
@@ -33,6 +35,8 @@
 	clients int
 	shape   shape
 	request func(client int) (head, body string) // head without the framing headers and the empty line
+	play    func(conn net.Conn, client int)      // replaces shape and request, if set
+	source  string                               // address of the clients; any if empty
 
 	mu    sync.Mutex
 	conns []net.Conn
@@ -48,19 +52,36 @@
 		sending.Add(1)
 		go func() {
 			defer func() { <-turns; sending.Done() }()
-			conn, err := net.Dial("tcp", c.addr)
+			conn, err := c.dial()
 			if err != nil {
 				return
 			}
-			c.mu.Lock()
-			c.conns = append(c.conns, conn)
-			c.mu.Unlock()
+			if c.play != nil {
+				c.play(conn, client)
+				return
+			}
 			c.send(conn, client)
 		}()
 	}
 	sending.Wait()
 }
 
+// dial connects a client. A daemon whose queue of new connections is full lets it wait.
+func (c *crowd) dial() (net.Conn, error) {
+	dialer := net.Dialer{Timeout: dialTimeout}
+	if c.source != "" {
+		dialer.LocalAddr = &net.TCPAddr{IP: net.ParseIP(c.source)}
+	}
+	conn, err := dialer.Dial("tcp", c.addr)
+	if err != nil {
+		return nil, err
+	}
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.conns = append(c.conns, conn)
+	return conn, nil
+}
+
 // send writes one request, for most clients without its last byte. A failed write means that the daemon has
 // closed the connection, which it may.
 func (c *crowd) send(conn net.Conn, client int) {
--- a/test/crowd/rig_test.go
+++ b/test/crowd/rig_test.go
@@ -32,6 +32,7 @@
 	addr      string
 	memoryMiB int
 	maxFiles  int // most open descriptors seen
+	meter     *meter
 }
 
 // startDaemon starts samphired with a limit on its descriptors.
@@ -50,7 +51,9 @@
 	if err := d.Start(); err != nil {
 		t.Fatal(err)
 	}
+	d.meter = startMeter(d, listenersOf(settings)...)
 	t.Cleanup(func() {
+		d.meter.stop()
 		if t.Failed() {
 			t.Logf("log of %s:\n%s", name, tail(d.Log()))
 		}
@@ -59,6 +62,16 @@
 	return d
 }
 
+// listenersOf returns the addresses that the settings of a daemon have for its listeners.
+func listenersOf(settings map[string]any) (addrs []string) {
+	for _, field := range []string{"callers_listen", "ready_listen", "control_listen", "metrics_listen", "public_addr", "peer_addr"} {
+		if addr, ok := settings[field].(string); ok {
+			addrs = append(addrs, addr)
+		}
+	}
+	return addrs
+}
+
 func tail(log string) string {
 	const most = 4000
 	return log[max(0, len(log)-most):]
@@ -104,6 +117,13 @@
 	} else {
 		t.Logf("the memory peaked at %d of %d MiB, %d descriptors were open", peak, d.memoryMiB, d.maxFiles)
 	}
+	held, files := d.meter.result()
+	d.maxFiles = max(d.maxFiles, files)
+	if held.total() > int64(d.memoryMiB)<<20 {
+		t.Errorf("the process and its connections held %s; the machine has %d MiB", held, d.memoryMiB)
+	} else {
+		t.Logf("the process and its connections held %s of %d MiB", held, d.memoryMiB)
+	}
 	if d.maxFiles > maxFiles {
 		t.Errorf("%d descriptors were open, at most %d are allowed", d.maxFiles, maxFiles)
 	}
@@ -112,24 +132,25 @@
 // platformRig is a gateway and a controller on the users' platform.
 type platformRig struct {
 	gateway, controller *daemon
+	ready, metrics      string // addresses of the gateway
 	jobs                int
 }
 
 func newPlatformRig(t *testing.T, binary string) *platformRig {
 	t.Helper()
 	dir := t.TempDir()
-	ports, err := cluster.FreePorts("127.0.0.1", 3)
+	ports, err := cluster.FreePorts("127.0.0.1", 4)
 	if err != nil {
 		t.Fatal(err)
 	}
-	r := &platformRig{}
+	r := &platformRig{ready: ports[2], metrics: ports[3]}
 	r.controller = startDaemon(t, binary, dir, "controller", controllerMiB, ports[0], map[string]any{
 		"id": "c", "role": "controller", "zone": "z", "controllers": ports[:1], "control_listen": ports[0],
 		"data_dir": filepath.Join(dir, "data"), "may_found": true, "memory_mib": controllerMiB,
 	}, "fleet")
 	r.gateway = startDaemon(t, binary, dir, "gateway", gatewayMiB, ports[1], map[string]any{
 		"id": "g", "role": "gateway", "zone": "z", "controllers": ports[:1], "callers_listen": ports[1],
-		"ready_listen": ports[2], "memory_mib": gatewayMiB,
+		"ready_listen": ports[2], "metrics_listen": ports[3], "memory_mib": gatewayMiB,
 	}, "fleet")
 	r.untilAnswered(t, "configuration", func() (int, error) {
 		return request(http.MethodPut, "http://"+ports[0]+"/config", string(standin.Configuration(1, testHost, "s", 3, "/q/")))
@@ -138,6 +159,21 @@
 	return r
 }
 
+// check checks all daemons.
+func (r *platformRig) check(t *testing.T) {
+	t.Helper()
+	r.gateway.check(t)
+	r.controller.check(t)
+}
+
+// untilConfigured stores a small configuration as an ordinary operator.
+func (r *platformRig) untilConfigured(t *testing.T, version uint64) {
+	t.Helper()
+	r.untilAnswered(t, "a configuration", func() (int, error) {
+		return request(http.MethodPut, "http://"+r.controller.addr+"/config", string(standin.Configuration(version, testHost, "s", 3, "/q/")))
+	})
+}
+
 // untilAnswered repeats a request until it is answered with success. The number of tries is far above what
 // a daemon needs that answers ordinary callers at all.
 func (r *platformRig) untilAnswered(t *testing.T, what string, send func() (int, error)) {
