Bound the answers that clients do not take

Seen by callers: clients that send thousands of requests on a connection and read nothing make the kernel keep megabytes of answers for each of them; the VM runs out of memory, and everyone on it loses the requests that are open.

Cause: the kernel enlarges the send buffer of a connection up to 4 MiB. The bound on connections does not count it.

Evidence: 200 such clients of the controller's metrics made the kernel keep 202 MiB beside 48 MiB of resident memory, on a machine of 128; at a gateway of 64 MiB it was 30 beside 47.

TestEachPartOfALargeAnswerHasItsOwnTimeout fails without the change (3 deadlines for 64 parts).

--- a/daemon/intake/answer.go
+++ b/daemon/intake/answer.go
@@ -2,11 +2,15 @@
 
 import (
 	"net/http"
+	"slices"
 	"time"
 
 	"samphirepaddle.example/core/intake"
 )
 
+// answerPart is the part of an answer that a client has to take within the write timeout.
+const answerPart = 64 << 10
+
 // answer is the answer to a request. The refusal of a request that was given up replaces whatever the handler
 // answers to its incomplete body.
 type answer struct {
@@ -51,8 +55,15 @@
 	if len(data) > smallAnswer {
 		a.hold(int64(len(data)))
 	}
-	a.setDeadline()
-	return a.ResponseWriter.Write(data)
+	written := 0
+	for part := range slices.Chunk(data, answerPart) {
+		a.setDeadline()
+		n, err := a.ResponseWriter.Write(part)
+		if written += n; err != nil {
+			return written, err
+		}
+	}
+	return written, nil
 }
 
 func (a *answer) setDeadline() {
--- a/daemon/intake/guard_test.go
+++ b/daemon/intake/guard_test.go
@@ -9,6 +9,7 @@
 	"net/http/httptest"
 	"strings"
 	"testing"
+	"time"
 
 	"github.com/rs/zerolog"
 
@@ -116,6 +117,33 @@
 	}
 }
 
+// partRecorder counts the deadlines that are set while an answer is written.
+type partRecorder struct {
+	*httptest.ResponseRecorder
+	deadlines int
+}
+
+func (p *partRecorder) SetWriteDeadline(time.Time) error { p.deadlines++; return nil }
+
+// Guards against a large answer that is cut off because its client, which goes on reading, needs longer than for a
+// small one.
+func TestEachPartOfALargeAnswerHasItsOwnTimeout(t *testing.T) {
+	guard := New(Options{BodyBytes: 1 << 20, WriteTimeout: time.Second})
+	recorder := &partRecorder{ResponseRecorder: httptest.NewRecorder()}
+	sent := strings.Repeat("x", 4<<20)
+	guard.Handler(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+		if n, err := io.WriteString(w, sent); n != len(sent) || err != nil {
+			t.Errorf("%d bytes written, error %v", n, err)
+		}
+	})).ServeHTTP(recorder, httptest.NewRequest(http.MethodGet, "/", nil))
+	if recorder.Body.String() != sent {
+		t.Errorf("%d bytes arrived", recorder.Body.Len())
+	}
+	if parts := len(sent) / answerPart; recorder.deadlines < parts {
+		t.Errorf("%d deadlines for %d parts", recorder.deadlines, parts)
+	}
+}
+
 // Guards against a body that is read although its declared length is above the limit, and against a buffer
 // that is much larger than the body.
 func TestReadBody(t *testing.T) {
--- a/daemon/intake/listen.go
+++ b/daemon/intake/listen.go
@@ -11,7 +11,7 @@
 	"samphirepaddle.example/core/intake"
 )
 
-// Listen opens a listener within a budget. Accepted connections inherit its receive buffer, which the kernel no longer
+// Listen opens a listener within a budget. Accepted connections inherit its buffers, which the kernel no longer
 // enlarges by itself.
 func Listen(addr string, b intake.ListenerBudget) (net.Listener, error) {
 	config := net.ListenConfig{Control: func(_, _ string, c syscall.RawConn) error {
@@ -41,11 +41,14 @@
 	return failure
 }
 
-// setBuffers sets the size of the buffer. The kernel doubles what it is told, for its own records.
+// setBuffers sets the sizes of both buffers. The kernel doubles what it is told, for its own records.
 func setBuffers(fd int, b intake.ListenerBudget) error {
 	const kernelFactor = 2
 	if err := unix.SetsockoptInt(fd, unix.SOL_SOCKET, unix.SO_RCVBUF, b.ReceiveBuffer/kernelFactor); err != nil {
 		return fmt.Errorf("receive buffer: %w", err)
 	}
+	if err := unix.SetsockoptInt(fd, unix.SOL_SOCKET, unix.SO_SNDBUF, b.SendBuffer/kernelFactor); err != nil {
+		return fmt.Errorf("send buffer: %w", err)
+	}
 	return nil
 }
