Account the frames of streams to agents

Seen by callers and operators: clients that pose as leaders open streams of calls to workers on a controller and stop within a frame; the controller runs out of memory and ends.

Cause: the stream is taken over from the HTTP server, so neither the budget of bodies nor its read timeout sees it. A frame may have 16 MiB and is read whole.

Change: a frame above 4 KiB counts in the budget for calls of daemons while it is read and until its calls have ended. A stalled one gives way like a body and its stream ends, which its leader takes like a lost connection; a complete one never does.

TestFramesAreAccounted shows both rules without a process.

--- a/daemon/agent/agent_test.go
+++ b/daemon/agent/agent_test.go
@@ -19,6 +19,7 @@
 	"samphirepaddle.example/core/workflow"
 	"samphirepaddle.example/daemon/bootclock"
 	"samphirepaddle.example/daemon/fleet"
+	"samphirepaddle.example/daemon/intake"
 )
 
 // fakeWorkers is a WorkerClient that records starts and answers as the test sets it up.
@@ -71,7 +72,7 @@
 func newTestAgent(t *testing.T, zone model.Zone) *testAgent {
 	t.Helper()
 	workers := &fakeWorkers{}
-	a := &testAgent{server: NewServer(workers, zone, zerolog.Nop()), workers: workers}
+	a := &testAgent{server: NewServer(workers, zone, intake.New(intake.Options{BodyBytes: 64 << 20}), zerolog.Nop()), workers: workers}
 	mux := http.NewServeMux()
 	mux.Handle("GET "+StreamPath, a.server)
 	a.http = httptest.NewServer(mux)
--- a/daemon/agent/server.go
+++ b/daemon/agent/server.go
@@ -5,6 +5,7 @@
 	"context"
 	"errors"
 	"fmt"
+	"io"
 	"net"
 	"net/http"
 	"runtime/debug"
@@ -26,10 +27,20 @@
 // leaderTimeout ends a stream on which the leader sends nothing. It sends a ping every 200 ms.
 const leaderTimeout = 5 * time.Second
 
+// smallFrame is the size up to which frames are not accounted. Most have a few calls.
+const smallFrame = 4 << 10
+
+// Budget accounts the memory of frames. It is implemented by intake.Guard.
+type Budget interface {
+	// Frame returns a reader that fails once the frame is given up, and a function that ends its account.
+	Frame(conn net.Conn, r io.Reader) (reader io.Reader, release func())
+}
+
 // Server executes the calls that leaders send.
 type Server struct {
 	workers fleet.WorkerClient
 	zone    model.Zone
+	budget  Budget
 	logger  zerolog.Logger
 
 	highestToken atomic.Uint64 // highest fencing token in any request
@@ -40,8 +51,8 @@
 }
 
 // NewServer returns an agent in an availability zone that calls workers through the client.
-func NewServer(workers fleet.WorkerClient, zone model.Zone, logger zerolog.Logger) *Server {
-	return &Server{workers: workers, zone: zone, logger: logger, streams: map[*serverStream]struct{}{}}
+func NewServer(workers fleet.WorkerClient, zone model.Zone, budget Budget, logger zerolog.Logger) *Server {
+	return &Server{workers: workers, zone: zone, budget: budget, logger: logger, streams: map[*serverStream]struct{}{}}
 }
 
 // ServeHTTP upgrades the connection to a stream and serves it until it ends.
@@ -103,8 +114,8 @@
 		if err := conn.SetReadDeadline(time.Now().Add(leaderTimeout)); err != nil {
 			return err
 		}
-		var frame requestFrame
-		if err := readFrame(reader, &frame); err != nil {
+		frame, release, err := s.readRequests(conn, reader)
+		if err != nil {
 			return err
 		}
 		received := bootclock.Now()
@@ -113,10 +124,35 @@
 			stream.pong.Store(frame.Ping)
 			stream.responses.wake()
 		}
+		var calls sync.WaitGroup
 		for _, r := range frame.Requests {
-			go stream.execute(r, received.Add(-delay))
+			calls.Go(func() { stream.execute(r, received.Add(-delay)) })
 		}
+		if release != nil {
+			go func() {
+				calls.Wait()
+				release()
+			}()
+		}
+	}
+}
+
+// readRequests reads the next frame. A large one is accounted until release is called, because its calls refer to it;
+// release is nil for others.
+func (s *Server) readRequests(conn net.Conn, reader io.Reader) (frame requestFrame, release func(), err error) {
+	size, err := readFrameSize(reader)
+	if err != nil {
+		return frame, nil, err
+	}
+	body := io.LimitReader(reader, size)
+	if size > smallFrame {
+		body, release = s.budget.Frame(conn, body)
+	}
+	if err = readFrameBody(body, size, &frame); err != nil && release != nil {
+		release()
+		release = nil
 	}
+	return frame, release, err
 }
 
 func (s *Server) track(stream *serverStream) {
--- a/daemon/agent/wire.go
+++ b/daemon/agent/wire.go
@@ -211,22 +211,35 @@
 	return err
 }
 
-// readFrame reads the next frame. The buffer grows with the bytes that arrive, so that a corrupt
-// length alone allocates no memory.
+// readFrame reads the next frame.
 func readFrame(r io.Reader, frame any) error {
+	size, err := readFrameSize(r)
+	if err != nil {
+		return err
+	}
+	return readFrameBody(io.LimitReader(r, size), size, frame)
+}
+
+func readFrameSize(r io.Reader) (int64, error) {
 	var header [frameHeaderBytes]byte
 	if _, err := io.ReadFull(r, header[:]); err != nil {
-		return err
+		return 0, err
 	}
 	size := binary.BigEndian.Uint32(header[:])
 	if size > maxFrameBytes {
-		return fmt.Errorf("a frame of %d bytes exceeds the limit of %d", size, maxFrameBytes)
+		return 0, fmt.Errorf("a frame of %d bytes exceeds the limit of %d", size, maxFrameBytes)
 	}
-	body, err := io.ReadAll(io.LimitReader(r, int64(size)))
+	return int64(size), nil
+}
+
+// readFrameBody reads a frame of the given size from a reader that ends with it. The buffer grows with the bytes that
+// arrive, so that a corrupt length alone allocates no memory.
+func readFrameBody(r io.Reader, size int64, frame any) error {
+	body, err := io.ReadAll(r)
 	if err != nil {
 		return err
 	}
-	if len(body) < int(size) {
+	if int64(len(body)) < size {
 		return io.ErrUnexpectedEOF
 	}
 	return model.Decode(body, frame)
--- a/daemon/fleetd/controller.go
+++ b/daemon/fleetd/controller.go
@@ -66,7 +66,7 @@
 	node.log, node.dir.log = log, log
 	node.watch = groupWatch{wanted: wantedVoters(s), logger: d.logger, metrics: d.metrics, asked: d.client.ControllerAddrs}
 	direct := adapter.WorkerClient(workers, d.logger)
-	node.agent = agent.NewServer(direct, s.Zone, d.logger)
+	node.agent = agent.NewServer(direct, s.Zone, d.inside, d.logger)
 	pool := agent.NewPool(agent.Options{
 		Self: s.ControlAddr, Direct: direct, Members: node.dir.MemberAddrs, MinWorkers: s.AgentWorkers, Dial: dialer(s.SourceIP).DialContext, Logger: d.logger,
 	})
--- a/daemon/fleetd/daemon.go
+++ b/daemon/fleetd/daemon.go
@@ -59,6 +59,7 @@
 	draining drainFlag
 	metrics  *fleet.Metrics
 	guard    *intake.Guard // of callers, or of workers and operators
+	inside   *intake.Guard // of calls of other daemons, on the same listener
 
 	metricsServer *http.Server
 }
@@ -99,6 +100,7 @@
 func newDaemon(s settings.Fleet, path string, logger zerolog.Logger, log io.Closer) *Daemon {
 	d := &Daemon{settings: s, path: path, logger: logger, log: log, metrics: fleet.NewMetrics()}
 	d.metricsServer = newMetricsServer(d.metrics)
+	d.inside = d.newGuard(coreintake.ListenerBudget{})
 	d.client = fleet.NewClient(s.Controllers, d.transport(maxControllerConns), logger)
 	return d
 }
@@ -179,7 +181,7 @@
 	if addr != d.settings.ControlListen {
 		return outside
 	}
-	inside := d.newGuard(coreintake.ListenerBudget{}).Handler(handler)
+	inside := d.inside.Handler(handler)
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		if strings.HasPrefix(r.URL.Path, fleet.PathPrefix) || strings.HasPrefix(r.URL.Path, rpc.ConsensusPathPrefix) {
 			inside.ServeHTTP(w, r)
--- a/daemon/intake/bodies.go
+++ b/daemon/intake/bodies.go
@@ -22,7 +22,7 @@
 // ErrNoMemory is the error of reading a body that was given up for want of memory.
 var ErrNoMemory = errors.New("the body was given up: the process has no memory for it")
 
-// bodyRead is a request body that is read within the budget.
+// bodyRead is a request body, or a frame, that is read within the budget.
 type bodyRead struct {
 	io.ReadCloser
 	guard   *Guard
@@ -134,11 +134,11 @@
 	g.freed = make(chan struct{})
 }
 
-func (g *Guard) openBody(r *http.Request, c *conn) *bodyRead {
-	b := &bodyRead{ReadCloser: r.Body, guard: g, conn: c, done: r.Context().Done()}
+func (g *Guard) openBody(r io.ReadCloser, remote string, c *conn, done <-chan struct{}) *bodyRead {
+	b := &bodyRead{ReadCloser: r, guard: g, conn: c, done: done}
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	b.id = g.bodies.Open(sourceOf(r.RemoteAddr), now())
+	b.id = g.bodies.Open(sourceOf(remote), now())
 	g.reads[b.id] = b
 	return b
 }
@@ -171,7 +171,7 @@
 			next.ServeHTTP(answer, r)
 			return
 		}
-		body := g.openBody(r, c)
+		body := g.openBody(r.Body, r.RemoteAddr, c, r.Context().Done())
 		defer g.closeBody(body)
 		r.Body, answer.body = body, body
 		next.ServeHTTP(answer, r)
--- a/daemon/intake/guard_test.go
+++ b/daemon/intake/guard_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bufio"
+	"errors"
 	"fmt"
 	"io"
 	"net"
@@ -117,6 +118,44 @@
 	}
 }
 
+// Guards against frames that are not accounted, and against a stream that ends because the calls of a complete frame
+// take long.
+func TestFramesAreAccounted(t *testing.T) {
+	const size = 20 << 10
+	guard := New(Options{BodyBytes: 4 * size * bodyCopies, Logger: zerolog.Nop()})
+	client, server := net.Pipe()
+	defer client.Close()
+	defer server.Close()
+	frame := func(r io.Reader) (io.Reader, func()) { return guard.Frame(server, r) }
+	complete, releaseComplete := frame(strings.NewReader(strings.Repeat("x", size)))
+	if _, err := io.ReadAll(complete); err != nil {
+		t.Fatal(err)
+	}
+	pipe, writer := io.Pipe()
+	go func() { _, _ = io.WriteString(writer, strings.Repeat("x", size)) }()
+	stalled, releaseStalled := frame(pipe)
+	if _, err := io.ReadFull(stalled, make([]byte, size)); err != nil {
+		t.Fatal(err)
+	}
+	next, releaseNext := frame(strings.NewReader(strings.Repeat("x", 2*size)))
+	if _, err := io.ReadAll(next); err != nil {
+		t.Fatalf("the stalled frame does not give way: %v", err)
+	}
+	go func() { _, _ = io.WriteString(writer, "x") }()
+	if _, err := stalled.Read(make([]byte, 1)); !errors.Is(err, ErrNoMemory) {
+		t.Errorf("the stalled frame reads on: %v", err)
+	}
+	if held := guard.bodies.Held(); held != 3*size*bodyCopies {
+		t.Errorf("%d bytes are held", held)
+	}
+	for _, release := range []func(){releaseComplete, releaseStalled, releaseNext} {
+		release()
+	}
+	if held := guard.bodies.Held(); held != 0 {
+		t.Errorf("%d bytes are held after all frames", held)
+	}
+}
+
 // partRecorder counts the deadlines that are set while an answer is written.
 type partRecorder struct {
 	*httptest.ResponseRecorder
