Let streams on which nothing arrives give way

Seen by callers: clients that open streams of calls to workers and send nothing take all connections of a controller; workers, operators and other daemons are refused until the streams time out, and the clients may come again.

Cause: a connection that a handler has taken over counted as one whose request is served, which never gives way.

Evidence: TestTakenOverConnectionsGiveWay got no answer for the third connection of two while both streams were open.

Change: such a connection counts as receiving, and each frame is noted.

Measured: the test passes; the stream on which frames arrive stays.

--- a/core/intake/connections.go
+++ b/core/intake/connections.go
@@ -8,8 +8,8 @@
 // The activities, in the order in which connections give way to new ones.
 const (
 	Idle      Activity = iota // between two requests
-	Receiving                 // no request yet, or one that has not arrived as a whole
-	Serving                   // a request has arrived as a whole, or the connection is in use by other means
+	Receiving                 // no request yet, or one that has not arrived as a whole; a stream of messages
+	Serving                   // a request has arrived as a whole
 )
 
 // Connections accounts the open connections of a process. It is not safe for concurrent use.
--- a/daemon/agent/server.go
+++ b/daemon/agent/server.go
@@ -30,8 +30,10 @@
 // smallFrame is the size up to which frames are not accounted. Most have a few calls.
 const smallFrame = 4 << 10
 
-// Budget accounts the memory of frames. It is implemented by intake.Guard.
+// Budget accounts the connections of streams and the memory of frames. It is implemented by intake.Guard.
 type Budget interface {
+	// Received notes that a frame has arrived on a connection.
+	Received(conn net.Conn)
 	// Frame returns a reader that fails once the frame is given up, and a function that ends its account.
 	Frame(conn net.Conn, r io.Reader) (reader io.Reader, release func())
 }
@@ -118,6 +120,7 @@
 		if err != nil {
 			return err
 		}
+		s.budget.Received(conn)
 		received := bootclock.Now()
 		delay := delays.observe(bootclock.Time(frame.SentAt), received)
 		if frame.Ping != 0 {
--- a/daemon/intake/guard.go
+++ b/daemon/intake/guard.go
@@ -198,12 +198,10 @@
 			return
 		}
 		switch state {
-		case http.StateActive:
+		case http.StateActive, http.StateHijacked:
 			counted.note(intake.Receiving)
 		case http.StateIdle:
 			counted.note(intake.Idle)
-		case http.StateHijacked:
-			counted.note(intake.Serving)
 		}
 	}
 }
--- a/daemon/intake/guard_test.go
+++ b/daemon/intake/guard_test.go
@@ -156,6 +156,50 @@
 	}
 }
 
+// Guards against connections that handlers have taken over, on which nothing arrives and which keep others out, and
+// against the loss of one on which messages arrive.
+func TestTakenOverConnectionsGiveWay(t *testing.T) {
+	guard := New(Options{Listener: intake.ListenerBudget{Connections: 2}, Logger: zerolog.Nop()})
+	taken := make(chan net.Conn, 2)
+	server := httptest.NewUnstartedServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if r.URL.Path == "/stream" {
+			conn, _, err := http.NewResponseController(w).Hijack()
+			if err != nil {
+				t.Error(err)
+			}
+			taken <- conn
+		}
+	}))
+	server.Listener = guard.Listener(server.Listener)
+	guard.Attach(server.Config)
+	server.Start()
+	t.Cleanup(server.Close)
+	open := func(path string) net.Conn {
+		conn, err := net.Dial("tcp", server.Listener.Addr().String())
+		if err != nil {
+			t.Fatal(err)
+		}
+		t.Cleanup(func() { conn.Close() })
+		fmt.Fprintf(conn, "GET %s HTTP/1.1\r\nHost: x\r\n\r\n", path)
+		return conn
+	}
+	open("/stream")
+	used := <-taken
+	silent := open("/stream")
+	<-taken
+	time.Sleep(700 * time.Millisecond) // after which a client counts as one that has stopped sending
+	guard.Received(used)
+	if response := readAnswer(t, open("/")); response.StatusCode != http.StatusOK {
+		t.Errorf("status %d", response.StatusCode)
+	}
+	if _, err := silent.Read(make([]byte, 1)); err == nil {
+		t.Error("the silent connection is open")
+	}
+	if _, err := used.Write([]byte("x")); err != nil {
+		t.Errorf("the connection on which messages arrive was closed: %v", err)
+	}
+}
+
 // partRecorder counts the deadlines that are set while an answer is written.
 type partRecorder struct {
 	*httptest.ResponseRecorder
