Keep callers from taking the descriptors of a daemon with pools

Seen by callers: with more connections open than the process has descriptors, a daemon with pools of its own accepts nobody, and can neither open its state files nor reach the other daemons and targets.

Cause: max_connections was the only bound, whatever the process may open; nothing bounded what the kernel kept for them.

Change: callers, targets and operators get 0.3 of the descriptors at most, and PlanListener divides connection_memory_mib among them. `started` logs the number in force.

--- a/daemon/cmd/samphired/daemon.go
+++ b/daemon/cmd/samphired/daemon.go
@@ -10,7 +10,6 @@
 
 	"github.com/rs/zerolog"
 
-	coreintake "samphirepaddle.example/core/intake"
 	"samphirepaddle.example/daemon/control"
 	"samphirepaddle.example/daemon/controller"
 	"samphirepaddle.example/daemon/gateway"
@@ -50,7 +49,8 @@
 	owners       *owner.Table
 	gateway      *gateway.Gateway
 	control      *control.Client
-	guard        *intake.Guard // of callers, targets and operators
+	publicGuard  *intake.Guard // of callers, targets and operators
+	budgets      listenerBudgets
 }
 
 func newDaemon(s settings.Settings) (*daemon, error) {
@@ -67,23 +67,15 @@
 		}
 	}
 	d.buildGateway(publicMux, peerMux)
-	guard := d.newGuard()
-	d.public = newServer(s.PublicListen, guard.Handler(d.gateway.WithTimeouts(publicMux)))
-	guard.Attach(d.public)
-	d.guard = guard
+	if err := d.buildGuards(); err != nil {
+		return nil, err
+	}
+	d.public = newServer(s.PublicListen, d.publicGuard.Handler(d.gateway.WithTimeouts(publicMux)))
+	d.publicGuard.Attach(d.public)
 	d.peer = newServer(s.PeerListen, peerMux)
 	return d, nil
 }
 
-// newGuard returns the guard of the public listener. Its refusals say that the request has not run.
-func (d *daemon) newGuard() *intake.Guard {
-	bytes := d.settings.BodyMemoryMiB << 20
-	if bytes == 0 {
-		bytes = intake.DefaultBodyBytes
-	}
-	return intake.New(intake.Options{BodyBytes: bytes, Listener: coreintake.ListenerBudget{Connections: d.settings.MaxConnections}, Logger: d.logger, Refusal: refusalResponse, Refuse: gateway.RefuseForMemory})
-}
-
 // newServer returns an HTTP server with the limits of this daemon.
 func newServer(address string, handler http.Handler) *http.Server {
 	return &http.Server{
@@ -171,7 +163,7 @@
 // run serves until ctx is done, then shuts down gracefully: requests in progress complete. It
 // returns early if force is done during the shutdown.
 func (d *daemon) run(ctx, force context.Context) error {
-	publicListener, err := net.Listen("tcp", d.settings.PublicListen)
+	publicListener, err := intake.Listen(d.settings.PublicListen, d.budgets.public)
 	if err != nil {
 		return fmt.Errorf("public_listen: %w", err)
 	}
@@ -181,12 +173,12 @@
 	}
 	serveErrs := make(chan error, 2)
 	go func() { serveErrs <- d.peer.Serve(peerListener) }()
-	go func() { serveErrs <- d.public.Serve(d.guard.Listener(publicListener)) }()
+	go func() { serveErrs <- d.public.Serve(d.publicGuard.Listener(publicListener)) }()
 	background, stop := context.WithCancel(context.Background())
 	defer stop()
 	d.startLoops(background)
 	d.logger.Info().Str("public", d.settings.PublicAddr).Str("peer", d.settings.PeerAddr).
-		Bool("controller", d.replica != nil).Msg("started")
+		Bool("controller", d.replica != nil).Int("max_connections", d.budgets.public.Connections).Msg("started")
 	select {
 	case err := <-serveErrs:
 		return err
--- /dev/null
+++ b/daemon/cmd/samphired/guards.go
@@ -0,0 +1,50 @@
+package main
+
+import (
+	"runtime/debug"
+
+	coreintake "samphirepaddle.example/core/intake"
+	"samphirepaddle.example/daemon/gateway"
+	"samphirepaddle.example/daemon/intake"
+)
+
+// Shares of the descriptors of a process. The rest is for state files and for connections to targets and other
+// daemons.
+const (
+	publicDescriptorShare = 0.3
+)
+
+// heapShare is the part of the machine's memory above which the garbage collector runs more often.
+const heapShare = 0.6
+
+// listenerBudgets is what the connections of the listeners may hold.
+type listenerBudgets struct{ public coreintake.ListenerBudget }
+
+// buildGuards bounds what callers, targets and operators hold.
+func (d *daemon) buildGuards() error {
+	descriptors, err := intake.DescriptorLimit()
+	if err != nil {
+		return err
+	}
+	machine := intake.MachineBytes()
+	if machine > 0 {
+		debug.SetMemoryLimit(int64(heapShare * float64(machine)))
+	}
+	bodies := orDefault(d.settings.BodyMemoryMiB<<20, min(intake.DefaultBodyBytes, intake.BodyBytesFor(machine)))
+	connections := orDefault(d.settings.ConnectionMemoryMiB<<20, min(intake.DefaultConnectionBytes, intake.ConnectionBytesFor(machine)))
+	d.budgets = listenerBudgets{
+		public: coreintake.PlanListener(connections/2, min(d.settings.MaxConnections, int(publicDescriptorShare*float64(descriptors)))),
+	}
+	// Refusals say that the request has not run.
+	d.publicGuard = intake.New(intake.Options{
+		BodyBytes: bodies, Listener: d.budgets.public, Logger: d.logger, Refusal: refusalResponse, Refuse: gateway.RefuseForMemory,
+	})
+	return nil
+}
+
+func orDefault(value, byDefault int64) int64 {
+	if value != 0 {
+		return value
+	}
+	return byDefault
+}
--- a/daemon/fleetd/descriptors.go
+++ b/daemon/fleetd/descriptors.go
@@ -10,6 +10,7 @@
 	"syscall"
 
 	"samphirepaddle.example/daemon/fleet"
+	"samphirepaddle.example/daemon/intake"
 )
 
 // Shares of a process's file descriptors. The rest is for state files, connections to other
@@ -26,12 +27,8 @@
 
 // descriptorLimit returns how many descriptors this process may use for sockets and state files.
 func descriptorLimit() (int, error) {
-	var limit syscall.Rlimit
-	if err := syscall.Getrlimit(syscall.RLIMIT_NOFILE, &limit); err != nil {
-		return 0, fmt.Errorf("read the descriptor limit: %w", err)
-	}
-	const maxLimit = 1 << 20 // of the processes on any VM; also covers an unlimited one
-	return int(min(limit.Cur, maxLimit)) - platformReservedDescriptors, nil
+	limit, err := intake.DescriptorLimit()
+	return limit - platformReservedDescriptors, err
 }
 
 // descriptorBudget bounds the number of open connections of one kind.
--- a/daemon/gateway/bounds.go
+++ b/daemon/gateway/bounds.go
@@ -87,10 +87,16 @@
 }
 
 // RefuseForMemory answers a request whose body was given up for want of memory.
-func RefuseForMemory(w http.ResponseWriter) {
-	writeProblem(w, http.StatusServiceUnavailable, model.VerdictNotRun, "no_memory", "the gateway has no memory for the body; the request has not run")
+func RefuseForMemory(w http.ResponseWriter, _ *http.Request) {
+	writeProblem(w, http.StatusServiceUnavailable, model.VerdictNotRun, codeNoMemory, noMemoryText)
 }
 
+// Code and text of a request that was given up for want of memory.
+const (
+	codeNoMemory = "no_memory"
+	noMemoryText = "the gateway has no memory for the body; the request has not run"
+)
+
 // retryAfter formats a wait for the Retry-After header: whole seconds, at least 1.
 func retryAfter(wait time.Duration) string {
 	return strconv.Itoa(max(1, int(math.Ceil(wait.Seconds()))))
--- a/daemon/intake/answer.go
+++ b/daemon/intake/answer.go
@@ -16,6 +16,7 @@
 type answer struct {
 	http.ResponseWriter
 	guard   *Guard
+	request *http.Request
 	body    *bodyRead // nil without a body
 	begun   bool
 	refused bool
@@ -38,7 +39,7 @@
 			a.Header().Del(name)
 		}
 		a.Header().Set("Connection", "close")
-		a.guard.options.Refuse(a.ResponseWriter)
+		a.guard.options.Refuse(a.ResponseWriter, a.request)
 		return
 	}
 	a.ResponseWriter.WriteHeader(status)
--- a/daemon/intake/bodies.go
+++ b/daemon/intake/bodies.go
@@ -161,7 +161,7 @@
 func (g *Guard) Handler(next http.Handler) http.Handler {
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		c := connOf(r.Context())
-		answer := &answer{ResponseWriter: w, guard: g}
+		answer := &answer{ResponseWriter: w, guard: g, request: r}
 		defer answer.release()
 		answer.setDeadline()
 		if r.Body == nil || r.Body == http.NoBody {
--- a/daemon/intake/guard.go
+++ b/daemon/intake/guard.go
@@ -34,13 +34,13 @@
 	// WriteTimeout bounds the time in which a client takes a part of an answer; unlimited if zero.
 	WriteTimeout time.Duration
 	// Refuse answers a request that was given up. Its default is 503 with Retry-After.
-	Refuse func(http.ResponseWriter)
+	Refuse func(http.ResponseWriter, *http.Request)
 }
 
 // Memory of a process whose memory is not known.
 const (
-	DefaultBodyBytes       = 32 << 20 // for request bodies
-	DefaultConnectionBytes = 64 << 20 // for connections
+	DefaultBodyBytes       = 32 << 20  // for request bodies
+	DefaultConnectionBytes = 128 << 20 // for connections
 )
 
 // memoryShare is the part of a process's memory for request bodies, and the part for connections.
@@ -83,7 +83,7 @@
 	}
 }
 
-func refuse(w http.ResponseWriter) {
+func refuse(w http.ResponseWriter, _ *http.Request) {
 	w.Header().Set("Retry-After", "1")
 	w.Header().Set("Content-Length", "0")
 	w.WriteHeader(http.StatusServiceUnavailable)
--- a/daemon/settings/settings.go
+++ b/daemon/settings/settings.go
@@ -44,13 +44,14 @@
 
 	LogLevel string `json:"log_level,omitempty" validate:"omitempty,oneof=debug info warn error"`
 
-	SessionTTLMs   model.Millis `json:"session_ttl_ms,omitempty" validate:"omitempty,min=200,max=60000"`
-	TargetTTLMs    model.Millis `json:"target_ttl_ms,omitempty" validate:"omitempty,min=500,max=600000"`
-	AnnounceMs     model.Millis `json:"announce_ms,omitempty" validate:"omitempty,min=50,max=60000"`
-	BalancerWaitMs model.Millis `json:"balancer_wait_ms,omitempty" validate:"omitempty,min=0,max=60000"`
-	MaxConnections int          `json:"max_connections,omitempty" validate:"omitempty,min=1,max=1000000"`
-	BodyMemoryMiB  int64        `json:"body_memory_mib,omitempty" validate:"omitempty,min=1"` // memory for request bodies and their copies; 32 if not set
-	MaxQueued      int          `json:"max_queued,omitempty" validate:"omitempty,min=1,max=1000000"`
+	SessionTTLMs        model.Millis `json:"session_ttl_ms,omitempty" validate:"omitempty,min=200,max=60000"`
+	TargetTTLMs         model.Millis `json:"target_ttl_ms,omitempty" validate:"omitempty,min=500,max=600000"`
+	AnnounceMs          model.Millis `json:"announce_ms,omitempty" validate:"omitempty,min=50,max=60000"`
+	BalancerWaitMs      model.Millis `json:"balancer_wait_ms,omitempty" validate:"omitempty,min=0,max=60000"`
+	MaxConnections      int          `json:"max_connections,omitempty" validate:"omitempty,min=1,max=1000000"`
+	BodyMemoryMiB       int64        `json:"body_memory_mib,omitempty" validate:"omitempty,min=1"`       // memory for request bodies and their copies, of each listener; 32 if not set
+	ConnectionMemoryMiB int64        `json:"connection_memory_mib,omitempty" validate:"omitempty,min=1"` // memory that the kernel may take for connections; 128 if not set
+	MaxQueued           int          `json:"max_queued,omitempty" validate:"omitempty,min=1,max=1000000"`
 }
 
 // Controller identifies one VM of the controller group.
