Guard the listener for other daemons of a daemon with pools

Seen by callers and operators: clients that reach peer_listen and stop within a body end the daemon; with it go its targets' calls.

Cause: the listener had no bound at all, because outsiders were assumed not to reach it. Nothing in the settings says so or enforces it, and twirp reads a body of any size whole.

Change: the listener has a guard of its own: bodies, connections (0.1 of the descriptors, at most 1,024) and half of the memory for connections. A call that is refused for memory is answered as not run, so that it runs elsewhere.

TestPeerWithoutMemoryHasNotRunTheCall.

--- a/daemon/cmd/samphired/daemon.go
+++ b/daemon/cmd/samphired/daemon.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"fmt"
-	"net"
 	"net/http"
 	"os"
 	"time"
@@ -50,6 +49,7 @@
 	gateway      *gateway.Gateway
 	control      *control.Client
 	publicGuard  *intake.Guard // of callers, targets and operators
+	peerGuard    *intake.Guard // of other daemons
 	budgets      listenerBudgets
 }
 
@@ -72,7 +72,8 @@
 	}
 	d.public = newServer(s.PublicListen, d.publicGuard.Handler(d.gateway.WithTimeouts(publicMux)))
 	d.publicGuard.Attach(d.public)
-	d.peer = newServer(s.PeerListen, peerMux)
+	d.peer = newServer(s.PeerListen, d.peerGuard.Handler(peerMux))
+	d.peerGuard.Attach(d.peer)
 	return d, nil
 }
 
@@ -167,18 +168,18 @@
 	if err != nil {
 		return fmt.Errorf("public_listen: %w", err)
 	}
-	peerListener, err := net.Listen("tcp", d.settings.PeerListen)
+	peerListener, err := intake.Listen(d.settings.PeerListen, d.budgets.peer)
 	if err != nil {
 		return fmt.Errorf("peer_listen: %w", err)
 	}
 	serveErrs := make(chan error, 2)
-	go func() { serveErrs <- d.peer.Serve(peerListener) }()
+	go func() { serveErrs <- d.peer.Serve(d.peerGuard.Listener(peerListener)) }()
 	go func() { serveErrs <- d.public.Serve(d.publicGuard.Listener(publicListener)) }()
 	background, stop := context.WithCancel(context.Background())
 	defer stop()
 	d.startLoops(background)
 	d.logger.Info().Str("public", d.settings.PublicAddr).Str("peer", d.settings.PeerAddr).
-		Bool("controller", d.replica != nil).Int("max_connections", d.budgets.public.Connections).Msg("started")
+		Bool("controller", d.replica != nil).Int("max_connections", d.budgets.public.Connections).Int("max_peer_connections", d.budgets.peer.Connections).Msg("started")
 	select {
 	case err := <-serveErrs:
 		return err
--- a/daemon/cmd/samphired/guards.go
+++ b/daemon/cmd/samphired/guards.go
@@ -12,15 +12,18 @@
 // daemons.
 const (
 	publicDescriptorShare = 0.3
+	peerDescriptorShare   = 0.1
+	maxPeerConnections    = 1024
 )
 
 // heapShare is the part of the machine's memory above which the garbage collector runs more often.
 const heapShare = 0.6
 
 // listenerBudgets is what the connections of the listeners may hold.
-type listenerBudgets struct{ public coreintake.ListenerBudget }
+type listenerBudgets struct{ public, peer coreintake.ListenerBudget }
 
-// buildGuards bounds what callers, targets and operators hold.
+// buildGuards divides memory and descriptors between the listeners. Half of the memory for connections is the peers',
+// so that a crowd of callers leaves the group its own.
 func (d *daemon) buildGuards() error {
 	descriptors, err := intake.DescriptorLimit()
 	if err != nil {
@@ -34,11 +37,13 @@
 	connections := orDefault(d.settings.ConnectionMemoryMiB<<20, min(intake.DefaultConnectionBytes, intake.ConnectionBytesFor(machine)))
 	d.budgets = listenerBudgets{
 		public: coreintake.PlanListener(connections/2, min(d.settings.MaxConnections, int(publicDescriptorShare*float64(descriptors)))),
+		peer:   coreintake.PlanListener(connections/2, min(maxPeerConnections, int(peerDescriptorShare*float64(descriptors)))),
 	}
-	// Refusals say that the request has not run.
+	// Refusals on both listeners say that the request has not run.
 	d.publicGuard = intake.New(intake.Options{
 		BodyBytes: bodies, Listener: d.budgets.public, Logger: d.logger, Refusal: refusalResponse, Refuse: gateway.RefuseForMemory,
 	})
+	d.peerGuard = intake.New(intake.Options{BodyBytes: bodies, Listener: d.budgets.peer, Logger: d.logger, Refuse: gateway.RefusePeerForMemory})
 	return nil
 }
 
--- a/daemon/gateway/bounds.go
+++ b/daemon/gateway/bounds.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"samphirepaddle.example/core/model"
+	"samphirepaddle.example/daemon/target"
 )
 
 // Timeouts for slow and half-open client connections. They do not limit how long a request runs.
@@ -91,6 +92,15 @@
 	writeProblem(w, http.StatusServiceUnavailable, model.VerdictNotRun, codeNoMemory, noMemoryText)
 }
 
+// RefusePeerForMemory answers a request of another daemon whose body was given up for want of memory. A forwarded call
+// may then run elsewhere.
+func RefusePeerForMemory(w http.ResponseWriter, r *http.Request) {
+	w.Header().Set(target.HeaderRequestID, r.Header.Get(target.HeaderRequestID))
+	out := newFailure(model.VerdictNotRun, http.StatusServiceUnavailable, codeNoMemory, noMemoryText)
+	out.retryElsewhere = true
+	writeForwardProblem(w, out)
+}
+
 // Code and text of a request that was given up for want of memory.
 const (
 	codeNoMemory = "no_memory"
--- a/daemon/gateway/peer_test.go
+++ b/daemon/gateway/peer_test.go
@@ -56,6 +56,18 @@
 	}
 }
 
+// Guards against a call that is reported as possibly run although its peer had no memory for its body.
+func TestPeerWithoutMemoryHasNotRunTheCall(t *testing.T) {
+	full := httptest.NewServer(http.HandlerFunc(RefusePeerForMemory))
+	defer full.Close()
+	f := newFixture(t, "g1", echo)
+	f.session.peers = []syncmsg.Peer{{ID: "g2", PeerAddr: address(full), FreeQuick: map[model.PoolID]int32{"p": 4}}}
+	r := mustCall(t, f, http.MethodPost, "/", "x", headerDeadline, "100")
+	if r.verdict != "not-run" {
+		t.Errorf("response %+v", r)
+	}
+}
+
 // Guards against free-slot summaries of peers that stay wrong until the next renewal of the
 // session.
 func TestForwardsCorrectTheSummaries(t *testing.T) {
