Account only the block of a stream that is being written

Seen by callers: while one caller follows the output of a job, everyone else's requests with a body are refused with 503 once the stream has sent as much as the budget of bodies, 32 MiB by default, and until it ends.

Cause: each write above 16 KiB of an answer was accounted until the request ended. A stream writes blocks of 32 KiB and holds one at a time.

Evidence: TestStreamedAnswerHoldsOneBlock: 65,536 bytes were held after the second block of 32,768. Found by reading the wrapper of the answers; no run of a daemon showed it.

Change: a part of an answer is accounted while it is written.

--- a/daemon/intake/answer.go
+++ b/daemon/intake/answer.go
@@ -4,8 +4,6 @@
 	"net/http"
 	"slices"
 	"time"
-
-	"samphirepaddle.example/core/intake"
 )
 
 // answerPart is the part of an answer that a client has to take within the write timeout.
@@ -20,7 +18,6 @@
 	body    *bodyRead // nil without a body
 	begun   bool
 	refused bool
-	held    intake.ID // account of a large answer; 0 if there is none
 }
 
 // WriteHeader begins the answer.
@@ -54,7 +51,7 @@
 		return len(data), nil
 	}
 	if len(data) > smallAnswer {
-		a.hold(int64(len(data)))
+		defer a.hold(int64(len(data)))()
 	}
 	written := 0
 	for part := range slices.Chunk(data, answerPart) {
@@ -75,27 +72,21 @@
 	_ = http.NewResponseController(a.ResponseWriter).SetWriteDeadline(time.Now().Add(a.guard.options.WriteTimeout))
 }
 
-// hold accounts a part of a large answer until the request ends. A ready answer is always delivered.
-func (a *answer) hold(bytes int64) {
+// hold accounts a part of a large answer until the function that it returns is called. A ready answer is always
+// delivered.
+func (a *answer) hold(bytes int64) (release func()) {
 	g := a.guard
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	if a.held == 0 {
-		a.held = g.bodies.Open("", now())
-		g.bodies.Complete(a.held)
-	}
-	g.bodies.Hold(a.held, bytes)
-}
-
-func (a *answer) release() {
-	if a.held == 0 {
-		return
+	id := g.bodies.Open("", now())
+	g.bodies.Complete(id)
+	g.bodies.Hold(id, bytes)
+	return func() {
+		g.mu.Lock()
+		defer g.mu.Unlock()
+		g.bodies.Close(id)
+		g.release()
 	}
-	g := a.guard
-	g.mu.Lock()
-	defer g.mu.Unlock()
-	g.bodies.Close(a.held)
-	g.release()
 }
 
 // Unwrap gives http.ResponseController access to the connection.
--- a/daemon/intake/bodies.go
+++ b/daemon/intake/bodies.go
@@ -162,7 +162,6 @@
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		c := connOf(r.Context())
 		answer := &answer{ResponseWriter: w, guard: g, request: r}
-		defer answer.release()
 		answer.setDeadline()
 		if r.Body == nil || r.Body == http.NoBody {
 			if c != nil {
--- a/daemon/intake/guard_test.go
+++ b/daemon/intake/guard_test.go
@@ -200,6 +200,23 @@
 	}
 }
 
+// Guards against a long stream of output that takes the memory of everyone's bodies, although the process holds
+// a block of it at a time.
+func TestStreamedAnswerHoldsOneBlock(t *testing.T) {
+	const block = 32 << 10
+	guard := New(Options{BodyBytes: 1 << 20, Logger: zerolog.Nop()})
+	guard.Handler(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+		for range 100 {
+			if _, err := w.Write(make([]byte, block)); err != nil {
+				t.Fatal(err)
+			}
+			if held := guard.bodies.Held(); held > block {
+				t.Fatalf("%d bytes are held", held)
+			}
+		}
+	})).ServeHTTP(httptest.NewRecorder(), httptest.NewRequest(http.MethodGet, "/", nil))
+}
+
 // partRecorder counts the deadlines that are set while an answer is written.
 type partRecorder struct {
 	*httptest.ResponseRecorder
