Count a byte now and then as no progress

Seen by callers: clients that send a byte now and then take all connections of a gateway, and ordinary callers of the same address, as behind a balancer, are refused until the time for a body, 10 s, is over for one of them.

Cause: any byte made a body or connection count as one that goes on, so that nothing gave way to an ordinary caller.

Evidence: with every byte counted, TestBodiesThatTrickleGiveWay waits ("verdict 1, victims []") and TestConnectionsThatTrickleGiveWay admits nobody.

Change: bodies and connections make progress with 1 KiB of accounted bytes, about 340 bytes sent. Slower clients give way after 500 ms when memory or connections are used up, and only then. The time for which a body waits for memory is not counted.

--- a/core/intake/bodies.go
+++ b/core/intake/bodies.go
@@ -16,6 +16,9 @@
 	// stalledAfter is the time without a byte after which a client counts as one that has stopped sending. A
 	// lost packet is sent again within a fraction of it.
 	stalledAfter = model.Millis(500)
+	// minProgress is the number of bytes that count as progress. A client that sends a byte now and then has stopped
+	// sending for all that others get from it.
+	minProgress = 1 << 10
 	// smallBody is the size up to which a body may use the whole budget. Larger ones leave a part of it to
 	// ordinary requests, which are small.
 	smallBody       = 16 << 10
@@ -49,7 +52,8 @@
 	id         ID
 	source     string
 	held       int64
-	progressAt model.Millis // when bytes last arrived
+	progressAt model.Millis // when minProgress bytes had last arrived
+	sinceThen  int64        // bytes that have arrived since then
 	waiting    bool         // the process does not read from the client for want of room
 	complete   bool
 	givenUp    bool
@@ -77,7 +81,6 @@
 	if !ok || grown.givenUp {
 		return Refused, nil
 	}
-	grown.progressAt, grown.waiting = now, false
 	var victims []ID
 	for !b.fits(grown, bytes) {
 		victim := b.victimFor(grown, bytes, now)
@@ -88,10 +91,18 @@
 		b.giveUp(victim)
 		victims = append(victims, victim.id)
 	}
+	grown.noteProgress(bytes, now)
 	b.Hold(id, bytes)
 	return Granted, victims
 }
 
+// noteProgress notes bytes that are granted. The time for which a body has waited is not its client's fault.
+func (b *body) noteProgress(bytes int64, now model.Millis) {
+	if b.sinceThen += bytes; b.waiting || b.sinceThen >= minProgress {
+		b.progressAt, b.sinceThen, b.waiting = now, 0, false
+	}
+}
+
 // Hold accounts bytes that the process holds already, whatever room there is.
 func (b *Bodies) Hold(id ID, bytes int64) {
 	if body, ok := b.bodies[id]; ok {
--- a/core/intake/connections.go
+++ b/core/intake/connections.go
@@ -24,7 +24,8 @@
 	id       ID
 	source   string
 	activity Activity
-	since    model.Millis // of the last byte or change of the activity
+	since    model.Millis // of the last change of the activity, or when minProgress bytes had last arrived
+	bytes    int64        // that have arrived since then
 }
 
 // NewConnections returns an account with a limit.
@@ -87,7 +88,18 @@
 // Note notes what happens on a connection.
 func (c *Connections) Note(id ID, activity Activity, now model.Millis) {
 	if conn, ok := c.conns[id]; ok {
-		conn.activity, conn.since = activity, now
+		conn.activity, conn.since, conn.bytes = activity, now, 0
+	}
+}
+
+// Received notes bytes of a request that has not arrived as a whole.
+func (c *Connections) Received(id ID, bytes int64, now model.Millis) {
+	conn, ok := c.conns[id]
+	if !ok {
+		return
+	}
+	if conn.bytes += bytes; conn.activity != Receiving || conn.bytes >= minProgress {
+		c.Note(id, Receiving, now)
 	}
 }
 
--- a/daemon/intake/bodies.go
+++ b/daemon/intake/bodies.go
@@ -75,7 +75,7 @@
 // tryGrow asks once for memory. freed is closed when some is released.
 func (g *Guard) tryGrow(b *bodyRead, bytes int64) (verdict intake.Verdict, freed <-chan struct{}) {
 	if b.conn != nil {
-		b.conn.note(intake.Receiving)
+		b.conn.received(bytes)
 	}
 	g.mu.Lock()
 	verdict, victims := g.bodies.Grow(b.id, bytes, now())
--- a/daemon/intake/guard.go
+++ b/daemon/intake/guard.go
@@ -116,6 +116,12 @@
 	c.guard.conns.Note(c.id, a, now())
 }
 
+func (c *conn) received(bytes int64) {
+	c.guard.mu.Lock()
+	defer c.guard.mu.Unlock()
+	c.guard.conns.Received(c.id, bytes, now())
+}
+
 // sourceOf returns the address of a client without its port.
 func sourceOf(addr string) string {
 	host, _, err := net.SplitHostPort(addr)
