Close stalled connections before idle ones

Seen by callers: while a crowd opens connections to a controller and sends nothing, the connections that daemons and callers keep between two requests are closed; a request that is on its way then breaks off, and its outcome is unknown.

Cause: idle connections gave way first, although those of the crowd had sent nothing for as long.

Evidence: TestStalledConnectionsGiveWayBeforeIdleOnes: the idle connection was closed.

Change: connections whose client has stopped sending give way first, then idle ones.

--- a/core/intake/connections.go
+++ b/core/intake/connections.go
@@ -5,7 +5,7 @@
 // Activity is what happens on a connection.
 type Activity uint8
 
-// The activities, in the order in which connections give way to new ones.
+// The activities.
 const (
 	Idle      Activity = iota // between two requests
 	Receiving                 // no request yet, or one that has not arrived as a whole; a stream of messages
@@ -53,7 +53,7 @@
 	return c.next, victim, true
 }
 
-// victimFor returns the connection that gives way: an idle one, then one whose client has stopped sending, then
+// victimFor returns the connection that gives way: one whose client has stopped sending, then an idle one, then
 // one of the address with most connections, if it has many more than the new one's.
 func (c *Connections) victimFor(source string, now model.Millis) *connection {
 	var idle, stalled, greedy *connection
@@ -72,7 +72,7 @@
 			greedy = other
 		}
 	}
-	for _, victim := range []*connection{idle, stalled, greedy} {
+	for _, victim := range []*connection{stalled, idle, greedy} {
 		if victim != nil {
 			return victim
 		}
--- a/core/intake/intake_test.go
+++ b/core/intake/intake_test.go
@@ -164,6 +164,18 @@
 	}
 }
 
+// Guards against connections of daemons and callers, idle between two requests, that are closed for those of a crowd
+// that sends nothing.
+func TestStalledConnectionsGiveWayBeforeIdleOnes(t *testing.T) {
+	c := NewConnections(2)
+	idle, _, _ := c.Admit("a", 0)
+	c.Note(idle, Idle, 0)
+	stalled, _, _ := c.Admit("a", 100)
+	if _, victim, ok := c.Admit("a", 700); !ok || victim != stalled {
+		t.Errorf("connection %d gave way, want the stalled one, %d", victim, stalled)
+	}
+}
+
 // Guards against connections whose clients send a byte now and then and so keep all others out.
 func TestConnectionsThatTrickleGiveWay(t *testing.T) {
 	c := NewConnections(8)
