Let one of the bodies that wait for each other go on

Seen by callers: several large legal bodies that arrive at once can all be refused after a second, although one after the other would have fitted.

Cause: each body holds the part that has arrived while it waits for more. If all of them wait, none releases anything until its time is over, and then the first to be refused is any of them.

Evidence: TestBodiesThatWaitForEachOther: both bodies wait.

Change: of bodies that all wait, the one that was opened last is refused at once, so that the earlier ones finish. The test now sends the second body when the first has been read, which is what it is about, and bounds its wait for an answer; what it checks is the same.

--- a/core/intake/bodies.go
+++ b/core/intake/bodies.go
@@ -36,7 +36,7 @@
 const (
 	Granted Verdict = iota
 	Wait            // there is no room now; the client should not be read from meanwhile
-	Refused         // the body was given up
+	Refused         // the body was given up, before or by this decision
 )
 
 // Bodies accounts the memory of the request bodies that a process holds. It is not safe for concurrent use.
@@ -83,10 +83,14 @@
 	}
 	var victims []ID
 	for !b.fits(grown, bytes) {
-		victim := b.victimFor(grown, bytes, now)
-		if victim == nil {
+		victim := cmp.Or(b.victimFor(grown, bytes, now), b.lastOfDeadlock(grown))
+		switch victim {
+		case nil:
 			grown.waiting = true
 			return Wait, victims
+		case grown:
+			b.giveUp(grown)
+			return Refused, victims
 		}
 		b.giveUp(victim)
 		victims = append(victims, victim.id)
@@ -143,6 +147,24 @@
 	return cmp.Or(stalled, greedy)
 }
 
+// lastOfDeadlock returns the body that was opened last if all bodies with memory wait for more, so that none of them would
+// release any. It is nil if one of them may go on or is being served.
+func (b *Bodies) lastOfDeadlock(grown *body) *body {
+	last := grown
+	for _, other := range b.bodies {
+		if other == grown || other.givenUp || other.held == 0 {
+			continue
+		}
+		if !other.waiting {
+			return nil
+		}
+		if other.id > last.id {
+			last = other
+		}
+	}
+	return last
+}
+
 // olderThan reports whether a has made no progress for longer than b.
 func olderThan(a, b *body) bool {
 	return b == nil || a.progressAt < b.progressAt || (a.progressAt == b.progressAt && a.id < b.id)
@@ -150,7 +172,7 @@
 
 func (b *Bodies) giveUp(victim *body) {
 	b.release(victim)
-	victim.givenUp = true
+	victim.givenUp, victim.waiting = true, false
 }
 
 // GiveUp gives up a body that has waited for too long.
--- a/core/intake/intake_test.go
+++ b/core/intake/intake_test.go
@@ -78,6 +78,37 @@
 	}
 }
 
+// Guards against large bodies of legal clients that each hold a part of the memory, wait for each other and are all
+// refused, although one after the other would fit.
+func TestBodiesThatWaitForEachOther(t *testing.T) {
+	b := NewBodies(1024 * kib)
+	first, second := b.Open("a", 0), b.Open("a", 0)
+	for _, id := range []ID{first, second} {
+		if verdict, _ := b.Grow(id, 350*kib, 0); verdict != Granted {
+			t.Fatalf("verdict %d", verdict)
+		}
+	}
+	if verdict, _ := b.Grow(first, 100*kib, 10); verdict != Wait {
+		t.Fatalf("verdict %d while the other one may go on", verdict)
+	}
+	if verdict, victims := b.Grow(second, 100*kib, 20); verdict != Refused || len(victims) != 0 {
+		t.Fatalf("verdict %d, victims %v, want the later one refused at once", verdict, victims)
+	}
+	if verdict, _ := b.Grow(first, 100*kib, 30); verdict != Granted {
+		t.Errorf("verdict %d for the earlier one", verdict)
+	}
+	third := b.Open("a", 40)
+	if verdict, _ := b.Grow(third, 300*kib, 40); verdict != Granted {
+		t.Fatalf("verdict %d", verdict)
+	}
+	if verdict, _ := b.Grow(third, 100*kib, 40); verdict != Wait {
+		t.Fatalf("verdict %d while the other one may go on", verdict)
+	}
+	if verdict, victims := b.Grow(first, 100*kib, 50); verdict != Granted || len(victims) != 1 || victims[0] != third {
+		t.Errorf("verdict %d, victims %v, want the later one to give way", verdict, victims)
+	}
+}
+
 // Guards against a crowd of large bodies that shuts out small requests, and against a limit that refuses a
 // single legal request.
 func TestSmallAndSingleBodiesFindRoom(t *testing.T) {
--- a/daemon/intake/bodies.go
+++ b/daemon/intake/bodies.go
@@ -80,9 +80,14 @@
 	g.mu.Lock()
 	verdict, victims := g.bodies.Grow(b.id, bytes, now())
 	conns := g.giveUpVictims(victims)
+	refusedNow := verdict == intake.Refused && !b.givenUp
+	b.givenUp = b.givenUp || refusedNow
 	freed = g.freed
 	g.mu.Unlock()
 	g.interrupt(conns)
+	if refusedNow {
+		g.count("bodies", "no_memory")
+	}
 	return verdict, freed
 }
 
--- a/daemon/intake/guard_test.go
+++ b/daemon/intake/guard_test.go
@@ -83,8 +83,24 @@
 	return conn
 }
 
+// untilHeld waits until the guard accounts so many bytes. The number of tries only ends a test that fails.
+func untilHeld(t *testing.T, guard *Guard, bytes int64) {
+	t.Helper()
+	for range 10_000 {
+		guard.mu.Lock()
+		held := guard.bodies.Held()
+		guard.mu.Unlock()
+		if held == bytes {
+			return
+		}
+		time.Sleep(time.Millisecond)
+	}
+	t.Fatalf("%d bytes are not held", bytes)
+}
+
 func readAnswer(t *testing.T, conn net.Conn) *http.Response {
 	t.Helper()
+	_ = conn.SetReadDeadline(time.Now().Add(time.Minute)) // ends a test that fails
 	response, err := http.ReadResponse(bufio.NewReader(conn), nil)
 	if err != nil {
 		t.Fatal(err)
@@ -98,6 +114,7 @@
 func TestStalledBodyIsRefusedForAnother(t *testing.T) {
 	guard, addr := newServer(t, 1<<20)
 	stalled := send(t, addr, 200<<10, 1)
+	untilHeld(t, guard, (200<<10-1)*bodyCopies) // else both bodies may wait for each other, and the later one is refused
 	if response := readAnswer(t, send(t, addr, 200<<10, 0)); response.StatusCode != http.StatusOK {
 		t.Errorf("the complete body got status %d", response.StatusCode)
 	}
