Refuse a body at once that waits in vain

Seen by callers: with more large bodies than there is memory for, those that cannot get any are left unread for a second and refused then, when their callers could have gone to another gateway long before.

Cause: a body waited whatever stood before it.

Evidence: TestBodyThatWaitsInVainIsRefusedAtOnce: the third of three bodies waits while the first two need all the memory.

Change: a body is refused at once if the earlier ones that wait need so much, by their declared lengths, that it finds no room even when everything held now has been released. The queue for memory stays as short as what it can serve.

--- a/core/intake/bodies.go
+++ b/core/intake/bodies.go
@@ -54,7 +54,9 @@
 	held       int64
 	progressAt model.Millis // when minProgress bytes had last arrived
 	sinceThen  int64        // bytes that have arrived since then
+	expected   int64        // size when it has arrived as a whole; 0 if not known
 	waiting    bool         // the process does not read from the client for want of room
+	wanted     int64        // bytes that it waits for
 	complete   bool
 	givenUp    bool
 }
@@ -74,6 +76,13 @@
 	return b.next
 }
 
+// Expect notes the size that a body will have when it has arrived as a whole.
+func (b *Bodies) Expect(id ID, bytes int64) {
+	if body, ok := b.bodies[id]; ok {
+		body.expected = bytes
+	}
+}
+
 // Grow decides about bytes that have arrived of a body, and returns the bodies that are given up for them. The
 // caller closes the connections of these.
 func (b *Bodies) Grow(id ID, bytes int64, now model.Millis) (Verdict, []ID) {
@@ -84,9 +93,12 @@
 	var victims []ID
 	for !b.fits(grown, bytes) {
 		victim := cmp.Or(b.victimFor(grown, bytes, now), b.lastOfDeadlock(grown))
+		if victim == nil && b.waitsInVain(grown, bytes) {
+			victim = grown
+		}
 		switch victim {
 		case nil:
-			grown.waiting = true
+			grown.waiting, grown.wanted = true, bytes
 			return Wait, victims
 		case grown:
 			b.giveUp(grown)
@@ -165,6 +177,22 @@
 	return last
 }
 
+// waitsInVain reports whether the bodies that were opened earlier and wait need so much that the grown one finds no room
+// when everything that is held now has been released. It answers crowds of large bodies that all go on: the queue for
+// memory stays as short as what it can serve.
+func (b *Bodies) waitsInVain(grown *body, bytes int64) bool {
+	var ahead int64
+	for _, other := range b.bodies {
+		if other.waiting && other.id < grown.id {
+			ahead += other.needs(other.wanted)
+		}
+	}
+	return ahead > 0 && ahead+grown.needs(bytes) > int64(largeBodyShare*float64(b.limit))
+}
+
+// needs returns the memory that a body asks for in all, if it asks for so many more bytes now.
+func (b *body) needs(bytes int64) int64 { return max(b.expected, b.held+bytes) }
+
 // olderThan reports whether a has made no progress for longer than b.
 func olderThan(a, b *body) bool {
 	return b == nil || a.progressAt < b.progressAt || (a.progressAt == b.progressAt && a.id < b.id)
--- a/core/intake/intake_test.go
+++ b/core/intake/intake_test.go
@@ -109,6 +109,34 @@
 	}
 }
 
+// Guards against a body that waits for its deadline although earlier ones need all the memory that can be released.
+func TestBodyThatWaitsInVainIsRefusedAtOnce(t *testing.T) {
+	b := NewBodies(1024 * kib)
+	served := b.Open("a", 0)
+	b.Hold(served, 700*kib)
+	b.Complete(served)
+	var waiting []ID
+	for range 2 {
+		id := b.Open("a", 0)
+		b.Expect(id, 300*kib)
+		if verdict, _ := b.Grow(id, 100*kib, 0); verdict != Wait {
+			t.Fatalf("verdict %d", verdict)
+		}
+		waiting = append(waiting, id)
+	}
+	vain := b.Open("a", 0)
+	b.Expect(vain, 300*kib)
+	if verdict, _ := b.Grow(vain, 100*kib, 0); verdict != Refused {
+		t.Errorf("verdict %d for a body behind others that need all the memory", verdict)
+	}
+	b.Close(served)
+	for _, id := range waiting {
+		if verdict, _ := b.Grow(id, 300*kib, 10); verdict != Granted {
+			t.Errorf("verdict %d after memory was released", verdict)
+		}
+	}
+}
+
 // Guards against a crowd of large bodies that shuts out small requests, and against a limit that refuses a
 // single legal request.
 func TestSmallAndSingleBodiesFindRoom(t *testing.T) {
--- a/daemon/intake/bodies.go
+++ b/daemon/intake/bodies.go
@@ -148,6 +148,13 @@
 	return b
 }
 
+// expect notes the declared length of a body; it is negative if the client has declared none.
+func (g *Guard) expect(b *bodyRead, length int64) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.bodies.Expect(b.id, max(0, length)*bodyCopies)
+}
+
 func (g *Guard) closeBody(b *bodyRead) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
@@ -176,6 +183,7 @@
 			return
 		}
 		body := g.openBody(r.Body, r.RemoteAddr, c, r.Context().Done())
+		g.expect(body, r.ContentLength)
 		defer g.closeBody(body)
 		r.Body, answer.body = body, body
 		next.ServeHTTP(answer, r)
