Derive the defaults of a process that is told no memory from its machine

Seen by callers: on a small VM whose settings name no memory, a crowd takes more than the VM has; a leader accepts legal jobs until it ends.

Change: the defaults are at most a fifth (bodies, connections) and an eighth (jobs) of the memory of the machine.

Measured: TestDefaultsFitTheMachine. Not played on a small VM.

--- a/daemon/cmd/samphired/guards.go
+++ b/daemon/cmd/samphired/guards.go
@@ -29,12 +29,11 @@
 	if err != nil {
 		return err
 	}
-	machine := intake.MachineBytes()
-	if machine > 0 {
+	if machine := intake.MachineBytes(); machine > 0 {
 		debug.SetMemoryLimit(int64(heapShare * float64(machine)))
 	}
-	bodies := orDefault(d.settings.BodyMemoryMiB<<20, min(intake.DefaultBodyBytes, intake.BodyBytesFor(machine)))
-	connections := orDefault(d.settings.ConnectionMemoryMiB<<20, min(intake.DefaultConnectionBytes, intake.ConnectionBytesFor(machine)))
+	bodies := orDefault(d.settings.BodyMemoryMiB<<20, intake.BodyBytesFor(0))
+	connections := orDefault(d.settings.ConnectionMemoryMiB<<20, intake.ConnectionBytesFor(0))
 	d.budgets = listenerBudgets{
 		public: coreintake.PlanListener(connections/2, min(d.settings.MaxConnections, int(publicDescriptorShare*float64(descriptors)))),
 		peer:   coreintake.PlanListener(connections/2, min(maxPeerConnections, int(peerDescriptorShare*float64(descriptors)))),
--- a/daemon/fleetd/controller.go
+++ b/daemon/fleetd/controller.go
@@ -14,6 +14,7 @@
 	"samphirepaddle.example/core/workflow"
 	"samphirepaddle.example/daemon/agent"
 	"samphirepaddle.example/daemon/fleet"
+	"samphirepaddle.example/daemon/intake"
 	"samphirepaddle.example/daemon/operator"
 	"samphirepaddle.example/daemon/replica"
 	"samphirepaddle.example/daemon/rpc"
@@ -100,7 +101,10 @@
 	if s.JobMemoryMiB > 0 {
 		return s.JobMemoryMiB << 20
 	}
-	return fleet.JobBytesFor(s.MemoryMiB)
+	if s.MemoryMiB > 0 {
+		return fleet.JobBytesFor(s.MemoryMiB)
+	}
+	return fleet.JobBytesFor(intake.MachineBytes() >> 20)
 }
 
 // replicaOptions returns the settings of the log. The client must exist already.
--- a/daemon/intake/guard.go
+++ b/daemon/intake/guard.go
@@ -37,28 +37,6 @@
 	Refuse func(http.ResponseWriter, *http.Request)
 }
 
-// Memory of a process whose memory is not known.
-const (
-	DefaultBodyBytes       = 32 << 20  // for request bodies
-	DefaultConnectionBytes = 128 << 20 // for connections
-)
-
-// memoryShare is the part of a process's memory for request bodies, and the part for connections.
-const memoryShare = 0.2
-
-// BodyBytesFor returns the part of a process's memory that request bodies may take.
-func BodyBytesFor(memoryBytes int64) int64 { return shareOf(memoryBytes, DefaultBodyBytes) }
-
-// ConnectionBytesFor returns the part of a process's memory that the kernel may take for its connections.
-func ConnectionBytesFor(memoryBytes int64) int64 { return shareOf(memoryBytes, DefaultConnectionBytes) }
-
-func shareOf(memoryBytes, byDefault int64) int64 {
-	if memoryBytes <= 0 {
-		return byDefault
-	}
-	return int64(memoryShare * float64(memoryBytes))
-}
-
 // Guard accounts what clients hold of one process. No lock is taken while mu is held, and no connection is called.
 type Guard struct {
 	options Options
