Accept configurations of the legal size

Seen by operators: a valid configuration of more than about 2.5 MB gets 503 however often it is sent, and with each try the daemon that has it forgets the leader, so that callers' requests through it are delayed as well.

Cause: operators may send 4 MiB, but the call to the leader, and the command in the log, hold the routes a second time in decoded form and were limited to 5 MiB. The leader answered 400, which its caller takes for a leader that is lost.

--- a/daemon/fleet/rpc.go
+++ b/daemon/fleet/rpc.go
@@ -26,7 +26,7 @@
 
 // maxCallBytes limits the body of a request or response; the largest one carries a routing table
 // of 4 MiB.
-const maxCallBytes = 5 << 20
+const maxCallBytes = 10 << 20
 
 // Names of the operations.
 const (
