Send crowds in the soak

Cause: the soak had only clients that finish what they begin, while the crowds of test/crowd come to daemons that have no other trouble.

Their stream of random choices is their own, so that every seed keeps its meaning.

--- a/test/cmd/soak/main.go
+++ b/test/cmd/soak/main.go
@@ -28,6 +28,7 @@
 	controllers int
 	gateways    int
 	series      bool
+	crowds      bool
 }
 
 func main() {
@@ -42,6 +43,7 @@
 	app.Flag("controllers", "Number of controllers, 3 or 5. With 0, the seed decides.").Default("0").IntVar(&s.controllers)
 	app.Flag("gateways", "Number of gateways.").Default("3").IntVar(&s.gateways)
 	app.Flag("series", "Also replace controllers and exchange the seeds, with pauses in which the controllers catch up.").BoolVar(&s.series)
+	app.Flag("crowds", "Also send crowds of clients that stop short of the end of their requests, to daemons with low limits.").BoolVar(&s.crowds)
 	kingpin.MustParse(app.Parse(os.Args[1:]))
 	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt)
 	defer stop()
@@ -178,7 +180,7 @@
 		return soak.Report{}, err
 	}
 	report, err := soak.Run(ctx, soak.Options{
-		Binary: binary, Dir: runDir, Seed: seed, Faults: s.faults, Controllers: controllers, Gateways: s.gateways, Series: s.series,
+		Binary: binary, Dir: runDir, Seed: seed, Faults: s.faults, Controllers: controllers, Gateways: s.gateways, Series: s.series, Crowds: s.crowds,
 	})
 	if err == nil && len(report.Violations) == 0 {
 		err = os.RemoveAll(runDir)
--- a/test/soak/run.go
+++ b/test/soak/run.go
@@ -25,6 +25,7 @@
 	Controllers int           // 3 or 5
 	Gateways    int
 	Series      bool // also replace controllers and exchange the seeds, in bursts of faults
+	Crowds      bool // also send clients that stop short of the end of their requests, to daemons with low limits
 }
 
 // ControllersOf returns the default number of controllers for a seed: 3 or 5.
@@ -53,7 +54,11 @@
 	if o.Series {
 		relays = relaysOf(o.Seed)
 	}
-	system, err := newSystem(o.Binary, o.Dir, o.Controllers, o.Gateways, relays)
+	var extra map[string]any
+	if o.Crowds {
+		extra = crowdSettings()
+	}
+	system, err := newSystem(o.Binary, o.Dir, o.Controllers, o.Gateways, relays, extra)
 	if err != nil {
 		return Report{}, err
 	}
@@ -121,6 +126,13 @@
 	f := &faults{
 		system: r.system, workers: r.workers, rng: rand.New(rand.NewPCG(r.options.Seed, 7)), log: r.faultLog.write,
 	}
+	crowdCtx, stopCrowds := context.WithCancel(ctx)
+	defer stopCrowds()
+	var crowding sync.WaitGroup
+	if r.options.Crowds {
+		c := &crowds{system: r.system, rng: rand.New(rand.NewPCG(r.options.Seed, 9)), log: r.faultLog.write}
+		crowding.Go(func() { c.run(crowdCtx) })
+	}
 	if r.options.Series {
 		r.runSeries(ctx, f)
 	} else {
@@ -128,6 +140,8 @@
 		defer stopFaults()
 		f.run(faultCtx, faultKinds)
 	}
+	stopCrowds()
+	crowding.Wait()
 	r.workers.setAll(standin.Fault{})
 	if err := r.system.heal(); err != nil {
 		r.fail("recover", "a daemon failed to start after the faults: %v", err)
--- a/test/soak/soak_test.go
+++ b/test/soak/soak_test.go
@@ -55,7 +55,14 @@
 	{515, "recover: a learner whose addition was dropped with the leader followed that leader for good"},
 }
 
+// crowdSeeds lists the seeds that TestSeeds runs with crowds. None has reported a violation.
+var crowdSeeds = []regressionSeed{
+	{1001, "crowds beside the faults, five controllers"},
+	{1004, "crowds beside the faults, three controllers"},
+}
+
 const (
+	crowdFaults    = 8 * time.Second
 	seedFaults     = 12 * time.Second
 	seriesFaults   = 2 * burstTime // a group of three survives two losses only if the first successor joins
 	parallelSeeds  = 3
@@ -132,5 +139,8 @@
 	for _, s := range regressionSeeds {
 		run(s, Options{Faults: seedFaults})
 	}
+	for _, s := range crowdSeeds {
+		run(s, Options{Faults: crowdFaults, Crowds: true})
+	}
 	group.Wait()
 }
--- a/test/soak/system.go
+++ b/test/soak/system.go
@@ -8,6 +8,7 @@
 
 import (
 	"errors"
+	"maps"
 	"net/http"
 	"slices"
 	"strings"
@@ -21,6 +22,7 @@
 	Relays   []*Node // daemons of role relay, which serve control without a disk
 	binary   string
 	dir      string
+	settings map[string]any // additional settings of every daemon
 
 	mu          sync.Mutex
 	controllers []*Node  // without those that were replaced
@@ -31,8 +33,8 @@
 
 // newSystem writes the settings of the daemons and creates their relays, without starting the
 // daemons. Three controllers tolerate the loss of one, five of two.
-func newSystem(binary, dir string, controllers, gateways, relays int) (*System, error) {
-	s := &System{binary: binary, dir: dir, tolerance: controllers / 2}
+func newSystem(binary, dir string, controllers, gateways, relays int, settings map[string]any) (*System, error) {
+	s := &System{binary: binary, dir: dir, settings: settings, tolerance: controllers / 2}
 	for i := range controllers + gateways + relays {
 		role := roleController
 		switch {
@@ -59,6 +61,7 @@
 	if err != nil {
 		return err
 	}
+	maps.Copy(n.settings, s.settings)
 	n.settings["tolerated_vms"] = s.tolerance
 	s.all = append(s.all, n)
 	switch role {
@@ -98,6 +101,7 @@
 		return nil, err
 	}
 	s.all = append(s.all, n)
+	maps.Copy(n.settings, s.settings)
 	n.settings["tolerated_vms"], n.settings["controllers"], n.settings["may_found"] = s.tolerance, s.seeds, false
 	s.controllers[slices.Index(s.controllers, old)] = n
 	return n, n.writeSettings()
