--- a/daemon/fleet/client.go
+++ b/daemon/fleet/client.go
@@ -259,7 +259,7 @@
 		return nil, connected, fmt.Errorf("%s at %s: %w", op, addr, err)
 	}
 	defer response.Body.Close()
-	body, err = io.ReadAll(io.LimitReader(response.Body, maxCallBytes))
+	body, err = io.ReadAll(io.LimitReader(response.Body, MaxCallBytes))
 	c.learn(response.Header, addr)
 	switch {
 	case err != nil:
--- a/daemon/fleet/rpc.go
+++ b/daemon/fleet/rpc.go
@@ -24,9 +24,9 @@
 	statusUnknownOutcome  = http.StatusGatewayTimeout
 )
 
-// maxCallBytes limits the body of a request or response; the largest one carries a routing table
+// MaxCallBytes limits the body of a request or response; the largest one carries a routing table
 // of 4 MiB.
-const maxCallBytes = 10 << 20
+const MaxCallBytes = 10 << 20
 
 // Names of the operations.
 const (
@@ -79,7 +79,7 @@
 	mux.HandleFunc("POST "+PathPrefix+op, func(w http.ResponseWriter, r *http.Request) {
 		w.Header()["Date"] = nil
 		d.KnownControllers().setHeader(w.Header())
-		body, err := intake.ReadBody(w, r, maxCallBytes)
+		body, err := intake.ReadBody(w, r, MaxCallBytes)
 		if err != nil {
 			w.WriteHeader(http.StatusBadRequest)
 			return
--- a/daemon/replica/options.go
+++ b/daemon/replica/options.go
@@ -79,8 +79,8 @@
 // Bounds on memory.
 const (
 	maxBatchBytes       = 1 << 20  // entries or snapshot data of one message
-	maxCommandBytes     = 10 << 20  // one command; a job may carry a payload of 4 MiB
-	maxRequestBytes     = 12 << 20  // one call of Step, which holds at least one entry
+	maxCommandBytes     = 10 << 20 // one command; a job may carry a payload of 4 MiB
+	maxRequestBytes     = 12 << 20 // one call of Step, which holds at least one entry
 	maxInboxBytes       = 16 << 20 // received and not yet handled
 	maxUncommittedBytes = 16 << 20 // proposed and not yet committed
 	maxProposals        = 1024     // calls of Propose in progress
--- a/test/planted/incidents.go
+++ b/test/planted/incidents.go
@@ -3,7 +3,7 @@
 import "slices"
 
 // Catalogue lists all faults.
-var Catalogue = slices.Concat(incidents, promises, safeguards)
+var Catalogue = slices.Concat(incidents, crowds, promises, safeguards)
 
 // incidents lists the root causes of the pages under docs/incidents and of the cases under review.
 var incidents = []Fault{
