Do not let a false length refuse others

Seen by callers: while memory is used up, a client that declares a huge length and sends little has all later large bodies refused at once.

Cause: the decision whether a body waits in vain took the declared lengths of those before it as they are.

Change: a declared length counts up to twice of what has been sent. The test now needs three bodies before the one that is refused, which declare 2^60 bytes each, instead of two that declare 300 KiB.

Measured: the test fails with the lengths taken as they are (the second body is refused) and passes now.

--- a/core/intake/bodies.go
+++ b/core/intake/bodies.go
@@ -54,7 +54,7 @@
 	held       int64
 	progressAt model.Millis // when minProgress bytes had last arrived
 	sinceThen  int64        // bytes that have arrived since then
-	expected   int64        // size when it has arrived as a whole; 0 if not known
+	expected   int64        // declared size when it has arrived as a whole; 0 if not known
 	waiting    bool         // the process does not read from the client for want of room
 	wanted     int64        // bytes that it waits for
 	complete   bool
@@ -190,8 +190,12 @@
 	return ahead > 0 && ahead+grown.needs(bytes) > int64(largeBodyShare*float64(b.limit))
 }
 
-// needs returns the memory that a body asks for in all, if it asks for so many more bytes now.
-func (b *body) needs(bytes int64) int64 { return max(b.expected, b.held+bytes) }
+// needs returns the memory that a body asks for in all, if it asks for so many more bytes now. A declared length counts
+// up to twice of what the client has really sent, so that a false one makes nobody else give up.
+func (b *body) needs(bytes int64) int64 {
+	sent := b.held + bytes
+	return max(sent, min(b.expected, 2*sent))
+}
 
 // olderThan reports whether a has made no progress for longer than b.
 func olderThan(a, b *body) bool {
--- a/core/intake/intake_test.go
+++ b/core/intake/intake_test.go
@@ -116,22 +116,24 @@
 	b.Hold(served, 700*kib)
 	b.Complete(served)
 	var waiting []ID
-	for range 2 {
+	ask := func(declared int64) Verdict {
 		id := b.Open("a", 0)
-		b.Expect(id, 300*kib)
-		if verdict, _ := b.Grow(id, 100*kib, 0); verdict != Wait {
-			t.Fatalf("verdict %d", verdict)
-		}
+		b.Expect(id, declared)
 		waiting = append(waiting, id)
+		verdict, _ := b.Grow(id, 100*kib, 0)
+		return verdict
+	}
+	for range 3 { // each needs up to 200 KiB, and 768 can be released
+		if verdict := ask(1 << 60); verdict != Wait {
+			t.Fatalf("verdict %d: a declared length that nobody has sent makes others give up", verdict)
+		}
 	}
-	vain := b.Open("a", 0)
-	b.Expect(vain, 300*kib)
-	if verdict, _ := b.Grow(vain, 100*kib, 0); verdict != Refused {
+	if verdict := ask(200 * kib); verdict != Refused {
 		t.Errorf("verdict %d for a body behind others that need all the memory", verdict)
 	}
 	b.Close(served)
-	for _, id := range waiting {
-		if verdict, _ := b.Grow(id, 300*kib, 10); verdict != Granted {
+	for _, id := range waiting[:3] {
+		if verdict, _ := b.Grow(id, 200*kib, 10); verdict != Granted {
 			t.Errorf("verdict %d after memory was released", verdict)
 		}
 	}
--- a/daemon/intake/bodies.go
+++ b/daemon/intake/bodies.go
@@ -3,6 +3,7 @@
 import (
 	"errors"
 	"io"
+	"math"
 	"net/http"
 	"time"
 
@@ -152,7 +153,7 @@
 func (g *Guard) expect(b *bodyRead, length int64) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	g.bodies.Expect(b.id, max(0, length)*bodyCopies)
+	g.bodies.Expect(b.id, min(max(0, length), math.MaxInt64/bodyCopies)*bodyCopies)
 }
 
 func (g *Guard) closeBody(b *bodyRead) {
