Name the budgets of the fleet daemon's listeners one by one

Cause: one function returned two budgets, and its caller for the metrics passed a number that it did not need. The tests of crowds at two listeners repeated each other.

Change: a method for each budget; gatherAll and newOwnDaemon in test/crowd, with the same sizes and checks. No change of behaviour.

--- a/daemon/fleetd/budgets.go
+++ b/daemon/fleetd/budgets.go
@@ -14,14 +14,22 @@
 // probeShare is the part of the memory for connections that each of these listeners has.
 const probeShare = 1.0 / 16
 
-// listenerBudgets divides the memory for connections between the listener of callers, or of workers, operators
-// and daemons, and each listener of readiness or metrics.
-func (d *Daemon) listenerBudgets(descriptors int) (main, probes coreintake.ListenerBudget) {
-	bytes := d.settings.ConnectionMemoryMiB << 20
-	if bytes == 0 {
-		bytes = intake.ConnectionBytesFor(d.settings.MemoryMiB << 20)
+// mainBudget is that of the listener of callers, or of workers, operators and daemons.
+func (d *Daemon) mainBudget(descriptors int) coreintake.ListenerBudget {
+	bytes := d.connectionBytes()
+	probes := int64(probeListeners * probeShare * float64(bytes))
+	return coreintake.PlanListener(bytes-probes, int(inboundDescriptorShare*float64(descriptors)))
+}
+
+// probeBudget is that of a listener of readiness or of metrics.
+func (d *Daemon) probeBudget() coreintake.ListenerBudget {
+	return coreintake.PlanListener(int64(probeShare*float64(d.connectionBytes())), maxProbeConns)
+}
+
+// connectionBytes is the memory for the connections of all listeners.
+func (d *Daemon) connectionBytes() int64 {
+	if d.settings.ConnectionMemoryMiB > 0 {
+		return d.settings.ConnectionMemoryMiB << 20
 	}
-	perProbe := int64(probeShare * float64(bytes))
-	main = coreintake.PlanListener(bytes-probeListeners*perProbe, int(inboundDescriptorShare*float64(descriptors)))
-	return main, coreintake.PlanListener(perProbe, maxProbeConns)
+	return intake.ConnectionBytesFor(d.settings.MemoryMiB << 20)
 }
--- a/daemon/fleetd/daemon.go
+++ b/daemon/fleetd/daemon.go
@@ -151,7 +151,7 @@
 	if err != nil {
 		return nil, err
 	}
-	main, probes := d.listenerBudgets(limit)
+	main, probes := d.mainBudget(limit), d.probeBudget()
 	d.guard = d.newGuard(main)
 	var listeners []net.Listener
 	for addr, handler := range handlers {
--- a/daemon/fleetd/metrics.go
+++ b/daemon/fleetd/metrics.go
@@ -25,7 +25,7 @@
 	if addr == "" {
 		return
 	}
-	_, budget := d.listenerBudgets(maxProbeConns)
+	budget := d.probeBudget()
 	listener, err := intake.Listen(addr, budget)
 	if err == nil {
 		guard := d.newGuard(budget)
--- a/test/crowd/crowd.go
+++ b/test/crowd/crowd.go
@@ -122,6 +122,15 @@
 	return chunkBytes
 }
 
+// gatherAll gathers crowds at the same time.
+func gatherAll(crowds ...*crowd) {
+	var gathering sync.WaitGroup
+	for _, c := range crowds {
+		gathering.Go(c.gather)
+	}
+	gathering.Wait()
+}
+
 // leave closes the connections of all clients.
 func (c *crowd) leave() {
 	c.mu.Lock()
--- a/test/crowd/crowd_test.go
+++ b/test/crowd/crowd_test.go
@@ -8,7 +8,6 @@
 	"testing"
 
 	"samphirepaddle.example/platform/standin"
-	"samphirepaddle.example/test/cluster"
 	"samphirepaddle.example/test/soak"
 )
 
@@ -111,29 +110,16 @@
 	binary := build(t)
 	for _, shape := range shapes[:3] {
 		t.Run(string(shape), func(t *testing.T) {
-			dir := t.TempDir()
-			ports, err := cluster.FreePorts("127.0.0.1", 2)
-			if err != nil {
-				t.Fatal(err)
-			}
-			d := startDaemon(t, binary, dir, "own", ownDaemonMiB, ports[0], map[string]any{
-				"gateway": "gw1", "zone": "z", "public_addr": ports[0], "peer_addr": ports[1], "data_dir": filepath.Join(dir, "data"),
-				"controllers": []map[string]any{{"id": "gw1", "peer_addr": ports[1]}},
-			})
-			ordinary := func() {
-				t.Helper()
-				(&platformRig{}).untilAnswered(t, "the status", func() (int, error) { return request(http.MethodGet, "http://"+ports[0]+"/v1/status", "") })
-			}
-			ordinary()
+			d := newOwnDaemon(t, binary)
 			body := `{"number":1,"author":"` + strings.Repeat("x", ownBytes) + `"}`
-			c := &crowd{addr: ports[0], clients: tenants, shape: shape, request: func(int) (string, string) {
+			c := &crowd{addr: d.addr, clients: tenants, shape: shape, request: func(int) (string, string) {
 				return "POST /v1/tickets HTTP/1.1\r\nHost: h\r\nContent-Type: application/json\r\n", body
 			}}
 			c.gather()
 			d.countFiles()
-			ordinary()
+			d.untilAnswered(t)
 			c.leave()
-			ordinary()
+			d.untilAnswered(t)
 			d.check(t)
 		})
 	}
--- a/test/crowd/listeners_test.go
+++ b/test/crowd/listeners_test.go
@@ -98,11 +98,7 @@
 	add(eachKind, "POST /fleet/v1/submit HTTP/1.1\r\nHost: c\r\n", large)
 	add(eachKind, "POST /twirp/samphirepaddle.rpc.Consensus/Step HTTP/1.1\r\nHost: c\r\nContent-Type: application/protobuf\r\n", large)
 	add(eachKind, "PUT /instances/w HTTP/1.1\r\nHost: c\r\n", paddedJob(64<<10))
-	var gathering sync.WaitGroup
-	for _, c := range crowds {
-		gathering.Go(c.gather)
-	}
-	gathering.Wait()
+	gatherAll(crowds...)
 	r.submitOrdinary(t)
 	for _, c := range crowds {
 		c.leave()
--- a/test/crowd/own_test.go
+++ b/test/crowd/own_test.go
@@ -5,7 +5,6 @@
 	"net/http"
 	"path/filepath"
 	"strings"
-	"sync"
 	"testing"
 
 	"samphirepaddle.example/test/cluster"
@@ -77,11 +76,7 @@
 			return "POST /twirp/samphirepaddle.rpc.Control/Propose HTTP/1.1\r\nHost: h\r\nContent-Type: application/protobuf\r\n", body
 		}},
 	}
-	var gathering sync.WaitGroup
-	for _, c := range crowds {
-		gathering.Go(c.gather)
-	}
-	gathering.Wait()
+	gatherAll(crowds[:]...)
 	d.untilAnswered(t)
 	for _, c := range crowds {
 		c.leave()
