Fail crowd tests whose memory was not sampled

Cause: without a sample the bound on resident memory and unread bytes would hold for any process.

Change: a check that there is one.

Measured: TestCallersThatStopWithinTheHeader and TestCrowdsAtBothListeners pass.

--- a/test/crowd/rig_test.go
+++ b/test/crowd/rig_test.go
@@ -119,6 +119,9 @@
 	}
 	held, files := d.meter.result()
 	d.maxFiles = max(d.maxFiles, files)
+	if held.resident == 0 {
+		t.Error("no sample was taken of what the process holds")
+	}
 	if held.total() > int64(d.memoryMiB)<<20 {
 		t.Errorf("the process and its connections held %s; the machine has %d MiB", held, d.memoryMiB)
 	} else {
