--- a/review/13/run.sh
+++ b/review/13/run.sh
@@ -3,4 +3,4 @@
 dir=$(cd "$(dirname "$0")" && pwd)
 cd "$dir/../.." || exit 2
 [ -x target/samphired ] && [ -x target/review-3/rig3 ] || exit 2
-exec target/review-3/rig3 flapping "$dir/record.txt"
+exec target/review-3/rig3 firststart "$dir/record.txt"
--- a/review/rig3/firststart.go
+++ b/review/rig3/firststart.go
@@ -1,6 +1,9 @@
 package main
 
-import "time"
+import (
+	"net/http"
+	"time"
+)
 
 const foundTime = 60 * time.Second
 
@@ -23,5 +26,18 @@
 		r.add("start: %v", err)
 		return exitNotRun
 	}
-	return judgeFirstStart(r, s)
+	began := time.Now()
+	configured := s.configure(r, configuration(1, routes...), foundTime)
+	r.add("configuration acknowledged: %t after %d ms", configured, time.Since(began).Milliseconds())
+	a := send(&http.Client{}, http.MethodGet, s.gateways[0].addr, "/a/", nil, callTimeout)
+	r.add("GET /a/: %d %s", a.status, a.body)
+	for _, d := range s.all() {
+		if d.hasEnded() {
+			r.add("%s has ended", d.name)
+		}
+	}
+	if !configured && a.status != http.StatusOK {
+		return exitBroken
+	}
+	return exitHeld
 }
--- a/review/rig3/system.go
+++ b/review/rig3/system.go
@@ -36,7 +36,6 @@
 	name    string
 	role    string
 	zone    string
-	late    bool   // it starts later than the system
 	addr    string // listener of callers or of control
 	ready   string
 	metrics string
@@ -112,7 +111,7 @@
 		if d.role == "controller" {
 			settings["data_dir"] = d.dir
 		}
-		settings["may_found"], settings["tolerated_vms"] = !d.late, 1
+		settings["may_found"], settings["tolerated_vms"] = true, 1
 		settings["worker_lease_limit_ms"], settings["task_stop_ms"], settings["task_restore_ms"], settings["remote_factor"] = leaseLimitMs, stopMs, restoreMs, 1.5
 	}
 	data, err := json.Marshal(settings)
@@ -122,29 +121,6 @@
 	return os.WriteFile(d.path, data, 0o600)
 }
 
-// replace starts an empty controller at another address in the place of one that is lost, and writes the present
-// seeds to the settings of all.
-func (s *system) replace(r *record, i int) error {
-	lost := s.controllers[i]
-	d := &daemon{name: lost.name + "b", role: lost.role, zone: lost.zone, late: true}
-	var err error
-	for _, addr := range []*string{&d.addr, &d.ready, &d.metrics} {
-		if *addr, err = freeAddr("127.0.0.90"); err != nil {
-			return err
-		}
-	}
-	d.dir = filepath.Join(s.dir, d.name)
-	d.path = filepath.Join(s.dir, d.name+".json")
-	s.controllers[i], s.seeds[i] = d, d.addr
-	for _, other := range s.all() {
-		if err := s.writeSettings(other); err != nil {
-			return err
-		}
-	}
-	r.add("%s starts at another address", d.name)
-	return d.start()
-}
-
 func (d *daemon) start() error {
 	d.mu.Lock()
 	defer d.mu.Unlock()
--- a/review/rig3/workers.go
+++ b/review/rig3/workers.go
@@ -19,18 +19,15 @@
 )
 
 // addWorkers adds idle workers in three zones that send heartbeats to the controllers.
-func (s *system) addWorkers(ctx context.Context, pool *standin.Pool, spec standin.RunSpec) map[string]*standin.Worker {
-	workers := map[string]*standin.Worker{}
+func (s *system) addWorkers(ctx context.Context, pool *standin.Pool, spec standin.RunSpec) {
 	for i := range workerCount {
 		w := pool.Add(standin.Options{
 			ID: fmt.Sprintf("w-%02d", i), Service: serviceName, Rack: fmt.Sprintf("r-%d", i%3), Zone: fmt.Sprintf("zone-%d", i%3),
 			CPUMillis: workerCPU, MemoryMiB: 256_000,
 			RunSpec: func(string, uint32, string) standin.RunSpec { return spec },
 		})
-		workers[w.ID()] = w
 		go w.Heartbeats(ctx, s.seeds)
 	}
-	return workers
 }
 
 // job is the body of a submission.
@@ -43,11 +40,10 @@
 }
 
 type phase struct {
-	Count       int  `json:"count"`
-	CPU         int  `json:"cpu"`
-	MemMB       int  `json:"mem-mb"`
-	EstimateMs  int  `json:"estimate-ms,omitempty"`
-	LongRunning bool `json:"long-running,omitempty"`
+	Count      int `json:"count"`
+	CPU        int `json:"cpu"`
+	MemMB      int `json:"mem-mb"`
+	EstimateMs int `json:"estimate-ms,omitempty"`
 }
 
 // submit sends a job. A client sends it again, with the same id, after no answer, a 502 or a
